Build: Add the skeleton and the interfaces between modules

Cause: nothing exists yet, and the parts can only grow side by side once the headers between configuration, fleet, flow, request, time line and runtime are fixed. No decision is implemented yet.

--- /dev/null
+++ b/Source/Core/finding.h
@@ -0,0 +1,40 @@
+#ifndef HEMLOCKWICK_CORE_FINDING_H_
+#define HEMLOCKWICK_CORE_FINDING_H_
+
+#include <compare>
+#include <string>
+#include <vector>
+
+namespace hemlockwick {
+
+// Place in an input file; line and column count from 1, 0 means unknown.
+struct SourcePlace {
+  std::string file;
+  int line = 0;
+  int column = 0;
+
+  friend auto operator<=>(const SourcePlace&, const SourcePlace&)
+      -> std::strong_ordering = default;
+};
+
+enum class Severity { kWarning, kError };
+
+// One thing that a check found, with its place and the way out.
+struct Finding {
+  Severity severity = Severity::kError;
+  SourcePlace place;
+  std::string object;   // Kind and name, for example "service rollfloor".
+  std::string problem;  // What is wrong.
+  std::string remedy;   // What to do about it.
+};
+
+using Findings = std::vector<Finding>;
+
+[[nodiscard]] auto HasErrors(const Findings& findings) -> bool;
+
+// Returns "file:line:column: error: object: problem; remedy".
+[[nodiscard]] auto ToString(const Finding& finding) -> std::string;
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_CORE_FINDING_H_
--- /dev/null
+++ b/Source/Core/time.h
@@ -0,0 +1,42 @@
+#ifndef HEMLOCKWICK_CORE_TIME_H_
+#define HEMLOCKWICK_CORE_TIME_H_
+
+#include <chrono>
+#include <cstdint>
+
+namespace hemlockwick {
+
+using Duration = std::chrono::nanoseconds;
+
+// The clock of every decision: nanoseconds since the Unix epoch, read once at
+// process start and advanced by CLOCK_BOOTTIME, so that it never steps back
+// and counts the time for which a process or machine was suspended. Tests
+// advance it by hand. Clocks of two instances differ by at most
+// kMaxClockSkew.
+struct DecisionClock {
+  using duration = Duration;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<DecisionClock>;
+  static constexpr bool is_steady = true;
+};
+
+using TimePoint = DecisionClock::time_point;
+
+// Largest difference between the clocks of two instances, by NTP.
+inline constexpr Duration kMaxClockSkew = std::chrono::milliseconds(500);
+
+// Returns whole milliseconds since the Unix epoch.
+[[nodiscard]] constexpr auto ToUnixMillis(TimePoint time) -> std::int64_t {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             time.time_since_epoch())
+      .count();
+}
+
+[[nodiscard]] constexpr auto FromUnixMillis(std::int64_t millis) -> TimePoint {
+  return TimePoint(std::chrono::milliseconds(millis));
+}
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_CORE_TIME_H_
--- /dev/null
+++ b/Source/Fleet/fleet_node.h
@@ -0,0 +1,117 @@
+#ifndef HEMLOCKWICK_FLEET_FLEET_NODE_H_
+#define HEMLOCKWICK_FLEET_FLEET_NODE_H_
+
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "Config/fleet_config.h"
+#include "Core/finding.h"
+#include "Core/ids.h"
+#include "Core/net_address.h"
+#include "Core/time.h"
+#include "Fleet/fleet_message.h"
+#include "Fleet/member_view.h"
+#include "Timeline/event_log.h"
+
+namespace hemlockwick {
+
+// A read of the platform. With a positive `wait` it is a watch: the platform
+// answers when the value's index passes `after` or when `wait` has elapsed.
+struct PlatformRead {
+  std::string key;
+  std::uint64_t after = 0;
+  Duration wait{0};
+};
+
+enum class PlatformStatus { kValue, kUnchanged, kMissing, kUnreachable };
+
+// The platform's answer to a PlatformRead of the same key.
+struct PlatformAnswer {
+  std::string key;
+  PlatformStatus status = PlatformStatus::kUnreachable;
+  std::uint64_t index = 0;
+  std::string body;
+};
+
+// Key of the platform's lagging list of instances: a JSON array of
+// {"name", "data_centre", "http", "packet", "leaving"}.
+inline constexpr std::string_view kInstanceListKey = "platform/instances";
+
+// What the node asks its adapter to do.
+struct SendFleetMessage {
+  InstanceId to;
+  SocketAddress address;  // The peer's HTTP address.
+  FleetMessage message;
+};
+struct ConfigInForce {
+  std::shared_ptr<const FleetConfig> config;
+};
+struct ConfigRefused {
+  Version version;
+  std::string reason;
+};
+struct MembersChanged {};
+
+using FleetAction = std::variant<SendFleetMessage, PlatformRead, ConfigInForce,
+                                 ConfigRefused, MembersChanged>;
+using FleetActions = std::vector<FleetAction>;
+
+// Identity and bootstrap of an instance, from its settings.
+struct FleetSettings {
+  std::string name;
+  std::string data_centre;
+  SocketAddress http_address;
+  SocketAddress packet_address;
+  // HTTP addresses to ask while the instance list is not known.
+  std::vector<SocketAddress> seeds;
+  std::uint64_t random_seed = 0;
+};
+
+// Configuration and membership decisions of one instance. Runs on the control
+// thread; holds no socket and no clock.
+class FleetNode {
+ public:
+  FleetNode(const FleetSettings& settings, EventLog& events, TimePoint now);
+  ~FleetNode();
+  FleetNode(const FleetNode&) = delete;
+  auto operator=(const FleetNode&) -> FleetNode& = delete;
+
+  // Runs everything that is due at `now`.
+  auto OnTick(TimePoint now) -> FleetActions;
+
+  // When OnTick next has something to do.
+  [[nodiscard]] auto NextTick() const -> TimePoint;
+
+  auto OnPlatformAnswer(const PlatformAnswer& answer, TimePoint now)
+      -> FleetActions;
+
+  // Takes a message of a peer, request or reply. `from` is zero when the
+  // sender's identity is not known yet.
+  auto OnMessage(InstanceId from, const FleetMessage& message, TimePoint now)
+      -> FleetActions;
+
+  // A message could not be delivered.
+  auto OnSendFailed(InstanceId to, TimePoint now) -> FleetActions;
+
+  // Announces a planned stop.
+  auto BeginLeave(TimePoint now) -> FleetActions;
+
+  // The highest accepted configuration; null before the first.
+  [[nodiscard]] auto config() const -> std::shared_ptr<const FleetConfig>;
+
+  [[nodiscard]] auto members() const -> const MemberView&;
+
+  // Bytes of control traffic sent since start, by message kind, as counted
+  // against the budget.
+  [[nodiscard]] auto sent_bytes() const -> std::uint64_t;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_FLEET_FLEET_NODE_H_
