Config: Encode, decode and assemble published values

Instances read the configuration as values below 1 MB. Services are split into shards by id prefix, so that a change of one service writes one shard of about 16 KB and an index of 16 bytes a shard. Each body states the digest of its content; decoding refuses any changed byte, and assembling checks the set again. A service now tells since when its set of endpoints is published, and an earlier set when it was replaced.

--- a/Source/Config/fleet_config.h
+++ b/Source/Config/fleet_config.h
@@ -66,6 +66,8 @@
 
 // The endpoints that took new flows in an earlier version of a service.
 struct PastEndpointSet {
+  // The version that replaced the set, and when that was published: flows on
+  // the set may live for the service's flow lifetime from then on.
   Version version;
   TimePoint published;
   std::vector<WeightedEndpoint> endpoints;
@@ -89,7 +91,10 @@
   Duration flow_lifetime = std::chrono::hours(24);
   Contract contract;
   std::vector<Endpoint> endpoints;  // Sorted by id.
-  // Earlier endpoint sets whose flows may still live, oldest first.
+  // When the present set of endpoints that take new flows was published.
+  TimePoint endpoints_since;
+  // Earlier endpoint sets whose flows may still live, by their first use; one
+  // entry for each distinct set.
   std::vector<PastEndpointSet> lineage;
 };
 
--- /dev/null
+++ b/Source/Config/published_value.cc
@@ -0,0 +1,199 @@
+#include "Config/published_value.h"
+
+#include <algorithm>
+#include <exception>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <utility>
+
+#include "Config/config_consistency.h"
+#include "Config/digest_text.h"
+#include "Config/service_codec.h"
+#include "Config/shard_split.h"
+
+namespace hemlockwick {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::string_view kShardKeyPrefix = "hemlockwick/shard/";
+
+// A body is a JSON object whose first member is the digest of what follows
+// this opening.
+constexpr std::string_view kOpening = "{\"digest\":\"";
+constexpr std::string_view kAfterDigest = "\",";
+constexpr std::size_t kHeaderLength =
+    kOpening.size() + kDigestTextLength + kAfterDigest.size();
+
+auto KeyOfShard(Digest digest) -> std::string {
+  return std::string(kShardKeyPrefix) + ToString(digest);
+}
+
+// Puts the digest in front of the members of a JSON object.
+auto WithDigest(const Json& members) -> std::string {
+  const auto rest = members.dump().substr(1);
+  return std::string(kOpening) + ToString(Digest(HashBytes(rest))) +
+         std::string(kAfterDigest) + rest;
+}
+
+// Returns the digest of a body whose content has it.
+auto VerifyDigest(std::string_view body) -> Result<Digest> {
+  const auto invalid = [] {
+    return Fail(ErrorCode::kInvalidArgument,
+                "the value does not match its digest", "publish it again");
+  };
+  if (body.size() < kHeaderLength || !body.starts_with(kOpening)) {
+    return invalid();
+  }
+  const auto stated =
+      ParseDigest(body.substr(kOpening.size(), kDigestTextLength));
+  if (!stated || HashBytes(body.substr(kHeaderLength)) != stated->value()) {
+    return invalid();
+  }
+  return *stated;
+}
+
+auto DataCentreToJson(const DataCentre& data_centre) -> Json {
+  return Json::array({data_centre.name, data_centre.region.value()});
+}
+
+auto DataCentreFromJson(const Json& json) -> DataCentre {
+  auto name = json.at(0).get<std::string>();
+  const auto id = IdFromName<DataCentreId>(name);
+  return DataCentre{id, std::move(name),
+                    RegionId(json.at(1).get<std::uint64_t>())};
+}
+
+// The shards' digests, one after the other.
+auto JoinDigests(const std::vector<ShardRef>& shards) -> std::string {
+  auto text = std::string();
+  text.reserve(shards.size() * kDigestTextLength);
+  for (const auto& shard : shards) {
+    text += ToString(shard.digest);
+  }
+  return text;
+}
+
+auto SplitDigests(std::string_view text) -> std::vector<ShardRef> {
+  auto shards = std::vector<ShardRef>();
+  for (; !text.empty(); text.remove_prefix(kDigestTextLength)) {
+    const auto digest = ParseDigest(text.substr(0, kDigestTextLength));
+    if (!digest) {
+      throw std::invalid_argument("malformed shard digest");
+    }
+    shards.push_back(ShardRef{KeyOfShard(*digest), *digest});
+  }
+  return shards;
+}
+
+// Runs a parser that throws and turns what it throws into an error.
+template <typename T, typename Parse>
+auto ParseOrFail(const Parse& parse) -> Result<T> {
+  try {
+    return parse();
+  } catch (const std::exception& error) {
+    return Fail(ErrorCode::kInvalidArgument,
+                "malformed published value: " + std::string(error.what()),
+                "publish it again with hemlockwick check");
+  }
+}
+
+auto Describe(const Findings& findings) -> std::string {
+  auto text = std::string("the published set is not consistent");
+  for (const auto& finding : findings) {
+    text += "; " + finding.object + " " + finding.problem;
+  }
+  return text;
+}
+
+}  // namespace
+
+auto EncodeFleetConfig(const FleetConfig& config)
+    -> std::vector<PublishedValue> {
+  auto index = PublishedIndex{
+      config.version, config.digest, config.published, config.data_centres, {}};
+  auto values = std::vector<PublishedValue>();
+  for (const auto& members : SplitIntoShards(config.services)) {
+    auto body = WithDigest(Json{{"services", members}});
+    const auto digest =
+        *ParseDigest(body.substr(kOpening.size(), kDigestTextLength));
+    auto key = KeyOfShard(digest);
+    index.shards.push_back(ShardRef{key, digest});
+    values.push_back(PublishedValue{std::move(key), std::move(body)});
+  }
+  values.push_back(PublishedValue{std::string(kIndexKey), EncodeIndex(index)});
+  return values;
+}
+
+auto EncodeIndex(const PublishedIndex& index) -> std::string {
+  auto data_centres = Json::array();
+  for (const auto& data_centre : index.data_centres) {
+    data_centres.push_back(DataCentreToJson(data_centre));
+  }
+  return WithDigest(Json{{"version", index.version.value()},
+                         {"published", ToUnixMillis(index.published)},
+                         {"data_centres", std::move(data_centres)},
+                         {"shards", JoinDigests(index.shards)}});
+}
+
+auto DecodeIndex(std::string_view body) -> Result<PublishedIndex> {
+  BOOST_LEAF_AUTO(digest, VerifyDigest(body));
+  return ParseOrFail<PublishedIndex>([&body, digest = digest] {
+    const auto json = Json::parse(body);
+    auto index = PublishedIndex();
+    index.version = Version(json.at("version").get<std::uint64_t>());
+    index.digest = digest;
+    index.published = FromUnixMillis(json.at("published").get<std::int64_t>());
+    for (const auto& data_centre : json.at("data_centres")) {
+      index.data_centres.push_back(DataCentreFromJson(data_centre));
+    }
+    index.shards = SplitDigests(json.at("shards").get<std::string>());
+    return index;
+  });
+}
+
+auto DecodeShard(std::string_view body)
+    -> Result<std::shared_ptr<const ConfigShard>> {
+  BOOST_LEAF_AUTO(digest, VerifyDigest(body));
+  return ParseOrFail<std::shared_ptr<const ConfigShard>>(
+      [&body, digest = digest] {
+        const auto json = Json::parse(body);
+        auto shard = std::make_shared<ConfigShard>();
+        shard->digest = digest;
+        for (const auto& service : json.at("services")) {
+          shard->services.push_back(ServiceFromJson(service));
+        }
+        return shard;
+      });
+}
+
+auto AssembleFleetConfig(
+    const PublishedIndex& index,
+    const std::vector<std::shared_ptr<const ConfigShard>>& shards)
+    -> Result<std::shared_ptr<const FleetConfig>> {
+  const auto same = [](const ShardRef& ref,
+                       const std::shared_ptr<const ConfigShard>& shard) {
+    return shard != nullptr && ref.digest == shard->digest;
+  };
+  if (!std::equal(index.shards.begin(), index.shards.end(), shards.begin(),
+                  shards.end(), same)) {
+    return Fail(ErrorCode::kRefused, "the shards are not those of the index",
+                "fetch the shards that the index names, in its order");
+  }
+  auto services = std::vector<std::shared_ptr<const Service>>();
+  for (const auto& shard : shards) {
+    services.insert(services.end(), shard->services.begin(),
+                    shard->services.end());
+  }
+  auto config = BuildFleetConfig(index.version, index.digest, index.published,
+                                 index.data_centres, std::move(services));
+  const auto findings = CheckConsistency(*config);
+  if (!findings.empty()) {
+    return Fail(ErrorCode::kRefused, Describe(findings),
+                "check the objects with hemlockwick check");
+  }
+  return config;
+}
+
+}  // namespace hemlockwick
--- /dev/null
+++ b/Source/Config/service_codec.cc
@@ -0,0 +1,220 @@
+#include "Config/service_codec.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "Config/contract_codec.h"
+
+namespace hemlockwick {
+
+namespace {
+
+using Json = nlohmann::json;
+
+// Positions in the array that describes an endpoint.
+enum EndpointField : std::size_t {
+  kName,
+  kDataCentre,
+  kAddress,
+  kWeight,
+  kSlots,
+  kMaxConnections,
+  kState,
+  kStateSince,
+  kEndpointFieldCount,
+};
+
+// Positions in the array that describes an endpoint of earlier sets only.
+enum PastField : std::size_t { kPastId, kPastDataCentre, kPastAddress };
+
+auto AddressFromJson(const Json& json) -> SocketAddress {
+  const auto text = json.get<std::string>();
+  return TryOr(
+      [&text]() -> Result<SocketAddress> { return ParseSocketAddress(text); },
+      [](const Error& error) -> SocketAddress {
+        throw std::invalid_argument(error.message);
+      });
+}
+
+auto EndpointToJson(const Endpoint& endpoint) -> Json {
+  return Json::array(
+      {endpoint.name, endpoint.data_centre.value(), ToString(endpoint.address),
+       endpoint.weight, endpoint.slots, endpoint.max_connections,
+       static_cast<int>(endpoint.state), ToUnixMillis(endpoint.state_since)});
+}
+
+auto StateFromJson(const Json& json) -> EndpointState {
+  const auto number = json.get<int>();
+  const auto state = static_cast<EndpointState>(number);
+  switch (state) {
+    case EndpointState::kActive:
+    case EndpointState::kCold:
+    case EndpointState::kDraining:
+      return state;
+  }
+  throw std::invalid_argument("unknown endpoint state " +
+                              std::to_string(number));
+}
+
+auto EndpointFromJson(const Json& json) -> Endpoint {
+  if (!json.is_array() || json.size() != kEndpointFieldCount) {
+    throw std::invalid_argument("malformed endpoint");
+  }
+  auto endpoint = Endpoint();
+  endpoint.name = json[kName].get<std::string>();
+  endpoint.id = IdFromName<EndpointId>(endpoint.name);
+  endpoint.data_centre = DataCentreId(json[kDataCentre].get<std::uint64_t>());
+  endpoint.address = AddressFromJson(json[kAddress]);
+  endpoint.weight = json[kWeight].get<std::uint32_t>();
+  endpoint.slots = json[kSlots].get<std::uint32_t>();
+  endpoint.max_connections = json[kMaxConnections].get<std::uint32_t>();
+  endpoint.state = StateFromJson(json[kState]);
+  endpoint.state_since = FromUnixMillis(json[kStateSince].get<std::int64_t>());
+  return endpoint;
+}
+
+// The endpoints that a service's earlier sets refer to by position: the
+// present ones first, then those that are gone.
+class PastEndpointTable {
+ public:
+  explicit PastEndpointTable(const std::vector<Endpoint>& present) {
+    for (const auto& endpoint : present) {
+      entries_.push_back(WeightedEndpoint{endpoint.id, endpoint.address,
+                                          endpoint.data_centre, 0});
+    }
+    present_count_ = entries_.size();
+  }
+
+  void Add(const WeightedEndpoint& endpoint) { entries_.push_back(endpoint); }
+
+  [[nodiscard]] auto At(std::size_t position) const -> const WeightedEndpoint& {
+    return entries_.at(position);
+  }
+
+  // Returns the endpoint's position and adds it when it is new.
+  auto PositionOf(const WeightedEndpoint& wanted) -> std::size_t {
+    const auto found = std::find_if(
+        entries_.begin(), entries_.end(),
+        [&wanted](const WeightedEndpoint& entry) {
+          return entry.id == wanted.id && entry.address == wanted.address &&
+                 entry.data_centre == wanted.data_centre;
+        });
+    const auto position = static_cast<std::size_t>(found - entries_.begin());
+    if (found == entries_.end()) {
+      entries_.push_back(wanted);
+    }
+    return position;
+  }
+
+  [[nodiscard]] auto GoneToJson() const -> Json {
+    auto gone = Json::array();
+    for (auto at = present_count_; at < entries_.size(); ++at) {
+      const auto& entry = entries_[at];
+      gone.push_back(Json::array({entry.id.value(), entry.data_centre.value(),
+                                  ToString(entry.address)}));
+    }
+    return gone;
+  }
+
+ private:
+  std::vector<WeightedEndpoint> entries_;
+  std::size_t present_count_ = 0;
+};
+
+void AddLineage(const Service& service, Json& json) {
+  auto table = PastEndpointTable(service.endpoints);
+  auto past = Json::array();
+  for (const auto& set : service.lineage) {
+    auto members = Json::array();
+    for (const auto& endpoint : set.endpoints) {
+      members.push_back(table.PositionOf(endpoint));
+      members.push_back(endpoint.weight);
+    }
+    past.push_back(Json::array(
+        {set.version.value(), ToUnixMillis(set.published), members}));
+  }
+  json["past"] = std::move(past);
+  json["gone"] = table.GoneToJson();
+}
+
+auto PastSetFromJson(const Json& json, const PastEndpointTable& table)
+    -> PastEndpointSet {
+  auto set = PastEndpointSet();
+  set.version = Version(json.at(0).get<std::uint64_t>());
+  set.published = FromUnixMillis(json.at(1).get<std::int64_t>());
+  const auto& members = json.at(2);
+  if (!members.is_array() || members.size() % 2 != 0) {
+    throw std::invalid_argument("malformed earlier endpoint set");
+  }
+  for (std::size_t at = 0; at < members.size(); at += 2) {
+    auto endpoint = table.At(members[at].get<std::size_t>());
+    endpoint.weight = members[at + 1].get<std::uint32_t>();
+    set.endpoints.push_back(endpoint);
+  }
+  return set;
+}
+
+void ReadLineage(const Json& json, Service& service) {
+  auto table = PastEndpointTable(service.endpoints);
+  for (const auto& gone : json.at("gone")) {
+    table.Add(WeightedEndpoint{
+        EndpointId(gone.at(kPastId).get<std::uint64_t>()),
+        AddressFromJson(gone.at(kPastAddress)),
+        DataCentreId(gone.at(kPastDataCentre).get<std::uint64_t>()), 0});
+  }
+  for (const auto& set : json.at("past")) {
+    service.lineage.push_back(PastSetFromJson(set, table));
+  }
+}
+
+}  // namespace
+
+auto ServiceToJson(const Service& service) -> Json {
+  auto json = Json{{"name", service.name},
+                   {"address", ToString(service.address)},
+                   {"buckets", service.bucket_count},
+                   {"since", ToUnixMillis(service.endpoints_since)},
+                   {"idle", service.idle_timeout.count()},
+                   {"lifetime", service.flow_lifetime.count()}};
+  if (service.kind == ServiceKind::kRequest) {
+    json["contract"] = ContractToJson(service.contract);
+  }
+  auto endpoints = Json::array();
+  for (const auto& endpoint : service.endpoints) {
+    endpoints.push_back(EndpointToJson(endpoint));
+  }
+  json["endpoints"] = std::move(endpoints);
+  if (!service.lineage.empty()) {
+    AddLineage(service, json);
+  }
+  return json;
+}
+
+auto ServiceFromJson(const Json& json) -> std::shared_ptr<const Service> {
+  auto service = std::make_shared<Service>();
+  service->name = json.at("name").get<std::string>();
+  service->id = IdFromName<ServiceId>(service->name);
+  service->address = AddressFromJson(json.at("address"));
+  service->bucket_count = json.at("buckets").get<std::uint32_t>();
+  service->endpoints_since =
+      FromUnixMillis(json.at("since").get<std::int64_t>());
+  service->idle_timeout = Duration(json.at("idle").get<Duration::rep>());
+  service->flow_lifetime = Duration(json.at("lifetime").get<Duration::rep>());
+  if (json.contains("contract")) {
+    service->kind = ServiceKind::kRequest;
+    service->contract = ContractFromJson(json.at("contract"));
+  }
+  for (const auto& endpoint : json.at("endpoints")) {
+    service->endpoints.push_back(EndpointFromJson(endpoint));
+  }
+  if (json.contains("past")) {
+    ReadLineage(json, *service);
+  }
+  return service;
+}
+
+}  // namespace hemlockwick
--- /dev/null
+++ b/Source/Config/shard_split.h
@@ -0,0 +1,25 @@
+#ifndef HEMLOCKWICK_CONFIG_SHARD_SPLIT_H_
+#define HEMLOCKWICK_CONFIG_SHARD_SPLIT_H_
+
+#include <cstddef>
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
+#include <vector>
+
+#include "Config/fleet_config.h"
+
+namespace hemlockwick {
+
+// A shard above this many bytes is split in two, unless it holds one service.
+inline constexpr std::size_t kTargetShardBytes = 16'000;
+
+// Splits services, sorted by id, into shards: each holds the services whose
+// ids share a prefix, and a change of one service changes one shard, or two
+// when a shard splits. Returns each shard's services as a JSON array.
+[[nodiscard]] auto SplitIntoShards(
+    const std::vector<std::shared_ptr<const Service>>& services)
+    -> std::vector<nlohmann::json>;
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_CONFIG_SHARD_SPLIT_H_
