Config: Check sets of objects and write published values

Operators describe services, endpoint groups, placements, contracts, limits and data centres in YAML files. hemlockwick check reads them all, reports every finding with its place and the way out, checks the change against the values published before, and writes the values to publish.

--- a/Source/Command/main.cc
+++ b/Source/Command/main.cc
@@ -3,10 +3,12 @@
 #include <utility>
 #include <vector>
 
+#include "Command/check_command.h"
 #include "Command/command_line.h"
 
 auto main(int argc, char** argv) -> int {
   auto commands = std::vector<std::unique_ptr<hemlockwick::Command>>();
+  commands.push_back(std::make_unique<hemlockwick::CheckCommand>());
   const auto program = hemlockwick::CommandLine(
       "hemlockwick", HEMLOCKWICK_VERSION, std::move(commands));
   const auto arguments = std::vector<std::string>(argv + 1, argv + argc);
--- /dev/null
+++ b/Source/Config/change_checker.cc
@@ -0,0 +1,218 @@
+#include "Config/change_checker.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include "Config/endpoint_set.h"
+#include "Config/service_builder.h"
+#include "Config/utc_time.h"
+
+namespace hemlockwick {
+
+namespace {
+
+// When the last flow that the endpoint can have is over. An endpoint that
+// still takes flows has no such time.
+auto DrainedAt(const Service& service, const Endpoint& endpoint) -> TimePoint {
+  const auto is_drained = endpoint.state == EndpointState::kDraining;
+  return is_drained ? endpoint.state_since + service.flow_lifetime
+                    : TimePoint::max();
+}
+
+// When the last flow that the service can have is over.
+auto DrainedAt(const Service& service) -> TimePoint {
+  auto time = TimePoint();
+  for (const auto& endpoint : service.endpoints) {
+    time = std::max(time, DrainedAt(service, endpoint));
+  }
+  for (const auto& set : service.lineage) {
+    time = std::max(time, set.published + service.flow_lifetime);
+  }
+  return time;
+}
+
+// Whether the object has an address; without one it has a finding already.
+auto IsStated(const SocketAddress& address) -> bool {
+  return address != SocketAddress();
+}
+
+auto HasEndpoint(const Service& service, EndpointId id) -> bool {
+  return std::any_of(
+      service.endpoints.begin(), service.endpoints.end(),
+      [id](const Endpoint& endpoint) { return endpoint.id == id; });
+}
+
+}  // namespace
+
+ChangeChecker::ChangeChecker(const FleetConfig& previous,
+                             std::string previous_file)
+    : previous_(previous), previous_file_(std::move(previous_file)) {}
+
+auto ChangeChecker::Check(const std::vector<PlacedService>& placed,
+                          const FleetConfig& next, TimePoint published)
+    -> Findings {
+  HoldAddresses(published);
+  CheckRemoved(next, published);
+  for (const auto& service : placed) {
+    const auto id = IdFromName<ServiceId>(service.service->name);
+    const auto* const built = FindService(next, id);
+    if (built != nullptr) {
+      CheckService(service, *built, published);
+    }
+  }
+  return std::move(findings_);
+}
+
+void ChangeChecker::HoldAddresses(TimePoint published) {
+  for (const auto& service : previous_.services) {
+    if (DrainedAt(*service) > published) {
+      Hold(service->address, *service, DrainedAt(*service));
+    }
+    for (const auto& endpoint : service->endpoints) {
+      Hold(endpoint.address, *service, DrainedAt(*service, endpoint));
+    }
+    for (const auto& set : service->lineage) {
+      for (const auto& endpoint : set.endpoints) {
+        Hold(endpoint.address, *service,
+             set.published + service->flow_lifetime);
+      }
+    }
+  }
+}
+
+void ChangeChecker::Hold(const SocketAddress& address, const Service& service,
+                         TimePoint until) {
+  auto& hold = holds_[address];
+  if (hold.service == nullptr || hold.until < until) {
+    hold = AddressHold{&service, until};
+  }
+}
+
+void ChangeChecker::CheckRemoved(const FleetConfig& next, TimePoint published) {
+  for (const auto& service : previous_.services) {
+    const auto until = DrainedAt(*service);
+    if (FindService(next, service->id) != nullptr || until <= published) {
+      continue;
+    }
+    const auto remedy =
+        until == TimePoint::max()
+            ? std::string(
+                  "set all of its endpoints to draining and remove it when "
+                  "its flow lifetime has passed")
+            : "remove it after " + FormatUtc(until);
+    Report(Severity::kError, SourcePlace{previous_file_, 0, 0},
+           "service " + service->name, "is removed while not drained", remedy);
+  }
+}
+
+void ChangeChecker::CheckService(const PlacedService& placed,
+                                 const Service& next, TimePoint published) {
+  const auto& object = *placed.service;
+  const auto name = "service " + object.name;
+  CheckHold(object.address, object.address_place, name, next, published);
+  for (const auto* endpoint : placed.endpoints) {
+    CheckHold(endpoint->address, endpoint->address_place,
+              "endpoint " + endpoint->name, next, published);
+  }
+  const auto* const previous = FindService(previous_, next.id);
+  if (previous == nullptr) {
+    return;
+  }
+  CheckFixedFields(object, *previous, next);
+  CheckEndpoints(placed, *previous, next);
+  if (next.lineage.size() > kMaxLineageSets) {
+    Report(Severity::kError, object.place, name,
+           "has more than " + std::to_string(kMaxLineageSets) +
+               " earlier endpoint sets whose flows may live",
+           "change its endpoints less often or shorten its flow_lifetime");
+  }
+}
+
+void ChangeChecker::CheckFixedFields(const ServiceObject& object,
+                                     const Service& previous,
+                                     const Service& next) {
+  const auto name = "service " + object.name;
+  const auto* const remedy =
+      "add a service of another name, move the callers, drain this one";
+  if (next.address != previous.address && IsStated(next.address)) {
+    Report(Severity::kError, object.address_place, name,
+           "its address changes from " + ToString(previous.address), remedy);
+  }
+  if (next.kind != previous.kind) {
+    Report(Severity::kError, object.place, name, "its mode changes", remedy);
+  }
+  if (next.bucket_count != previous.bucket_count) {
+    Report(Severity::kError, object.place, name,
+           "its number of buckets changes from " +
+               std::to_string(previous.bucket_count),
+           "keep the number");
+  }
+  if (next.flow_lifetime < previous.flow_lifetime) {
+    Report(Severity::kWarning, object.place, name,
+           "flow_lifetime shrinks; flows that are older may break",
+           "keep it until they are over");
+  }
+}
+
+void ChangeChecker::CheckEndpoints(const PlacedService& placed,
+                                   const Service& previous,
+                                   const Service& next) {
+  const auto& object = *placed.service;
+  const auto name = "service " + object.name;
+  const auto was_live = !NewFlowEndpoints(previous).empty();
+  const auto any_kept =
+      std::any_of(previous.endpoints.begin(), previous.endpoints.end(),
+                  [&next](const Endpoint& endpoint) {
+                    return HasEndpoint(next, endpoint.id);
+                  });
+  if (was_live && !any_kept) {
+    Report(Severity::kError, object.place, name,
+           "loses all of its endpoints at once",
+           "keep them as draining beside the new ones");
+  }
+  if (was_live && NewFlowEndpoints(next).empty()) {
+    Report(Severity::kWarning, object.place, name, "takes no new work any more",
+           "leave an endpoint active unless the service is to end");
+  }
+  for (const auto* endpoint : placed.endpoints) {
+    const auto id = IdFromName<EndpointId>(endpoint->name);
+    for (const auto& earlier : previous.endpoints) {
+      if (earlier.id == id && earlier.address != endpoint->address &&
+          IsStated(endpoint->address)) {
+        Report(Severity::kError, endpoint->address_place,
+               "endpoint " + endpoint->name,
+               "its address changes from " + ToString(earlier.address),
+               "give the endpoint at the new address a new name");
+      }
+    }
+  }
+}
+
+void ChangeChecker::CheckHold(const SocketAddress& address,
+                              const SourcePlace& place,
+                              const std::string& object, const Service& user,
+                              TimePoint published) {
+  const auto found = holds_.find(address);
+  if (found == holds_.end() || found->second.service->id == user.id ||
+      found->second.until <= published) {
+    return;
+  }
+  const auto& hold = found->second;
+  const auto remedy =
+      hold.until == TimePoint::max()
+          ? std::string("use another address, or drain it there first")
+          : "use another address, or wait until " + FormatUtc(hold.until);
+  Report(Severity::kError, place, object,
+         "address " + ToString(address) + " may still carry flows of service " +
+             hold.service->name,
+         remedy);
+}
+
+void ChangeChecker::Report(Severity severity, const SourcePlace& place,
+                           std::string object, std::string problem,
+                           std::string remedy) {
+  findings_.push_back(Finding{severity, place, std::move(object),
+                              std::move(problem), std::move(remedy)});
+}
+
+}  // namespace hemlockwick
--- a/Source/Config/endpoint_set.cc
+++ b/Source/Config/endpoint_set.cc
@@ -1,5 +1,7 @@
 #include "Config/endpoint_set.h"
 
+#include <algorithm>
+
 namespace hemlockwick {
 
 auto NewFlowEndpoints(const Service& service) -> std::vector<WeightedEndpoint> {
@@ -15,4 +17,14 @@
   return endpoints;
 }
 
+auto SameEndpoints(const std::vector<WeightedEndpoint>& left,
+                   const std::vector<WeightedEndpoint>& right) -> bool {
+  const auto same = [](const WeightedEndpoint& one,
+                       const WeightedEndpoint& other) {
+    return one.id == other.id && one.address == other.address &&
+           one.data_centre == other.data_centre && one.weight == other.weight;
+  };
+  return std::equal(left.begin(), left.end(), right.begin(), right.end(), same);
+}
+
 }  // namespace hemlockwick
--- a/Source/Config/endpoint_set.h
+++ b/Source/Config/endpoint_set.h
@@ -13,6 +13,11 @@
 [[nodiscard]] auto NewFlowEndpoints(const Service& service)
     -> std::vector<WeightedEndpoint>;
 
+// Whether two sets give the same endpoints the same shares.
+[[nodiscard]] auto SameEndpoints(const std::vector<WeightedEndpoint>& left,
+                                 const std::vector<WeightedEndpoint>& right)
+    -> bool;
+
 }  // namespace hemlockwick
 
 #endif  // HEMLOCKWICK_CONFIG_ENDPOINT_SET_H_
--- /dev/null
+++ b/Source/Config/service_builder.cc
@@ -0,0 +1,113 @@
+#include "Config/service_builder.h"
+
+#include <algorithm>
+#include <bit>
+#include <utility>
+
+#include "Config/endpoint_set.h"
+
+namespace hemlockwick {
+
+namespace {
+
+auto FindEndpoint(const Service& service, EndpointId id) -> const Endpoint* {
+  const auto found =
+      std::lower_bound(service.endpoints.begin(), service.endpoints.end(), id,
+                       [](const Endpoint& endpoint, EndpointId wanted) {
+                         return endpoint.id < wanted;
+                       });
+  if (found == service.endpoints.end() || found->id != id) {
+    return nullptr;
+  }
+  return &*found;
+}
+
+auto BuildEndpoint(const EndpointObject& object, const Service* previous,
+                   TimePoint published) -> Endpoint {
+  auto endpoint = Endpoint();
+  endpoint.id = IdFromName<EndpointId>(object.name);
+  endpoint.name = object.name;
+  endpoint.data_centre = IdFromName<DataCentreId>(object.data_centre.name);
+  endpoint.address = object.address;
+  endpoint.weight = object.weight;
+  endpoint.slots = object.slots;
+  endpoint.max_connections = object.max_connections;
+  endpoint.state = object.state;
+  endpoint.state_since = published;
+  const auto* const earlier =
+      previous == nullptr ? nullptr : FindEndpoint(*previous, endpoint.id);
+  if (earlier != nullptr && earlier->state == endpoint.state) {
+    endpoint.state_since = earlier->state_since;
+  }
+  return endpoint;
+}
+
+auto DefaultBuckets(std::size_t endpoints) -> std::uint32_t {
+  const auto wanted =
+      std::min<std::size_t>(endpoints * kBucketsPerEndpoint, kMaxBuckets);
+  return std::max(kMinBuckets,
+                  std::bit_ceil(static_cast<std::uint32_t>(wanted)));
+}
+
+// Adds a replaced set, or renews the entry of an equal one.
+void AddPastSet(std::vector<PastEndpointSet>& lineage, PastEndpointSet set) {
+  const auto equal = std::find_if(
+      lineage.begin(), lineage.end(), [&set](const PastEndpointSet& entry) {
+        return SameEndpoints(entry.endpoints, set.endpoints);
+      });
+  if (equal == lineage.end()) {
+    lineage.push_back(std::move(set));
+    return;
+  }
+  equal->version = set.version;
+  equal->published = set.published;
+}
+
+void CarryLineage(const Service& previous, Version version, TimePoint published,
+                  Service& service) {
+  service.lineage = previous.lineage;
+  auto replaced = NewFlowEndpoints(previous);
+  if (SameEndpoints(replaced, NewFlowEndpoints(service))) {
+    service.endpoints_since = previous.endpoints_since;
+  } else if (!replaced.empty()) {
+    AddPastSet(service.lineage,
+               PastEndpointSet{version, published, std::move(replaced)});
+  }
+  std::erase_if(service.lineage, [&](const PastEndpointSet& set) {
+    return set.published + service.flow_lifetime <= published;
+  });
+}
+
+}  // namespace
+
+auto BuildService(const PlacedService& placed, const Service* previous,
+                  Version version, TimePoint published) -> Service {
+  const auto& object = *placed.service;
+  auto service = Service();
+  service.id = IdFromName<ServiceId>(object.name);
+  service.name = object.name;
+  service.kind = object.mode;
+  service.address = object.address;
+  service.idle_timeout = object.idle_timeout.value_or(service.idle_timeout);
+  service.flow_lifetime = object.flow_lifetime.value_or(service.flow_lifetime);
+  service.contract = placed.contract;
+  service.endpoints_since = published;
+  service.endpoints.reserve(placed.endpoints.size());
+  for (const auto* endpoint : placed.endpoints) {
+    service.endpoints.push_back(BuildEndpoint(*endpoint, previous, published));
+  }
+  std::sort(service.endpoints.begin(), service.endpoints.end(),
+            [](const Endpoint& left, const Endpoint& right) {
+              return left.id < right.id;
+            });
+  const auto default_buckets = previous == nullptr
+                                   ? DefaultBuckets(service.endpoints.size())
+                                   : previous->bucket_count;
+  service.bucket_count = object.buckets.value_or(default_buckets);
+  if (previous != nullptr) {
+    CarryLineage(*previous, version, published, service);
+  }
+  return service;
+}
+
+}  // namespace hemlockwick
