Utilities: Pass over known red tests by name and print them

Cause: KNOWN-RED.txt was printed but not used to select tests. Change: The test script excludes the named tests and nothing else, and fails when a selection is empty.

--- a/Utilities/test.sh
+++ b/Utilities/test.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Installs packages, checks the format, builds, lints and runs all tests, also
-# under the sanitizers. Prints one verdict.
+# under the sanitizers. Passes over the tests named in KNOWN-RED.txt and prints
+# them.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 jobs="${HEMLOCKWICK_JOBS:-$(nproc)}"
@@ -17,14 +18,28 @@
   cmake --build "$directory" -j "$jobs" --target "$target"
 }
 
+known_red() {
+  sed -e '/^#/d' -e '/^[[:space:]]*$/d' KNOWN-RED.txt
+}
+
+# run_tests DIRECTORY [CTEST OPTIONS...]
+run_tests() {
+  local directory="$1" red
+  shift
+  red="$(known_red | sed -e 's/[[:space:]]*|.*//' | paste -sd '|')"
+  ctest --test-dir "$directory" --output-on-failure -j "$jobs" \
+    --no-tests=error ${red:+-E "^($red)\$"} "$@"
+}
+
 build build all
 Utilities/lint.sh build
-ctest --test-dir build --output-on-failure -j "$jobs"
+run_tests build
 
 build build-asan all -DHEMLOCKWICK_SANITIZE=address,undefined
-ctest --test-dir build-asan --output-on-failure -j "$jobs"
+run_tests build-asan
 
 build build-tsan thread_tests -DHEMLOCKWICK_SANITIZE=thread
-ctest --test-dir build-tsan --output-on-failure -j "$jobs" -L threads
+run_tests build-tsan -L threads
 
-sed '/^#/d;/^$/d' KNOWN-RED.txt
+echo "Known red:"
+known_red
