--- a/Source/Runtime/ulfius_scope.cc
+++ b/Source/Runtime/ulfius_scope.cc
@@ -16,6 +16,6 @@
 
 }  // namespace
 
-void StartUlfiusOnce() { static const UlfiusScope kScope; }
+void StartUlfiusOnce() { static const UlfiusScope scope; }
 
 }  // namespace hemlockwick
