--- /dev/null
+++ b/Source/Runtime/control_loop.cc
@@ -0,0 +1,163 @@
+#include "Runtime/control_loop.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "Runtime/log.h"
+
+namespace hemlockwick {
+
+namespace {
+
+// How often flow records are expired and hand-overs resent.
+constexpr Duration kFlowTickInterval = std::chrono::milliseconds(200);
+
+// How often the flow router hears that the view of the members is still
+// current. Far below the freshness lease.
+constexpr Duration kRefreshInterval = std::chrono::milliseconds(200);
+
+constexpr Duration kShortestWait = std::chrono::milliseconds(1);
+
+}  // namespace
+
+ControlLoop::ControlLoop(const FleetSettings& settings, EventLog& events,
+                         const SystemClock& clock, Inbox<ControlInput>& inbox,
+                         PlatformClient& platform, PeerSender& peers,
+                         FlowRouter& router, RequestGateway& gateway)
+    : clock_(clock),
+      inbox_(inbox),
+      platform_(platform),
+      peers_(peers),
+      router_(router),
+      gateway_(gateway),
+      node_(settings, events, clock.Now()) {
+  PublishView();
+  thread_ = std::jthread([this](const std::stop_token& stop) { Run(stop); });
+}
+
+ControlLoop::~ControlLoop() = default;
+
+void ControlLoop::Run(const std::stop_token& stop) {
+  while (!stop.stop_requested()) {
+    Step(inbox_.TakeAll(WaitUntilDue()));
+  }
+}
+
+void ControlLoop::Step(const std::vector<ControlInput>& inputs) {
+  for (const auto& input : inputs) {
+    std::visit([this](const auto& taken) { Take(taken, clock_.Now()); }, input);
+  }
+  const auto now = clock_.Now();
+  if (now >= node_.NextTick()) {
+    Carry(node_.OnTick(now), now);
+  }
+  RefreshMembers(now);
+  if (now >= flow_tick_due_) {
+    flow_tick_due_ = now + kFlowTickInterval;
+    Carry(router_.OnTick(now));
+  }
+  leave_done_ = leaving_ && router_.LeaveDone(now) && gateway_.LeaveDone();
+  if (view_changed_) {
+    PublishView();
+  }
+}
+
+auto ControlLoop::WaitUntilDue() const -> Duration {
+  const auto due = std::min(node_.NextTick(), flow_tick_due_);
+  return std::clamp(due - clock_.Now(), kShortestWait, kFlowTickInterval);
+}
+
+void ControlLoop::Take(const PlatformAnswer& input, TimePoint now) {
+  Carry(node_.OnPlatformAnswer(input, now), now);
+}
+
+void ControlLoop::Take(const FleetDelivery& input, TimePoint now) {
+  Carry(node_.OnMessage(input.from, input.message, now), now);
+}
+
+void ControlLoop::Take(const FlowDelivery& input, TimePoint now) {
+  Carry(router_.OnMessage(input.from, input.message, now));
+}
+
+void ControlLoop::Take(const SendFailure& input, TimePoint now) {
+  Carry(node_.OnSendFailed(input.to, now), now);
+}
+
+void ControlLoop::Take(const LeaveRequest& /*input*/, TimePoint now) {
+  if (leaving_) {
+    return;
+  }
+  leaving_ = true;
+  view_changed_ = true;
+  gateway_.BeginLeave();
+  Carry(node_.BeginLeave(now), now);
+  Carry(router_.BeginLeave(now));
+}
+
+void ControlLoop::Carry(const FleetActions& actions, TimePoint now) {
+  for (const auto& action : actions) {
+    std::visit([this, now](const auto& step) { Carry(step, now); }, action);
+  }
+}
+
+void ControlLoop::Carry(const SendFleetMessage& action, TimePoint /*now*/) {
+  peers_.Send({action.to, action.address, "fleet", Encode(action.message)});
+}
+
+void ControlLoop::Carry(const PlatformRead& action, TimePoint /*now*/) {
+  platform_.Read(action);
+}
+
+void ControlLoop::Carry(const ConfigInForce& action, TimePoint now) {
+  in_force_since_ = now;
+  last_refusal_.clear();
+  view_changed_ = true;
+  router_.Update(action.config, node_.members(), now);
+  gateway_.OnConfig(action.config);
+  Log(LogLevel::kInfo, "version in force",
+      {{"version", std::to_string(action.config->version.value())}});
+}
+
+void ControlLoop::Carry(const ConfigRefused& action, TimePoint /*now*/) {
+  last_refusal_ =
+      "version " + std::to_string(action.version.value()) + ": " + action.reason;
+  view_changed_ = true;
+  Log(LogLevel::kError, "version refused",
+      {{"version", std::to_string(action.version.value())},
+       {"reason", action.reason}});
+}
+
+void ControlLoop::Carry(const MembersChanged& /*action*/, TimePoint now) {
+  UpdateMembers(now);
+}
+
+void ControlLoop::Carry(const FlowActions& actions) {
+  for (const auto& action : actions) {
+    peers_.Send({action.to, action.address, "flow", Encode(action.message)});
+  }
+}
+
+void ControlLoop::RefreshMembers(TimePoint /*now*/) {
+  if (node_.members().refreshed >= refreshed_ + kRefreshInterval) {
+    UpdateMembers(clock_.Now());
+  }
+}
+
+void ControlLoop::UpdateMembers(TimePoint now) {
+  refreshed_ = node_.members().refreshed;
+  view_changed_ = true;
+  gateway_.OnMembers(node_.members());
+  if (node_.config() != nullptr) {
+    router_.Update(node_.config(), node_.members(), now);
+  }
+}
+
+void ControlLoop::PublishView() {
+  view_.Publish(std::make_shared<const ControlView>(
+      ControlView{node_.config(), in_force_since_, node_.members(),
+                  last_refusal_, node_.sent_bytes(), leaving_}));
+  view_changed_ = false;
+}
+
+}  // namespace hemlockwick
--- /dev/null
+++ b/Source/Runtime/inbox.h
@@ -0,0 +1,40 @@
+#ifndef HEMLOCKWICK_RUNTIME_INBOX_H_
+#define HEMLOCKWICK_RUNTIME_INBOX_H_
+
+#include <condition_variable>
+#include <mutex>
+#include <utility>
+#include <vector>
+
+#include "Core/time.h"
+
+namespace hemlockwick {
+
+// Queue of typed inputs for one thread. Any thread may push.
+template <typename Input>
+class Inbox {
+ public:
+  void Push(Input input) {
+    {
+      const auto lock = std::lock_guard(mutex_);
+      waiting_.push_back(std::move(input));
+    }
+    arrived_.notify_one();
+  }
+
+  // Waits up to `wait` for an input and takes all that have arrived, in order.
+  auto TakeAll(Duration wait) -> std::vector<Input> {
+    auto lock = std::unique_lock(mutex_);
+    arrived_.wait_for(lock, wait, [this] { return !waiting_.empty(); });
+    return std::exchange(waiting_, {});
+  }
+
+ private:
+  std::mutex mutex_;
+  std::condition_variable arrived_;
+  std::vector<Input> waiting_;
+};
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_RUNTIME_INBOX_H_
--- /dev/null
+++ b/Source/Runtime/packet_forwarder.h
@@ -0,0 +1,71 @@
+#ifndef HEMLOCKWICK_RUNTIME_PACKET_FORWARDER_H_
+#define HEMLOCKWICK_RUNTIME_PACKET_FORWARDER_H_
+
+#include <array>
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+
+#include "Core/snapshot_cell.h"
+#include "Flow/flow_router.h"
+#include "Runtime/file_descriptor.h"
+#include "Runtime/gue_codec.h"
+#include "Runtime/system_clock.h"
+
+namespace hemlockwick {
+
+// Datagrams received or sent by one system call.
+inline constexpr std::size_t kPacketBatch = 64;
+
+// Packets of one traffic thread, which alone writes them; any thread reads.
+struct PacketCounters {
+  using Counter = std::atomic<std::uint64_t>;
+
+  Counter received{0};
+  Counter forwarded{0};
+  Counter relayed{0};
+  Counter send_failed{0};
+  std::array<Counter, kDropReasonCount> dropped{};
+  std::array<Counter, kGueErrorCount> undecodable{};
+};
+
+// The packet path of one traffic thread: receives GUE datagrams in batches,
+// decides each and sends the inner packets on unchanged.
+class PacketForwarder {
+ public:
+  // `socket` is a bound UDP socket. The router and the clock must outlive the
+  // forwarder.
+  PacketForwarder(FileDescriptor socket, FlowRouter& router,
+                  const SystemClock& clock);
+  ~PacketForwarder();
+  PacketForwarder(const PacketForwarder&) = delete;
+  auto operator=(const PacketForwarder&) -> PacketForwarder& = delete;
+
+  // Handles the datagrams that have arrived, waiting a short while for the
+  // first one. Returns how many there were.
+  auto RunBatch() -> std::size_t;
+
+  [[nodiscard]] auto counters() const -> const PacketCounters& {
+    return counters_;
+  }
+
+ private:
+  struct Buffers;
+
+  void Handle(Bytes datagram, TimePoint now);
+  void Queue(const GueHeader& header, Bytes inner,
+             const SocketAddress& destination);
+  void Flush();
+
+  const FileDescriptor socket_;
+  FlowRouter& router_;
+  const SystemClock& clock_;
+  SnapshotReader<FlowSnapshot> snapshots_;
+  PacketCounters counters_;
+  std::unique_ptr<Buffers> buffers_;
+};
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_RUNTIME_PACKET_FORWARDER_H_
--- /dev/null
+++ b/Source/Runtime/request_gateway.h
@@ -0,0 +1,83 @@
+#ifndef HEMLOCKWICK_RUNTIME_REQUEST_GATEWAY_H_
+#define HEMLOCKWICK_RUNTIME_REQUEST_GATEWAY_H_
+
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <unordered_map>
+
+#include "Request/request_plane.h"
+#include "Runtime/http_server.h"
+#include "Runtime/system_clock.h"
+#include "Runtime/task_pool.h"
+
+namespace hemlockwick {
+
+// Carries out the decisions of a RequestPlane: holds callers' requests while
+// they wait, sends attempts to endpoints and returns answers. Any thread may
+// call it.
+class RequestGateway {
+ public:
+  using SendMessage = std::function<void(const SendRequestMessage&)>;
+
+  RequestGateway(const RequestPlaneSettings& settings, InstanceId self,
+                 EventLog& events, const SystemClock& clock, SendMessage send);
+  ~RequestGateway();
+  RequestGateway(const RequestGateway&) = delete;
+  auto operator=(const RequestGateway&) -> RequestGateway& = delete;
+
+  void OnConfig(const std::shared_ptr<const FleetConfig>& config);
+  void OnMembers(const MemberView& members);
+  void OnMessage(InstanceId from, const RequestMessage& message);
+
+  // Runs one request of a caller and waits for its end.
+  [[nodiscard]] auto Serve(const HttpCall& call, const Service& service)
+      -> HttpResponse;
+
+  void BeginLeave();
+  [[nodiscard]] auto LeaveDone() const -> bool;
+  [[nodiscard]] auto stats() const -> RequestStats;
+
+ private:
+  struct Pending;
+  using PendingPtr = std::shared_ptr<Pending>;
+
+  // The following need mutex_.
+  void Run(RequestActions actions);
+  void Carry(const DispatchRequest& dispatch);
+  void Carry(const RefuseRequest& refusal);
+  void Carry(const DeliverAnswer& answer);
+  void Carry(const CancelAttempt& cancel);
+  void Carry(const SendRequestMessage& message);
+  [[nodiscard]] auto Find(RequestId request) const -> PendingPtr;
+
+  auto Wait(const HttpCall& call, const RequestArrival& arrival,
+            Pending& pending) -> HttpResponse;
+  void Attempt(const DispatchRequest& dispatch);
+  auto Confirm(const DispatchRequest& dispatch) -> PendingPtr;
+  auto Exchange(const DispatchRequest& dispatch, const HttpRequest& request,
+                HttpResponse& answer) -> AttemptOutcome;
+  void Finish(const DispatchRequest& dispatch, AttemptOutcome outcome,
+              HttpResponse answer);
+  void RunTimer(const std::stop_token& stop);
+
+  const SystemClock& clock_;
+  const SendMessage send_;
+  mutable std::mutex mutex_;
+  RequestPlane plane_;
+  std::uint64_t next_id_;
+  std::unordered_map<RequestId, PendingPtr> pending_;
+  std::condition_variable_any timer_changed_;
+  TimePoint timer_due_;
+  // Their threads use the members above.
+  TaskPool senders_;
+  TaskPool cancellers_;
+  std::jthread timer_;
+};
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_RUNTIME_REQUEST_GATEWAY_H_
--- /dev/null
+++ b/Source/Runtime/settings.cc
@@ -0,0 +1,250 @@
+#include "Runtime/settings.h"
+
+#include <yaml-cpp/yaml.h>
+
+#include <algorithm>
+#include <charconv>
+#include <fstream>
+#include <functional>
+#include <iterator>
+#include <map>
+#include <optional>
+#include <set>
+#include <sstream>
+#include <utility>
+
+#include "Runtime/nearest_name.h"
+
+namespace hemlockwick {
+
+namespace {
+
+constexpr std::size_t kMaxTrafficThreads = 256;
+constexpr std::size_t kMaxNameBytes = 64;
+
+// Splits "30s" into its number and unit.
+auto ParseDuration(std::string_view text) -> std::optional<Duration> {
+  static const auto units = std::map<std::string_view, Duration>{
+      {"ms", std::chrono::milliseconds(1)},
+      {"s", std::chrono::seconds(1)},
+      {"m", std::chrono::minutes(1)}};
+  auto count = std::uint32_t{0};
+  const auto* const end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, count);
+  const auto unit = units.find(std::string_view(parsed.ptr, end));
+  if (parsed.ec != std::errc() || unit == units.end()) {
+    return std::nullopt;
+  }
+  return count * unit->second;
+}
+
+auto ParseAddress(const std::string& text) -> std::optional<SocketAddress> {
+  return TryOr(
+      [&]() -> Result<std::optional<SocketAddress>> {
+        BOOST_LEAF_AUTO(address, ParseSocketAddress(text));
+        return std::optional(address);
+      },
+      [](const Error&) { return std::optional<SocketAddress>(); });
+}
+
+// Reads the keys of one settings file.
+class SettingsReader {
+ public:
+  explicit SettingsReader(std::string file) : file_(std::move(file)) {}
+
+  auto Read(std::string_view text) -> SettingsResult {
+    try {
+      ReadRoot(YAML::Load(std::string(text)));
+    } catch (const YAML::Exception& error) {
+      Report(error.mark, "not valid YAML: " + error.msg, "correct the syntax");
+    }
+    return {std::move(settings_), std::move(findings_)};
+  }
+
+ private:
+  using ReadKey = std::function<void(const YAML::Node&)>;
+
+  void ReadRoot(const YAML::Node& root) {
+    if (!root.IsMap()) {
+      Report(root.Mark(), "the settings are not a mapping",
+             "write one 'key: value' a line");
+      return;
+    }
+    for (const auto& entry : root) {
+      ReadEntry(entry.first, entry.second);
+    }
+    for (const auto* const key :
+         {"name", "data_centre", "http", "packet", "platform"}) {
+      if (!seen_.contains(key)) {
+        Report(root.Mark(), std::string("the key '") + key + "' is missing",
+               std::string("add '") + key + ": ...'");
+      }
+    }
+  }
+
+  void ReadEntry(const YAML::Node& key, const YAML::Node& value) {
+    const auto name = key.as<std::string>();
+    const auto known = readers_.find(name);
+    if (known == readers_.end()) {
+      Report(key.Mark(), "unknown key '" + name + "'", NearestKey(name));
+    } else if (!seen_.insert(name).second) {
+      Report(key.Mark(), "the key '" + name + "' appears twice",
+             "keep one of the two");
+    } else {
+      known->second(value);
+    }
+  }
+
+  auto NearestKey(const std::string& name) const -> std::string {
+    auto names = std::vector<std::string>();
+    std::ranges::transform(readers_, std::back_inserter(names),
+                           [](const auto& reader) { return reader.first; });
+    return "did you mean '" + NearestName(name, names) + "'?";
+  }
+
+  auto Scalar(const YAML::Node& node) -> std::optional<std::string> {
+    if (node.IsScalar()) {
+      return node.Scalar();
+    }
+    Report(node.Mark(), "a single value is expected", "write 'key: value'");
+    return std::nullopt;
+  }
+
+  void Name(const YAML::Node& node, std::string& target) {
+    const auto text = Scalar(node);
+    if (!text) {
+      return;
+    }
+    const auto plain = [](char letter) {
+      return std::isalnum(static_cast<unsigned char>(letter)) != 0 ||
+             letter == '-' || letter == '_' || letter == '.';
+    };
+    if (text->empty() || text->size() > kMaxNameBytes ||
+        !std::ranges::all_of(*text, plain)) {
+      Report(node.Mark(), "'" + *text + "' is not a name",
+             "use 1 to 64 letters, digits, '-', '_' or '.'");
+      return;
+    }
+    target = *text;
+  }
+
+  void Address(const YAML::Node& node, SocketAddress& target) {
+    const auto text = Scalar(node);
+    if (!text) {
+      return;
+    }
+    const auto address = ParseAddress(*text);
+    if (!address || address->port.value() == 0) {
+      Report(node.Mark(), "'" + *text + "' is not an address",
+             "write an IPv4 address and a port, for example 10.0.0.1:8080");
+      return;
+    }
+    target = *address;
+  }
+
+  void Seeds(const YAML::Node& node) {
+    if (!node.IsSequence()) {
+      Report(node.Mark(), "'seeds' is not a list", "write [ADDRESS, ...]");
+      return;
+    }
+    for (const auto& entry : node) {
+      Address(entry, settings_.seeds.emplace_back());
+    }
+  }
+
+  void Threads(const YAML::Node& node) {
+    const auto text = Scalar(node);
+    if (!text) {
+      return;
+    }
+    auto count = std::size_t{0};
+    const auto* const end = text->data() + text->size();
+    const auto parsed = std::from_chars(text->data(), end, count);
+    if (parsed.ec != std::errc() || parsed.ptr != end || count == 0 ||
+        count > kMaxTrafficThreads) {
+      Report(node.Mark(), "'" + *text + "' is not a number of threads",
+             "write a whole number from 1 to 256");
+      return;
+    }
+    settings_.traffic_threads = count;
+  }
+
+  void Level(const YAML::Node& node) {
+    static const auto levels =
+        std::map<std::string, LogLevel>{{"debug", LogLevel::kDebug},
+                                        {"info", LogLevel::kInfo},
+                                        {"warning", LogLevel::kWarning},
+                                        {"error", LogLevel::kError}};
+    const auto text = Scalar(node);
+    if (!text) {
+      return;
+    }
+    const auto level = levels.find(*text);
+    if (level == levels.end()) {
+      Report(node.Mark(), "'" + *text + "' is not a log level",
+             "write debug, info, warning or error");
+      return;
+    }
+    settings_.log_level = level->second;
+  }
+
+  void Time(const YAML::Node& node, Duration& target) {
+    const auto text = Scalar(node);
+    if (!text) {
+      return;
+    }
+    const auto duration = ParseDuration(*text);
+    if (!duration) {
+      Report(node.Mark(), "'" + *text + "' is not a duration",
+             "write a whole number with the unit ms, s or m");
+      return;
+    }
+    target = *duration;
+  }
+
+  void Report(const YAML::Mark& mark, std::string problem, std::string remedy) {
+    const auto place = SourcePlace{file_, mark.line + 1, mark.column + 1};
+    findings_.push_back({Severity::kError, place, "settings",
+                         std::move(problem), std::move(remedy)});
+  }
+
+  const std::string file_;
+  ServeSettings settings_;
+  Findings findings_;
+  std::set<std::string> seen_;
+  const std::map<std::string, ReadKey> readers_ = {
+      {"name", [this](const auto& node) { Name(node, settings_.name); }},
+      {"data_centre",
+       [this](const auto& node) { Name(node, settings_.data_centre); }},
+      {"http", [this](const auto& node) { Address(node, settings_.http); }},
+      {"packet", [this](const auto& node) { Address(node, settings_.packet); }},
+      {"platform",
+       [this](const auto& node) { Address(node, settings_.platform); }},
+      {"seeds", [this](const auto& node) { Seeds(node); }},
+      {"traffic_threads", [this](const auto& node) { Threads(node); }},
+      {"log_level", [this](const auto& node) { Level(node); }},
+      {"leave_grace",
+       [this](const auto& node) { Time(node, settings_.leave_grace); }},
+      {"drain_deadline",
+       [this](const auto& node) { Time(node, settings_.drain_deadline); }},
+  };
+};
+
+}  // namespace
+
+auto ParseSettings(std::string_view text, const std::string& file)
+    -> SettingsResult {
+  return SettingsReader(file).Read(text);
+}
+
+auto ReadTextFile(const std::string& path) -> Result<std::string> {
+  auto stream = std::ifstream(path);
+  auto text = std::ostringstream();
+  if (!stream || !(text << stream.rdbuf())) {
+    return Fail(ErrorCode::kNotFound, "cannot read " + path,
+                "name an existing, readable file that is not empty");
+  }
+  return text.str();
+}
+
+}  // namespace hemlockwick
--- /dev/null
+++ b/Source/Runtime/settings.h
@@ -0,0 +1,49 @@
+#ifndef HEMLOCKWICK_RUNTIME_SETTINGS_H_
+#define HEMLOCKWICK_RUNTIME_SETTINGS_H_
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "Core/error.h"
+#include "Core/finding.h"
+#include "Core/net_address.h"
+#include "Core/time.h"
+#include "Runtime/log.h"
+
+namespace hemlockwick {
+
+// Settings of one instance, read from a YAML file; docs/help/serve.md lists
+// the keys.
+struct ServeSettings {
+  std::string name;
+  std::string data_centre;
+  SocketAddress http;
+  SocketAddress packet;
+  SocketAddress platform;
+  std::vector<SocketAddress> seeds;
+  std::size_t traffic_threads = 1;
+  LogLevel log_level = LogLevel::kInfo;
+  // After a stop signal: shortest time in which packets are still forwarded,
+  // so that the fabric notices; and longest time until the process ends.
+  Duration leave_grace = std::chrono::seconds(2);
+  Duration drain_deadline = std::chrono::seconds(30);
+};
+
+struct SettingsResult {
+  ServeSettings settings;  // Complete only without findings.
+  Findings findings;
+};
+
+// Reads settings from YAML text and collects everything that is wrong; `file`
+// names the text in findings.
+[[nodiscard]] auto ParseSettings(std::string_view text, const std::string& file)
+    -> SettingsResult;
+
+// Reads a whole file. Fails with kNotFound.
+[[nodiscard]] auto ReadTextFile(const std::string& path) -> Result<std::string>;
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_RUNTIME_SETTINGS_H_
