--- a/Source/Runtime/control_loop.cc
+++ b/Source/Runtime/control_loop.cc
@@ -56,6 +56,7 @@
   if (now >= flow_tick_due_) {
     flow_tick_due_ = now + kFlowTickInterval;
     Carry(router_.OnTick(now));
+    flow_stats_.Publish(std::make_shared<const FlowStats>(router_.stats()));
   }
   leave_done_ = leaving_ && router_.LeaveDone(now) && gateway_.LeaveDone();
   if (view_changed_) {
@@ -120,8 +121,8 @@
 }
 
 void ControlLoop::Carry(const ConfigRefused& action, TimePoint /*now*/) {
-  last_refusal_ =
-      "version " + std::to_string(action.version.value()) + ": " + action.reason;
+  last_refusal_ = "version " + std::to_string(action.version.value()) + ": " +
+                  action.reason;
   view_changed_ = true;
   Log(LogLevel::kError, "version refused",
       {{"version", std::to_string(action.version.value())},
--- a/Source/Runtime/control_loop.h
+++ b/Source/Runtime/control_loop.h
@@ -61,6 +61,12 @@
     return view_.Load();
   }
 
+  // Figures of the flow router, renewed several times a second.
+  [[nodiscard]] auto flow_stats() const -> FlowStats {
+    const auto stats = flow_stats_.Load();
+    return stats == nullptr ? FlowStats() : *stats;
+  }
+
   // Whether the planned stop has handed everything over.
   [[nodiscard]] auto LeaveDone() const -> bool { return leave_done_; }
 
@@ -102,6 +108,7 @@
   bool leaving_ = false;
   bool view_changed_ = true;
   SnapshotCell<ControlView> view_;
+  SnapshotCell<FlowStats> flow_stats_;
   std::atomic<bool> leave_done_ = false;
   std::jthread thread_;  // Last: it uses the members above.
 };
--- a/Source/Runtime/request_gateway.cc
+++ b/Source/Runtime/request_gateway.cc
@@ -85,6 +85,18 @@
   Run(plane_.BeginLeave(clock_.Now()));
 }
 
+void RequestGateway::Abort() {
+  const auto lock = std::lock_guard(mutex_);
+  aborted_ = true;
+  for (const auto& [id, pending] : pending_) {
+    if (!pending->result) {
+      pending->result =
+          RefusalResponse(RefusalReason::kOutcomeUnknown, Duration{0});
+      pending->ended.notify_one();
+    }
+  }
+}
+
 auto RequestGateway::LeaveDone() const -> bool {
   const auto lock = std::lock_guard(mutex_);
   return plane_.LeaveDone() && pending_.empty();
@@ -101,6 +113,9 @@
     return NotRunResponse(kPayloadTooLarge, "body_too_large");
   }
   auto lock = std::unique_lock(mutex_);
+  if (aborted_) {
+    return RefusalResponse(RefusalReason::kStopping, Duration{0});
+  }
   const auto id = RequestId(next_id_++);
   const auto arrival = TryOr(
       [&]() -> Result<std::optional<RequestArrival>> {
@@ -200,7 +215,8 @@
       [address = pending->attempts[cancel.attempt], request] {
         TryOr(
             [&]() -> Result<void> {
-              return SendHttp(address, request).error();
+              BOOST_LEAF_CHECK(SendHttp(address, request));
+              return {};
             },
             [](const Error&) {});
       }));
--- a/Source/Runtime/request_gateway.h
+++ b/Source/Runtime/request_gateway.h
@@ -39,6 +39,11 @@
 
   void BeginLeave();
   [[nodiscard]] auto LeaveDone() const -> bool;
+
+  // Ends every request that still waits as "outcome unknown" and refuses all
+  // that follow.
+  void Abort();
+
   [[nodiscard]] auto stats() const -> RequestStats;
 
  private:
@@ -69,6 +74,7 @@
   mutable std::mutex mutex_;
   RequestPlane plane_;
   std::uint64_t next_id_;
+  bool aborted_ = false;
   std::unordered_map<RequestId, PendingPtr> pending_;
   std::condition_variable_any timer_changed_;
   TimePoint timer_due_;
--- a/Source/Runtime/settings.cc
+++ b/Source/Runtime/settings.cc
@@ -24,10 +24,10 @@
 
 // Splits "30s" into its number and unit.
 auto ParseDuration(std::string_view text) -> std::optional<Duration> {
-  static const auto units = std::map<std::string_view, Duration>{
-      {"ms", std::chrono::milliseconds(1)},
-      {"s", std::chrono::seconds(1)},
-      {"m", std::chrono::minutes(1)}};
+  static const auto units =
+      std::map<std::string_view, Duration>{{"ms", std::chrono::milliseconds(1)},
+                                           {"s", std::chrono::seconds(1)},
+                                           {"m", std::chrono::minutes(1)}};
   auto count = std::uint32_t{0};
   const auto* const end = text.data() + text.size();
   const auto parsed = std::from_chars(text.data(), end, count);
