Flow: Add bucket tables, homes, records and packet decisions

Settled buckets are forwarded by the table alone. Buckets whose owner changed go by way of their second and first home, which record the owner of each new flow.

--- /dev/null
+++ b/Source/Flow/address_ledger.h
@@ -0,0 +1,39 @@
+#ifndef HEMLOCKWICK_FLOW_ADDRESS_LEDGER_H_
+#define HEMLOCKWICK_FLOW_ADDRESS_LEDGER_H_
+
+#include <memory>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "Core/ids.h"
+#include "Core/net_address.h"
+#include "Flow/service_table.h"
+
+namespace hemlockwick {
+
+using AddressSet = std::unordered_set<SocketAddress>;
+
+// Which services hold an endpoint address, now or through flows of an earlier
+// endpoint set. An address that two services hold is quarantined: packets are
+// sent to it for neither of them.
+class AddressLedger {
+ public:
+  // Replaces the addresses of one service; a null table releases them all.
+  void Replace(ServiceId service, const ServiceTable* before,
+               const ServiceTable* after);
+
+  // The quarantined addresses.
+  [[nodiscard]] auto quarantined() const -> std::shared_ptr<const AddressSet>;
+
+ private:
+  void Hold(ServiceId service, const SocketAddress& address);
+  void Release(ServiceId service, const SocketAddress& address);
+
+  std::unordered_map<SocketAddress, std::vector<ServiceId>> holders_;
+  AddressSet shared_;
+};
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_FLOW_ADDRESS_LEDGER_H_
--- a/Source/Flow/flow_message.h
+++ b/Source/Flow/flow_message.h
@@ -22,11 +22,14 @@
   TimePoint last_seen;
 };
 
-// Records of a leaving instance for the next home.
+// Records for an instance that has become a home of their flows.
 struct HandOver {
   std::uint64_t sequence = 0;
   std::vector<HandedRecord> records;
   bool last = false;
+  // Until when flows may live that opened on both sides of a partition; zero
+  // when there was none.
+  TimePoint partition_effect_until;
 };
 
 struct HandOverAck {
--- a/Source/Flow/flow_router.h
+++ b/Source/Flow/flow_router.h
@@ -22,6 +22,8 @@
 struct FlowRouterSettings {
   // Flow records kept at most; 64 bytes each.
   std::size_t max_records = 500'000;
+  // Most bytes of hand-over messages a second, on average.
+  std::size_t hand_over_bytes_per_second = 2'000;
 };
 
 struct SendFlowMessage {
@@ -33,13 +35,23 @@
 
 struct FlowStats {
   std::size_t records = 0;
-  std::size_t evicted = 0;
+  std::size_t evicted = 0;  // Records not kept for lack of room.
   std::size_t unsettled_buckets = 0;
   std::size_t total_buckets = 0;
+  std::size_t relayed = 0;     // Packets sent on to another instance.
+  std::size_t unrecorded = 0;  // New flows left with the earliest owner.
+  std::size_t refused = 0;     // Packets dropped rather than misrouted.
+  std::size_t conflicts = 0;   // Homes that disagreed on an owner.
+  std::size_t hand_over_bytes = 0;
+  double bytes_per_record = 0;
 };
 
 // Decides where packets go. The control thread calls Update, OnTick,
 // OnMessage and BeginLeave; any number of traffic threads call Decide.
+//
+// OnTick has to be called at least every kControlLease / 2, and Update whenever
+// MemberView::refreshed has moved: while either is overdue, no packet is
+// forwarded by the table alone.
 class FlowRouter {
  public:
   FlowRouter(const FlowRouterSettings& settings, InstanceId self,
--- /dev/null
+++ b/Source/Flow/flow_router_impl.h
@@ -0,0 +1,90 @@
+#ifndef HEMLOCKWICK_FLOW_FLOW_ROUTER_IMPL_H_
+#define HEMLOCKWICK_FLOW_FLOW_ROUTER_IMPL_H_
+
+#include <atomic>
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "Flow/address_ledger.h"
+#include "Flow/flow_counters.h"
+#include "Flow/flow_router.h"
+#include "Flow/flow_snapshot.h"
+#include "Flow/hand_over_queue.h"
+#include "Flow/record_table.h"
+#include "Flow/table_set.h"
+
+namespace hemlockwick {
+
+// State of a FlowRouter. Everything but the records, the counters, the leases
+// and the conflicts belongs to the control thread.
+class FlowRouter::Impl {
+ public:
+  Impl(const FlowRouterSettings& settings, InstanceId self, EventLog& events,
+       TimePoint now);
+
+  void Update(std::shared_ptr<const FleetConfig> config,
+              const MemberView& members, TimePoint now);
+  auto Decide(const FlowSnapshot& snapshot, const FlowPacket& packet,
+              TimePoint now) -> FlowAction;
+  auto OnTick(TimePoint now) -> FlowActions;
+  auto OnMessage(InstanceId from, const FlowMessage& message, TimePoint now)
+      -> FlowActions;
+  auto BeginLeave(TimePoint now) -> FlowActions;
+  [[nodiscard]] auto LeaveDone(TimePoint now) const -> bool;
+  [[nodiscard]] auto stats() const -> FlowStats;
+  [[nodiscard]] auto snapshots() const -> const SnapshotCell<FlowSnapshot>& {
+    return cell_;
+  }
+
+ private:
+  struct FormerHomes {
+    std::shared_ptr<const HomeTable> table;
+    TimePoint until;
+  };
+
+  auto IsFresh(TimePoint now) const -> bool;
+  void NoteAbsence(TimePoint now);
+  void UpdateHomes(TimePoint now);
+  void RememberHomes(std::shared_ptr<const HomeTable> table, TimePoint now);
+  void QueueRecords(const HomeTable& before, TimePoint now);
+  void UpdatePartition(TimePoint now);
+  void TakeConflicts();
+  void ExpireRecords(TimePoint now);
+  void TakeRecord(const HandedRecord& record);
+  void Publish(TimePoint now);
+
+  const FlowRouterSettings settings_;
+  const InstanceId self_;
+  EventLog& events_;
+
+  std::shared_ptr<const FleetConfig> config_;
+  MemberView view_;
+  TableSet tables_;
+  std::shared_ptr<const HomeTable> homes_;
+  std::deque<FormerHomes> former_homes_;  // Newest first.
+  HandOverQueue hand_overs_;
+  TimePoint next_expiry_;
+  bool away_ = false;  // A pause or cut was noticed and not recovered from.
+  bool changed_ = false;
+  std::optional<TimePoint> leaving_since_;
+  std::optional<TimePoint> unreachable_since_;
+  std::vector<DataCentreId> avoided_;
+  TimePoint partition_effect_until_;
+
+  RecordTable records_;
+  FlowCounters counters_;
+  std::atomic<TimePoint> last_tick_;
+  std::atomic<TimePoint> refreshed_;
+  std::atomic<TimePoint> trusted_from_;
+  std::mutex conflicts_mutex_;
+  std::vector<FlowRecord> conflicts_;
+  SnapshotCell<FlowSnapshot> cell_;
+};
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_FLOW_FLOW_ROUTER_IMPL_H_
--- /dev/null
+++ b/Source/Flow/flow_snapshot.h
@@ -0,0 +1,37 @@
+#ifndef HEMLOCKWICK_FLOW_FLOW_SNAPSHOT_H_
+#define HEMLOCKWICK_FLOW_FLOW_SNAPSHOT_H_
+
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+#include "Core/ids.h"
+#include "Core/net_address.h"
+#include "Flow/address_ledger.h"
+#include "Flow/home_table.h"
+#include "Flow/service_table.h"
+
+namespace hemlockwick {
+
+using TablesByAddress =
+    std::unordered_map<SocketAddress, std::shared_ptr<const ServiceTable>>;
+
+// What traffic threads need to decide packets. Immutable.
+struct FlowSnapshot {
+  InstanceId self;
+  Version version;
+  std::shared_ptr<const TablesByAddress> tables;
+  std::shared_ptr<const AddressSet> quarantined;
+  std::shared_ptr<const HomeTable> homes;
+  // Home tables before recent changes of members, newest first.
+  std::vector<std::shared_ptr<const HomeTable>> former_homes;
+  // Data centres whose endpoints take no new flows now.
+  std::vector<DataCentreId> unreachable;
+  // Whether flows may live that opened on both sides of a partition, so that
+  // no bucket is settled.
+  bool after_partition = false;
+};
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_FLOW_FLOW_SNAPSHOT_H_
--- /dev/null
+++ b/Source/Flow/flow_timing.h
@@ -0,0 +1,47 @@
+#ifndef HEMLOCKWICK_FLOW_FLOW_TIMING_H_
+#define HEMLOCKWICK_FLOW_FLOW_TIMING_H_
+
+#include <chrono>
+
+#include "Core/time.h"
+
+namespace hemlockwick {
+
+// Longest time from the publication of a version until every running and
+// connected instance has it.
+inline constexpr Duration kConfigSpread = std::chrono::seconds(3);
+
+// An instance forwards by its own table only while its control thread has run
+// within kControlLease and a peer has answered within kViewLease.
+inline constexpr Duration kControlLease = std::chrono::milliseconds(500);
+inline constexpr Duration kViewLease = std::chrono::milliseconds(1500);
+
+// New flows use an endpoint set from this long after its publication. By then
+// every instance has the version or has lost its lease.
+inline constexpr Duration kActivationDelay =
+    kConfigSpread + kViewLease + kMaxClockSkew;
+
+// A leaving endpoint gets no new flow from this long after the publication.
+inline constexpr Duration kDrainDelay = kConfigSpread - kMaxClockSkew;
+
+// A cold endpoint reaches its full share of new flows after kSlowStart and
+// begins with kColdestShare.
+inline constexpr Duration kSlowStart = std::chrono::seconds(60);
+inline constexpr double kColdestShare = 0.1;
+
+// A data centre has to be out of reach for this long before new flows avoid
+// its endpoints.
+inline constexpr Duration kPartitionDelay = std::chrono::seconds(10);
+
+// Former homes are still asked for this long after a change of members.
+inline constexpr Duration kFormerHomeTime = std::chrono::minutes(10);
+
+// A record whose flow has closed is kept for this long.
+inline constexpr Duration kClosingTime = std::chrono::minutes(2);
+
+// A SYN of a recorded flow within this time is a retransmission.
+inline constexpr Duration kSynRetransmitTime = std::chrono::seconds(60);
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_FLOW_FLOW_TIMING_H_
--- /dev/null
+++ b/Source/Flow/packet_decision.cc
@@ -0,0 +1,351 @@
+#include "Flow/packet_decision.h"
+
+#include <algorithm>
+
+#include "Flow/flow_timing.h"
+
+namespace hemlockwick {
+
+namespace {
+
+constexpr auto kUnknownOwner = EndpointId();
+
+}  // namespace
+
+PacketDecision::PacketDecision(const FlowSnapshot& snapshot,
+                               const ServiceTable& table,
+                               const FlowPacket& packet, RecordTable& records,
+                               FlowCounters& counters, bool fresh,
+                               TimePoint now)
+    : snapshot_(snapshot),
+      table_(table),
+      packet_(packet),
+      records_(records),
+      counters_(counters),
+      fresh_(fresh),
+      now_(now),
+      bucket_(table.BucketOf(packet.flow)),
+      homes_(snapshot.homes->HomesOf(packet.flow)) {}
+
+auto PacketDecision::Decide() -> FlowAction {
+  const auto settled = table_.IsSettled(bucket_) && !snapshot_.after_partition;
+  if (settled && fresh_) {
+    return Forward(table_.OwnerOf(bucket_));
+  }
+  switch (packet_.relay.stage) {
+    case RelayStage::kNone:
+      return FromFabric();
+    case RelayStage::kSecondHome:
+      return AtSecondHome();
+    case RelayStage::kFirstHome:
+      return AtFirstHome();
+    case RelayStage::kAskPeer:
+      return AnswerPeer();
+  }
+  return Refuse(DropReason::kMalformed);
+}
+
+auto PacketDecision::FromFabric() -> FlowAction {
+  if (homes_.first == nullptr) {
+    return AtFirstHome();
+  }
+  if (IsSelf(homes_.first) && !packet_.opens) {
+    if (const auto record =
+            records_.Touch(packet_.flow, packet_.closes, now_)) {
+      return ForwardTo(record->endpoint);
+    }
+  }
+  if (homes_.second == nullptr) {
+    return IsSelf(homes_.first)
+               ? AtFirstHome()
+               : Relay(*homes_.first, RelayStage::kFirstHome, kUnknownOwner);
+  }
+  if (IsSelf(homes_.second)) {
+    return AtSecondHome();
+  }
+  return Relay(*homes_.second, RelayStage::kSecondHome, kUnknownOwner);
+}
+
+auto PacketDecision::AtSecondHome() -> FlowAction {
+  if (homes_.first == nullptr || IsSelf(homes_.first)) {
+    return AtFirstHome();
+  }
+  const auto record = records_.Touch(packet_.flow, packet_.closes, now_);
+  if (packet_.opens) {
+    return OpenAtSecondHome(record);
+  }
+  if (!record) {
+    return Relay(*homes_.first, RelayStage::kFirstHome, kUnknownOwner);
+  }
+  if (homes_.first->suspect) {
+    return ForwardTo(record->endpoint);
+  }
+  return Relay(*homes_.first, RelayStage::kFirstHome, record->endpoint);
+}
+
+auto PacketDecision::OpenAtSecondHome(const std::optional<FlowRecord>& record)
+    -> FlowAction {
+  if (record && IsRetransmission(*record)) {
+    return Relay(*homes_.first, RelayStage::kFirstHome, record->endpoint);
+  }
+  if (!fresh_) {
+    return Relay(*homes_.first, RelayStage::kFirstHome, kUnknownOwner);
+  }
+  const auto owner = ChooseOwner();
+  if (owner == kNoOwner) {
+    return Refuse(DropReason::kNoEndpoint);
+  }
+  const auto id = table_.endpoint(owner).id;
+  if (!Record(id)) {
+    return Refuse(DropReason::kOverLimit);
+  }
+  if (homes_.first->suspect) {
+    return ForwardTo(id);
+  }
+  return Relay(*homes_.first, RelayStage::kFirstHome, id);
+}
+
+auto PacketDecision::AtFirstHome() -> FlowAction {
+  const auto record = records_.Touch(packet_.flow, packet_.closes, now_);
+  if (packet_.opens) {
+    return OpenAtFirstHome(record);
+  }
+  if (record) {
+    return KnownAtFirstHome(*record);
+  }
+  if (packet_.relay.known_owner == kUnknownOwner) {
+    return UnknownAtFirstHome();
+  }
+  Record(packet_.relay.known_owner);
+  return ForwardTo(packet_.relay.known_owner);
+}
+
+auto PacketDecision::OpenAtFirstHome(const std::optional<FlowRecord>& record)
+    -> FlowAction {
+  if (record && IsRetransmission(*record)) {
+    return KnownAtFirstHome(*record);
+  }
+  if (packet_.relay.known_owner != kUnknownOwner) {
+    if (!Record(packet_.relay.known_owner)) {
+      return Refuse(DropReason::kOverLimit);
+    }
+    return ForwardTo(packet_.relay.known_owner);
+  }
+  const auto owner = ChooseOwner();
+  if (owner == kNoOwner) {
+    return Refuse(DropReason::kNoEndpoint);
+  }
+  const auto id = table_.endpoint(owner).id;
+  if (!Record(id)) {
+    return Refuse(DropReason::kOverLimit);
+  }
+  return ForwardAndTeach(id);
+}
+
+auto PacketDecision::KnownAtFirstHome(const FlowRecord& record) -> FlowAction {
+  const auto told = packet_.relay.known_owner;
+  if (told == kUnknownOwner) {
+    return ForwardAndTeach(record.endpoint);
+  }
+  if (told != record.endpoint) {
+    ++counters_.conflicts;
+    conflicting_ = record;
+  }
+  return ForwardTo(record.endpoint);
+}
+
+auto PacketDecision::UnknownAtFirstHome() -> FlowAction {
+  if (fresh_) {
+    return AskFormerHome();
+  }
+  // A home that was away lets the other one decide.
+  const auto from_second = packet_.relay.stage == RelayStage::kFirstHome;
+  if (from_second && homes_.second != nullptr && !IsSelf(homes_.second)) {
+    return Relay(*homes_.second, RelayStage::kAskPeer, kUnknownOwner);
+  }
+  return Refuse(DropReason::kNoEndpoint);
+}
+
+auto PacketDecision::AskFormerHome() -> FlowAction {
+  const auto* former = FormerHome();
+  if (former != nullptr && packet_.relay.hops < kMaxRelayHops) {
+    return Relay(*former, RelayStage::kAskPeer, kUnknownOwner);
+  }
+  return Forward(table_.EarliestOwnerOf(bucket_));
+}
+
+auto PacketDecision::AnswerPeer() -> FlowAction {
+  const auto record = records_.Touch(packet_.flow, packet_.closes, now_);
+  const auto told = packet_.relay.known_owner;
+  if (told != kUnknownOwner) {
+    if (!record || packet_.opens) {
+      Record(told);
+    }
+    return ForwardTo(told);
+  }
+  if (record) {
+    return ForwardTo(record->endpoint);
+  }
+  if (!fresh_) {
+    return Refuse(DropReason::kNoEndpoint);
+  }
+  // The other home was away and sent the packet back.
+  const auto returned = IsSelf(homes_.second);
+  return returned ? AskFormerHome() : Forward(table_.EarliestOwnerOf(bucket_));
+}
+
+auto PacketDecision::ChooseOwner() const -> OwnerIndex {
+  const auto owner = table_.OwnerOfNewFlow(bucket_, packet_.flow, now_);
+  if (IsUnreachable(owner)) {
+    return table_.ReachableOwner(bucket_, snapshot_.unreachable, now_);
+  }
+  const auto full = records_.NearlyFull(packet_.flow);
+  const auto earliest = table_.EarliestOwnerOf(bucket_);
+  if (full && table_.TakesNewFlow(earliest, now_)) {
+    return earliest;
+  }
+  return owner;
+}
+
+auto PacketDecision::IsUnreachable(OwnerIndex owner) const -> bool {
+  if (owner == kNoOwner) {
+    return false;
+  }
+  const auto& away = snapshot_.unreachable;
+  return std::find(away.begin(), away.end(),
+                   table_.endpoint(owner).data_centre) != away.end();
+}
+
+// Whether a SYN belongs to the recorded flow rather than to a new flow of the
+// same addresses and ports.
+auto PacketDecision::IsRetransmission(const FlowRecord& record) const -> bool {
+  if (record.closed_seconds != 0) {
+    return false;
+  }
+  constexpr auto kRetransmitSeconds =
+      std::chrono::duration_cast<std::chrono::seconds>(kSynRetransmitTime);
+  const auto age = ToUnixSeconds(now_) - record.opened_seconds;
+  const auto recent = age <= kRetransmitSeconds.count();
+  return recent || table_.TakesNewFlow(table_.Find(record.endpoint), now_);
+}
+
+// Flows of a settled bucket are recorded only when they are not with its
+// owner, which happens during a partition.
+auto PacketDecision::NeedsRecord(EndpointId owner) const -> bool {
+  if (!table_.IsSettled(bucket_)) {
+    return true;
+  }
+  const auto settled_owner = table_.OwnerOf(bucket_);
+  return settled_owner == kNoOwner ||
+         table_.endpoint(settled_owner).id != owner;
+}
+
+// Whether the flow reaches its owner also without a record.
+auto PacketDecision::MayDoWithout(EndpointId owner) const -> bool {
+  const auto earliest = table_.EarliestOwnerOf(bucket_);
+  return earliest != kNoOwner && table_.endpoint(earliest).id == owner;
+}
+
+// Returns false when the flow needs a record and there is no room for it.
+auto PacketDecision::Record(EndpointId owner) -> bool {
+  if (!NeedsRecord(owner)) {
+    return true;
+  }
+  const auto nearly_full = records_.NearlyFull(packet_.flow);
+  if (nearly_full && MayDoWithout(owner)) {
+    ++counters_.unrecorded;
+    return true;
+  }
+  auto record = FlowRecord();
+  record.flow = packet_.flow;
+  record.service = table_.service().id;
+  record.endpoint = owner;
+  record.opened_seconds = ToUnixSeconds(now_);
+  record.last_seen_seconds = record.opened_seconds;
+  record.closed_seconds = packet_.closes ? record.opened_seconds : 0;
+  if (records_.Put(record)) {
+    return true;
+  }
+  ++counters_.lost_records;
+  return false;
+}
+
+// A living instance that was a home of the flow not long ago.
+auto PacketDecision::FormerHome() const -> const HomeMember* {
+  const auto usable = [this](const HomeMember* member) {
+    return member != nullptr && member->id != snapshot_.self &&
+           (homes_.first == nullptr || member->id != homes_.first->id) &&
+           (homes_.second == nullptr || member->id != homes_.second->id);
+  };
+  if (snapshot_.after_partition && usable(homes_.third)) {
+    return homes_.third;
+  }
+  for (const auto& table : snapshot_.former_homes) {
+    const auto former = table->HomesOf(packet_.flow);
+    for (const auto* member : {former.first, former.second}) {
+      if (usable(member) && snapshot_.homes->Find(*member) != nullptr) {
+        return member;
+      }
+    }
+  }
+  return nullptr;
+}
+
+auto PacketDecision::Forward(OwnerIndex owner) const -> FlowAction {
+  if (owner == kNoOwner) {
+    return DropPacket{DropReason::kNoEndpoint};
+  }
+  const auto& endpoint = table_.endpoint(owner);
+  if (snapshot_.quarantined->contains(endpoint.address)) {
+    return DropPacket{DropReason::kQuarantined};
+  }
+  return ForwardToEndpoint{endpoint.id, endpoint.address};
+}
+
+auto PacketDecision::ForwardTo(EndpointId owner) -> FlowAction {
+  const auto found = table_.Find(owner);
+  if (found != kNoOwner) {
+    return Forward(found);
+  }
+  // A newer version than this instance's names the endpoint; the other home
+  // has it.
+  const auto asked = packet_.relay.stage == RelayStage::kAskPeer;
+  if (!asked && homes_.second != nullptr && !IsSelf(homes_.second)) {
+    return Relay(*homes_.second, RelayStage::kAskPeer, owner);
+  }
+  return Refuse(DropReason::kNoEndpoint);
+}
+
+// Forwards by way of the second home when that does not know the flow.
+auto PacketDecision::ForwardAndTeach(EndpointId owner) -> FlowAction {
+  const auto from_second = packet_.relay.stage == RelayStage::kFirstHome;
+  const auto has_second = homes_.second != nullptr && !IsSelf(homes_.second) &&
+                          !homes_.second->suspect;
+  const auto has_hops = packet_.relay.hops < kMaxRelayHops;
+  if (from_second && has_second && has_hops && NeedsRecord(owner)) {
+    return Relay(*homes_.second, RelayStage::kAskPeer, owner);
+  }
+  return ForwardTo(owner);
+}
+
+auto PacketDecision::Relay(const HomeMember& to, RelayStage stage,
+                           EndpointId known_owner) -> FlowAction {
+  if (packet_.relay.hops >= kMaxRelayHops) {
+    return Refuse(DropReason::kLoop);
+  }
+  ++counters_.relayed;
+  auto mark = RelayMark();
+  mark.hops = static_cast<std::uint8_t>(packet_.relay.hops + 1);
+  mark.stage = stage;
+  mark.sender_version =
+      std::max(snapshot_.version, packet_.relay.sender_version);
+  mark.known_owner = known_owner;
+  return RelayToInstance{to.id, to.packet_address, mark};
+}
+
+auto PacketDecision::Refuse(DropReason reason) -> FlowAction {
+  ++counters_.refused;
+  return DropPacket{reason};
+}
+
+}  // namespace hemlockwick
--- /dev/null
+++ b/Source/Flow/packet_decision.h
@@ -0,0 +1,75 @@
+#ifndef HEMLOCKWICK_FLOW_PACKET_DECISION_H_
+#define HEMLOCKWICK_FLOW_PACKET_DECISION_H_
+
+#include <cstdint>
+#include <optional>
+
+#include "Core/time.h"
+#include "Flow/flow_counters.h"
+#include "Flow/flow_snapshot.h"
+#include "Flow/flow_types.h"
+#include "Flow/record_table.h"
+
+namespace hemlockwick {
+
+// Decides one packet. Settled buckets are forwarded by the table alone; the
+// others go by way of the second and the first home, which keep the records.
+class PacketDecision {
+ public:
+  // `fresh` tells whether the snapshot may be trusted for settled buckets.
+  PacketDecision(const FlowSnapshot& snapshot, const ServiceTable& table,
+                 const FlowPacket& packet, RecordTable& records,
+                 FlowCounters& counters, bool fresh, TimePoint now);
+
+  auto Decide() -> FlowAction;
+
+  // A record that differs from what the other home told, to be sent to it.
+  [[nodiscard]] auto conflicting() const -> const std::optional<FlowRecord>& {
+    return conflicting_;
+  }
+
+ private:
+  auto FromFabric() -> FlowAction;
+  auto AtSecondHome() -> FlowAction;
+  auto AtFirstHome() -> FlowAction;
+  auto OpenAtSecondHome(const std::optional<FlowRecord>& record) -> FlowAction;
+  auto OpenAtFirstHome(const std::optional<FlowRecord>& record) -> FlowAction;
+  auto KnownAtFirstHome(const FlowRecord& record) -> FlowAction;
+  auto UnknownAtFirstHome() -> FlowAction;
+  auto AskFormerHome() -> FlowAction;
+  auto AnswerPeer() -> FlowAction;
+
+  auto ChooseOwner() const -> OwnerIndex;
+  auto IsUnreachable(OwnerIndex owner) const -> bool;
+  auto IsRetransmission(const FlowRecord& record) const -> bool;
+  auto NeedsRecord(EndpointId owner) const -> bool;
+  auto MayDoWithout(EndpointId owner) const -> bool;
+  auto Record(EndpointId owner) -> bool;
+  auto FormerHome() const -> const HomeMember*;
+
+  auto Forward(OwnerIndex owner) const -> FlowAction;
+  auto ForwardTo(EndpointId owner) -> FlowAction;
+  auto ForwardAndTeach(EndpointId owner) -> FlowAction;
+  auto Relay(const HomeMember& to, RelayStage stage, EndpointId known_owner)
+      -> FlowAction;
+  auto Refuse(DropReason reason) -> FlowAction;
+
+  auto IsSelf(const HomeMember* member) const -> bool {
+    return member != nullptr && member->id == snapshot_.self;
+  }
+
+  const FlowSnapshot& snapshot_;
+  const ServiceTable& table_;
+  const FlowPacket& packet_;
+  RecordTable& records_;
+  FlowCounters& counters_;
+  const bool fresh_;
+  const TimePoint now_;
+  const std::uint32_t bucket_;
+  const Homes homes_;
+  std::optional<FlowRecord> conflicting_;
+};
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_FLOW_PACKET_DECISION_H_
--- /dev/null
+++ b/Source/Flow/record_table.cc
@@ -0,0 +1,178 @@
+#include "Flow/record_table.h"
+
+#include <algorithm>
+
+#include "Core/hash.h"
+
+namespace hemlockwick {
+
+namespace {
+
+// Slots are kept at most three quarters full.
+constexpr std::size_t kLoadNumerator = 3;
+constexpr std::size_t kLoadDenominator = 4;
+
+// New flows do without a record above fifteen sixteenths of the bound.
+constexpr std::size_t kNearlyNumerator = 15;
+constexpr std::size_t kNearlyDenominator = 16;
+
+constexpr std::uint64_t kShardSeed = 0x7368617264;
+constexpr std::uint64_t kSlotSeed = 0x736C6F74;
+
+// Packets this long after a close show that the flow is still half open.
+constexpr std::uint32_t kHalfOpenSeconds = 2;
+
+}  // namespace
+
+RecordTable::RecordTable(std::size_t max_records)
+    : max_per_shard_(std::max<std::size_t>(1, max_records / kShards)) {
+  const auto slots = max_per_shard_ * kLoadDenominator / kLoadNumerator + 1;
+  for (auto& shard : shards_) {
+    shard.slots.resize(slots);
+  }
+}
+
+auto RecordTable::ShardOf(FlowKey flow) const -> const Shard& {
+  return shards_[MixWords(flow.value(), kShardSeed) % kShards];
+}
+
+auto RecordTable::ShardOf(FlowKey flow) -> Shard& {
+  return shards_[MixWords(flow.value(), kShardSeed) % kShards];
+}
+
+auto RecordTable::Home(const Shard& shard, FlowKey flow) -> std::size_t {
+  return MixWords(flow.value(), kSlotSeed) % shard.slots.size();
+}
+
+// Returns the slot of the flow, or the free slot where it would go.
+auto RecordTable::Locate(const Shard& shard, FlowKey flow) -> std::size_t {
+  auto slot = Home(shard, flow);
+  while (shard.slots[slot].used && shard.slots[slot].flow != flow) {
+    slot = (slot + 1) % shard.slots.size();
+  }
+  return slot;
+}
+
+auto RecordTable::Find(FlowKey flow) const -> std::optional<FlowRecord> {
+  const auto& shard = ShardOf(flow);
+  const std::lock_guard lock(shard.mutex);
+  const auto& record = shard.slots[Locate(shard, flow)];
+  return record.used ? std::optional(record) : std::nullopt;
+}
+
+auto RecordTable::Touch(FlowKey flow, bool closes, TimePoint now)
+    -> std::optional<FlowRecord> {
+  auto& shard = ShardOf(flow);
+  const std::lock_guard lock(shard.mutex);
+  auto& record = shard.slots[Locate(shard, flow)];
+  if (!record.used) {
+    return std::nullopt;
+  }
+  const auto seconds = ToUnixSeconds(now);
+  record.last_seen_seconds = std::max(record.last_seen_seconds, seconds);
+  if (closes) {
+    record.closed_seconds = seconds;
+  } else if (seconds > record.closed_seconds + kHalfOpenSeconds) {
+    record.closed_seconds = 0;
+  }
+  return record;
+}
+
+auto RecordTable::Put(const FlowRecord& record) -> bool {
+  auto& shard = ShardOf(record.flow);
+  const std::lock_guard lock(shard.mutex);
+  auto& slot = shard.slots[Locate(shard, record.flow)];
+  if (!slot.used) {
+    if (shard.used >= max_per_shard_) {
+      return false;
+    }
+    ++shard.used;
+  }
+  slot = record;
+  slot.used = true;
+  return true;
+}
+
+void RecordTable::Remove(FlowKey flow) {
+  auto& shard = ShardOf(flow);
+  const std::lock_guard lock(shard.mutex);
+  const auto slot = Locate(shard, flow);
+  if (shard.slots[slot].used) {
+    Erase(shard, slot);
+  }
+}
+
+void RecordTable::Erase(Shard& shard, std::size_t slot) {
+  const auto count = shard.slots.size();
+  auto hole = slot;
+  auto next = (hole + 1) % count;
+  while (shard.slots[next].used) {
+    const auto home = Home(shard, shard.slots[next].flow);
+    const auto distance_to_hole = (hole + count - home) % count;
+    const auto distance_to_next = (next + count - home) % count;
+    if (distance_to_hole < distance_to_next) {
+      shard.slots[hole] = shard.slots[next];
+      hole = next;
+    }
+    next = (next + 1) % count;
+  }
+  shard.slots[hole] = FlowRecord();
+  --shard.used;
+}
+
+auto RecordTable::NearlyFull(FlowKey flow) const -> bool {
+  const auto& shard = ShardOf(flow);
+  const std::lock_guard lock(shard.mutex);
+  return shard.used * kNearlyDenominator >= max_per_shard_ * kNearlyNumerator;
+}
+
+auto RecordTable::RemoveIf(const std::function<bool(const FlowRecord&)>& ended)
+    -> std::size_t {
+  auto removed = std::size_t{0};
+  for (auto& shard : shards_) {
+    const std::lock_guard lock(shard.mutex);
+    auto slot = std::size_t{0};
+    while (slot < shard.slots.size()) {
+      if (shard.slots[slot].used && ended(shard.slots[slot])) {
+        Erase(shard, slot);  // May move a later record into this slot.
+        ++removed;
+      } else {
+        ++slot;
+      }
+    }
+  }
+  return removed;
+}
+
+void RecordTable::ForEach(
+    const std::function<void(const FlowRecord&)>& visit) const {
+  for (const auto& shard : shards_) {
+    const std::lock_guard lock(shard.mutex);
+    for (const auto& record : shard.slots) {
+      if (record.used) {
+        visit(record);
+      }
+    }
+  }
+}
+
+auto RecordTable::size() const -> std::size_t {
+  auto total = std::size_t{0};
+  for (const auto& shard : shards_) {
+    const std::lock_guard lock(shard.mutex);
+    total += shard.used;
+  }
+  return total;
+}
+
+auto RecordTable::bytes_per_record() const -> double {
+  auto slots = std::size_t{0};
+  for (const auto& shard : shards_) {
+    slots += shard.slots.capacity();
+  }
+  const auto bytes = slots * sizeof(FlowRecord) + sizeof(RecordTable);
+  return static_cast<double>(bytes) /
+         static_cast<double>(max_per_shard_ * kShards);
+}
+
+}  // namespace hemlockwick
--- /dev/null
+++ b/Source/Flow/table_set.h
@@ -0,0 +1,68 @@
+#ifndef HEMLOCKWICK_FLOW_TABLE_SET_H_
+#define HEMLOCKWICK_FLOW_TABLE_SET_H_
+
+#include <cstddef>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+#include "Config/fleet_config.h"
+#include "Core/ids.h"
+#include "Core/time.h"
+#include "Flow/address_ledger.h"
+#include "Flow/flow_snapshot.h"
+#include "Flow/service_table.h"
+
+namespace hemlockwick {
+
+// The tables of all flow services. Versions share the tables of services that
+// did not change.
+class TableSet {
+ public:
+  // Builds the tables of the services that differ from the present ones.
+  void Take(const FleetConfig& config, TimePoint now);
+
+  // Builds the tables again whose earlier sets have ended. False when none.
+  auto Advance(TimePoint now) -> bool;
+
+  // The tables by service address, as of the last change.
+  [[nodiscard]] auto by_address() const
+      -> const std::shared_ptr<const TablesByAddress>& {
+    return by_address_;
+  }
+  [[nodiscard]] auto quarantined() const
+      -> const std::shared_ptr<const AddressSet>& {
+    return quarantined_;
+  }
+
+  // The table of a service; null when there is none.
+  [[nodiscard]] auto Find(ServiceId service) const -> const ServiceTable*;
+
+  [[nodiscard]] auto unsettled_buckets() const -> std::size_t;
+  [[nodiscard]] auto total_buckets() const -> std::size_t;
+
+ private:
+  using TablePtr = std::shared_ptr<const ServiceTable>;
+
+  void Replace(TablePtr table);
+  void DropMissing(const FleetConfig& config);
+  void Index();
+
+  std::unordered_map<ServiceId, TablePtr> by_id_;
+  std::shared_ptr<const TablesByAddress> by_address_ =
+      std::make_shared<const TablesByAddress>();
+  std::shared_ptr<const AddressSet> quarantined_ =
+      std::make_shared<const AddressSet>();
+  AddressLedger ledger_;
+  TimePoint next_change_ = TimePoint::max();
+};
+
+// Joins the published lineage of a service with the sets that `before` knew,
+// oldest first.
+[[nodiscard]] auto JoinLineage(const Service& service,
+                               const ServiceTable* before)
+    -> std::vector<PastEndpointSet>;
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_FLOW_TABLE_SET_H_
