--- a/Source/Command/serve_command.cc
+++ b/Source/Command/serve_command.cc
@@ -22,10 +22,10 @@
 
 auto ParseArguments(const std::vector<std::string>& arguments,
                     cxxopts::Options& options) -> cxxopts::ParseResult {
-  options.add_options()                                                //
-      ("settings", "YAML file with this instance's settings",          //
-       cxxopts::value<std::string>(), "FILE")                          //
-      ("check-settings", "Check the settings file and do not serve")   //
+  options.add_options()                                               //
+      ("settings", "YAML file with this instance's settings",         //
+       cxxopts::value<std::string>(), "FILE")                         //
+      ("check-settings", "Check the settings file and do not serve")  //
       ("h,help", "Show this help");
   auto argv = std::vector<const char*>{"hemlockwick serve"};
   for (const auto& argument : arguments) {
@@ -131,10 +131,10 @@
     return ExitCode::kSuccess;
   }
   if (!parsed.unmatched().empty()) {
-    return PrintError({ErrorCode::kInvalidArgument,
-                       "unexpected argument '" + parsed.unmatched().front() +
-                           "'",
-                       "see 'hemlockwick serve --help'"});
+    return PrintError(
+        {ErrorCode::kInvalidArgument,
+         "unexpected argument '" + parsed.unmatched().front() + "'",
+         "see 'hemlockwick serve --help'"});
   }
   if (parsed.count("settings") == 0) {
     return PrintError({ErrorCode::kInvalidArgument, "no settings file given",
