--- /dev/null
+++ b/Tests/Runtime/gue_codec_test.cc
@@ -0,0 +1,199 @@
+#include "Runtime/gue_codec.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <array>
+#include <memory>
+
+#include "Core/random.h"
+#include "Runtime/packet_bytes.h"
+
+namespace hemlockwick {
+
+namespace {
+
+// Decodes a copy on the heap that has no byte to spare, so that the address
+// sanitizer sees each read past the end.
+auto Decode(const ByteVector& datagram) -> GueDecoded {
+  const auto copy = std::make_unique<std::uint8_t[]>(datagram.size());
+  std::ranges::copy(datagram, copy.get());
+  return DecodeGue(Bytes(copy.get(), datagram.size()));
+}
+
+auto ErrorOf(const ByteVector& datagram) -> GueError {
+  const auto decoded = Decode(datagram);
+  cr_assert(std::holds_alternative<GueError>(decoded));
+  return std::get<GueError>(decoded);
+}
+
+auto PacketOf(const ByteVector& datagram) -> FlowPacket {
+  const auto decoded = Decode(datagram);
+  cr_assert(std::holds_alternative<GuePacket>(decoded));
+  return std::get<GuePacket>(decoded).packet;
+}
+
+auto WithMark(const RelayMark& mark, const ByteVector& inner) -> ByteVector {
+  const auto header = EncodeGueHeader(mark);
+  auto datagram = ByteVector(
+      header.bytes.begin(),
+      header.bytes.begin() + static_cast<std::ptrdiff_t>(header.size));
+  datagram.insert(datagram.end(), inner.begin(), inner.end());
+  return datagram;
+}
+
+Test(gue_codec, reads_the_flow_of_a_tcp_packet) {
+  const auto packet = PacketOf(Encapsulate(TcpPacket(kSynFlag)));
+  cr_assert_eq(packet.destination.ip.value(), 0x0A090807U);
+  cr_assert_eq(packet.destination.port.value(), 443);
+  cr_assert(packet.opens);
+  cr_assert_not(packet.closes);
+  cr_assert_eq(packet.relay.hops, 0);
+}
+
+Test(gue_codec, reads_the_tcp_flags) {
+  constexpr auto kSynAck = std::uint8_t{0x12};
+  constexpr auto kFin = std::uint8_t{0x01};
+  constexpr auto kRst = std::uint8_t{0x04};
+  cr_assert_not(PacketOf(Encapsulate(TcpPacket(kSynAck))).opens);
+  cr_assert(PacketOf(Encapsulate(TcpPacket(kFin))).closes);
+  cr_assert(PacketOf(Encapsulate(TcpPacket(kRst))).closes);
+}
+
+Test(gue_codec, keys_flows_by_protocol_addresses_and_ports) {
+  const auto tcp = PacketOf(Encapsulate(TcpPacket(0))).flow;
+  cr_assert_eq(PacketOf(Encapsulate(TcpPacket(kSynFlag))).flow.value(),
+               tcp.value());
+  cr_assert_neq(PacketOf(Encapsulate(UdpPacket())).flow.value(), tcp.value());
+  constexpr auto kTupleBytes =
+      std::to_array<std::size_t>({12, 15, 16, 19, 20, 21, 22, 23});
+  for (const auto offset : kTupleBytes) {
+    auto other = TcpPacket(0);
+    other[offset] ^= 1;
+    cr_assert_neq(PacketOf(Encapsulate(other)).flow.value(), tcp.value());
+  }
+}
+
+Test(gue_codec, returns_the_inner_packet_unchanged) {
+  const auto datagram = Encapsulate(UdpPacket());
+  const auto decoded = DecodeGue(datagram);
+  const auto inner = std::get<GuePacket>(decoded).inner;
+  cr_assert(std::ranges::equal(inner, UdpPacket()));
+}
+
+Test(gue_codec, carries_the_relay_mark) {
+  const auto mark =
+      RelayMark{3, RelayStage::kAskPeer, Version(0x0102030405060708),
+                EndpointId(0xFFEEDDCCBBAA9988)};
+  const auto read = PacketOf(WithMark(mark, TcpPacket(0))).relay;
+  cr_assert_eq(read.hops, mark.hops);
+  cr_assert_eq(read.stage, mark.stage);
+  cr_assert_eq(read.sender_version.value(), mark.sender_version.value());
+  cr_assert_eq(read.known_owner.value(), mark.known_owner.value());
+}
+
+Test(gue_codec, encodes_the_header_that_endpoints_expect) {
+  const auto header = EncodeGueHeader();
+  const auto expected = ByteVector{0, 4, 0, 0};
+  cr_assert(
+      std::ranges::equal(Bytes(header.bytes.data(), header.size), expected));
+}
+
+Test(gue_codec, refuses_every_truncation) {
+  const auto whole = WithMark({}, TcpPacket(0));
+  for (auto size = std::size_t{0}; size < whole.size(); ++size) {
+    const auto cut = ByteVector(
+        whole.begin(), whole.begin() + static_cast<std::ptrdiff_t>(size));
+    cr_assert_eq(ErrorOf(cut), GueError::kTruncated);
+  }
+}
+
+Test(gue_codec, refuses_what_is_not_a_data_message_with_ipv4) {
+  for (const auto& header :
+       {ByteVector{0x40, 4, 0, 0}, ByteVector{0x20, 4, 0, 0},
+        ByteVector{0, 41, 0, 0}, ByteVector{0, 4, 0, 1}}) {
+    auto datagram = Encapsulate(TcpPacket(0));
+    std::ranges::copy(header, datagram.begin());
+    cr_assert_eq(ErrorOf(datagram), GueError::kVariant);
+  }
+}
+
+Test(gue_codec, refuses_a_foreign_mark) {
+  constexpr auto kStageByte = std::size_t{9};
+  auto wrong_magic = WithMark({}, TcpPacket(0));
+  wrong_magic[kGueBaseBytes] ^= 1;
+  cr_assert_eq(ErrorOf(wrong_magic), GueError::kMark);
+  auto wrong_stage = WithMark({}, TcpPacket(0));
+  wrong_stage[kStageByte] = 200;
+  cr_assert_eq(ErrorOf(wrong_stage), GueError::kMark);
+}
+
+Test(gue_codec, refuses_inconsistent_inner_headers) {
+  struct Change {
+    std::size_t offset;
+    std::uint8_t value;
+  };
+  // Version 6; header of 16 bytes; total below the header; TCP header of 16
+  // bytes; TCP header past the packet's end.
+  for (const auto& change : {Change{0, 0x65}, Change{0, 0x44}, Change{3, 19},
+                             Change{32, 0x40}, Change{32, 0xF0}}) {
+    auto inner = TcpPacket(0);
+    inner[change.offset] = change.value;
+    cr_assert_eq(ErrorOf(Encapsulate(inner)), GueError::kInner);
+  }
+  for (const auto length : {std::uint8_t{7}, std::uint8_t{13}}) {
+    auto inner = UdpPacket();
+    inner[25] = length;
+    cr_assert_eq(ErrorOf(Encapsulate(inner)), GueError::kInner);
+  }
+}
+
+Test(gue_codec, refuses_fragments_and_other_protocols) {
+  auto first_fragment = TcpPacket(0);
+  first_fragment[6] = 0x20;
+  cr_assert_eq(ErrorOf(Encapsulate(first_fragment)), GueError::kFragment);
+  auto later_fragment = TcpPacket(0);
+  later_fragment[7] = 1;
+  cr_assert_eq(ErrorOf(Encapsulate(later_fragment)), GueError::kFragment);
+  auto icmp = TcpPacket(0);
+  icmp[9] = 1;
+  cr_assert_eq(ErrorOf(Encapsulate(icmp)), GueError::kProtocol);
+}
+
+// Each decoded packet stays within its datagram and has what a decision needs.
+void CheckInvariants(const ByteVector& datagram) {
+  const auto decoded = DecodeGue(datagram);
+  const auto* const packet = std::get_if<GuePacket>(&decoded);
+  if (packet == nullptr) {
+    return;
+  }
+  const auto offset = packet->inner.data() - datagram.data();
+  cr_assert_geq(offset, static_cast<std::ptrdiff_t>(kGueBaseBytes));
+  cr_assert_leq(static_cast<std::size_t>(offset) + packet->inner.size(),
+                datagram.size());
+  cr_assert_geq(packet->inner.size(), 28);
+  cr_assert_leq(packet->packet.relay.stage, RelayStage::kAskPeer);
+}
+
+Test(gue_codec, survives_seeded_mutations) {
+  constexpr auto kRounds = 100'000;
+  constexpr auto kSeed = std::uint64_t{20'260'101};
+  const auto corpus = std::vector{
+      Encapsulate(TcpPacket(kSynFlag)), Encapsulate(UdpPacket()),
+      WithMark({1, RelayStage::kFirstHome, Version(7), {}}, TcpPacket(0))};
+  auto random = Random(kSeed);
+  for (auto round = 0; round < kRounds; ++round) {
+    auto datagram = corpus[random.Below(corpus.size())];
+    for (auto change = random.Below(4); change > 0; --change) {
+      datagram[random.Below(datagram.size())] =
+          static_cast<std::uint8_t>(random.Below(256));
+    }
+    datagram.resize(datagram.size() - random.Below(8));
+    CheckInvariants(datagram);
+    static_cast<void>(Decode(datagram));
+  }
+}
+
+}  // namespace
+
+}  // namespace hemlockwick
