--- /dev/null
+++ b/Source/Request/admission.cc
@@ -0,0 +1,72 @@
+#include "Request/admission.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace hemlockwick {
+
+namespace {
+
+// A queue that was not empty for this long is cut to the target wait.
+constexpr Duration kStandingInterval = std::chrono::milliseconds(500);
+// Queues up to this length are never cut.
+constexpr std::size_t kMinQueue = 3;
+// Drain rates below this are not known well enough to estimate a wait.
+constexpr double kMinDrainRate = 0.5;  // Requests per second.
+constexpr int kServiceGain = 16;
+constexpr Duration kMinRetryAfter = std::chrono::seconds(1);
+constexpr Duration kMaxRetryAfter = std::chrono::seconds(30);
+
+}  // namespace
+
+Admission::Admission(Duration rate_window) : drained_(rate_window) {}
+
+void Admission::OnServed(Duration service_time) {
+  typical_service_ += (service_time - typical_service_) / kServiceGain;
+}
+
+void Admission::OnQueueLength(std::size_t length, TimePoint now) {
+  if (length == 0 || length_ == 0) {
+    last_empty_ = now;
+  }
+  length_ = length;
+}
+
+auto Admission::EstimateWait(std::size_t length, TimePoint now) const
+    -> Duration {
+  const auto rate = drained_.PerSecond(now);
+  if (rate < kMinDrainRate) {
+    return Duration(0);
+  }
+  const auto seconds = static_cast<double>(length) / rate;
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(seconds));
+}
+
+auto Admission::CanMeet(std::size_t length, TimePoint deadline,
+                        TimePoint now) const -> bool {
+  if (length <= kMinQueue) {
+    return now < deadline;
+  }
+  return now + EstimateWait(length, now) + typical_service_ < deadline;
+}
+
+auto Admission::IsOverloaded(TimePoint now) const -> bool {
+  return length_ > 0 && now - last_empty_ >= kStandingInterval;
+}
+
+auto Admission::IsFull(std::size_t length, const Contract& contract,
+                       TimePoint now) const -> bool {
+  if (length >= contract.max_queue) {
+    return true;
+  }
+  return length >= kMinQueue && IsOverloaded(now) &&
+         EstimateWait(length, now) > contract.short_bound;
+}
+
+auto Admission::RetryAfter(std::size_t length, TimePoint now) const
+    -> Duration {
+  return std::clamp(EstimateWait(length, now), kMinRetryAfter, kMaxRetryAfter);
+}
+
+}  // namespace hemlockwick
--- /dev/null
+++ b/Source/Request/decayed_rate.h
@@ -0,0 +1,28 @@
+#ifndef HEMLOCKWICK_REQUEST_DECAYED_RATE_H_
+#define HEMLOCKWICK_REQUEST_DECAYED_RATE_H_
+
+#include "Core/time.h"
+
+namespace hemlockwick {
+
+// Rate of events, weighted by age with an exponential window.
+class DecayedRate {
+ public:
+  explicit DecayedRate(Duration window);
+
+  void Add(double amount, TimePoint now);
+
+  // Returns the amount per second.
+  [[nodiscard]] auto PerSecond(TimePoint now) const -> double;
+
+ private:
+  [[nodiscard]] auto Decayed(TimePoint now) const -> double;
+
+  double window_seconds_;
+  double sum_ = 0;
+  TimePoint updated_;
+};
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_REQUEST_DECAYED_RATE_H_
--- /dev/null
+++ b/Source/Request/request_action.h
@@ -0,0 +1,49 @@
+#ifndef HEMLOCKWICK_REQUEST_REQUEST_ACTION_H_
+#define HEMLOCKWICK_REQUEST_REQUEST_ACTION_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <variant>
+#include <vector>
+
+#include "Core/ids.h"
+#include "Core/net_address.h"
+#include "Request/request_message.h"
+#include "Request/request_types.h"
+
+namespace hemlockwick {
+
+struct SendRequestMessage {
+  InstanceId to;
+  SocketAddress address;  // The peer's HTTP address.
+  RequestMessage message;
+};
+
+using RequestAction =
+    std::variant<DispatchRequest, RefuseRequest, DeliverAnswer, CancelAttempt,
+                 SendRequestMessage>;
+using RequestActions = std::vector<RequestAction>;
+
+struct RequestPlaneSettings {
+  std::uint64_t random_seed = 0;
+  // Idempotency keys remembered at most.
+  std::size_t max_keys = 200'000;
+};
+
+struct RequestStats {
+  std::uint64_t arrived = 0;
+  std::uint64_t dispatched = 0;
+  std::uint64_t answered = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t shed = 0;
+  std::uint64_t retried = 0;
+  std::uint64_t late_answers = 0;
+  std::uint64_t outcome_unknown = 0;
+  std::size_t queued = 0;
+  std::size_t in_flight = 0;
+  std::size_t keys = 0;
+};
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_REQUEST_REQUEST_ACTION_H_
