Config: Keep endpoint sets in order with the present one last

The flow plane reads the lineage as the sequence of sets with the time when each was published, so that a set ends where the next begins and an instance born a second ago knows since when the present set holds. Equal sets are written once and referred to by position.

--- a/Source/Config/change_checker.cc
+++ b/Source/Config/change_checker.cc
@@ -19,14 +19,19 @@
                     : TimePoint::max();
 }
 
+// When the last flow of an earlier endpoint set of the service is over.
+auto EndOfSet(const Service& service, std::size_t position) -> TimePoint {
+  return service.lineage[position + 1].published + service.flow_lifetime;
+}
+
 // When the last flow that the service can have is over.
 auto DrainedAt(const Service& service) -> TimePoint {
   auto time = TimePoint();
   for (const auto& endpoint : service.endpoints) {
     time = std::max(time, DrainedAt(service, endpoint));
   }
-  for (const auto& set : service.lineage) {
-    time = std::max(time, set.published + service.flow_lifetime);
+  for (std::size_t at = 0; at + 1 < service.lineage.size(); ++at) {
+    time = std::max(time, EndOfSet(service, at));
   }
   return time;
 }
@@ -71,10 +76,9 @@
     for (const auto& endpoint : service->endpoints) {
       Hold(endpoint.address, *service, DrainedAt(*service, endpoint));
     }
-    for (const auto& set : service->lineage) {
-      for (const auto& endpoint : set.endpoints) {
-        Hold(endpoint.address, *service,
-             set.published + service->flow_lifetime);
+    for (std::size_t at = 0; at + 1 < service->lineage.size(); ++at) {
+      for (const auto& endpoint : service->lineage[at].endpoints) {
+        Hold(endpoint.address, *service, EndOfSet(*service, at));
       }
     }
   }
@@ -123,7 +127,7 @@
   if (next.lineage.size() > kMaxLineageSets) {
     Report(Severity::kError, object.place, name,
            "has more than " + std::to_string(kMaxLineageSets) +
-               " earlier endpoint sets whose flows may live",
+               " endpoint sets whose flows may live",
            "change its endpoints less often or shorten its flow_lifetime");
   }
 }
--- a/Source/Config/fleet_config.h
+++ b/Source/Config/fleet_config.h
@@ -64,10 +64,9 @@
   std::uint32_t weight = 0;
 };
 
-// The endpoints that took new flows in an earlier version of a service.
+// The endpoints that take new flows since a version of a service, until the
+// next set replaces them.
 struct PastEndpointSet {
-  // The version that replaced the set, and when that was published: flows on
-  // the set may live for the service's flow lifetime from then on.
   Version version;
   TimePoint published;
   std::vector<WeightedEndpoint> endpoints;
@@ -91,10 +90,8 @@
   Duration flow_lifetime = std::chrono::hours(24);
   Contract contract;
   std::vector<Endpoint> endpoints;  // Sorted by id.
-  // When the present set of endpoints that take new flows was published.
-  TimePoint endpoints_since;
-  // Earlier endpoint sets whose flows may still live, by their first use; one
-  // entry for each distinct set.
+  // Endpoint sets whose flows may still live, oldest first; the last is the
+  // present one.
   std::vector<PastEndpointSet> lineage;
 };
 
--- a/Source/Config/service_builder.cc
+++ b/Source/Config/service_builder.cc
@@ -49,33 +49,30 @@
                   std::bit_ceil(static_cast<std::uint32_t>(wanted)));
 }
 
-// Adds a replaced set, or renews the entry of an equal one.
-void AddPastSet(std::vector<PastEndpointSet>& lineage, PastEndpointSet set) {
-  const auto equal = std::find_if(
-      lineage.begin(), lineage.end(), [&set](const PastEndpointSet& entry) {
-        return SameEndpoints(entry.endpoints, set.endpoints);
-      });
-  if (equal == lineage.end()) {
-    lineage.push_back(std::move(set));
-    return;
+// Forgets the sets whose flows are all over. A set's last flow begins when the
+// next set replaces it.
+void DropEndedSets(TimePoint published, Service& service) {
+  auto& lineage = service.lineage;
+  const auto life = service.flow_lifetime + kLineageMargin;
+  auto live = lineage.begin();
+  while (live + 1 != lineage.end() &&
+         (live + 1)->published + life <= published) {
+    ++live;
   }
-  equal->version = set.version;
-  equal->published = set.published;
+  lineage.erase(lineage.begin(), live);
 }
 
-void CarryLineage(const Service& previous, Version version, TimePoint published,
+void CarryLineage(const Service* previous, Version version, TimePoint published,
                   Service& service) {
-  service.lineage = previous.lineage;
-  auto replaced = NewFlowEndpoints(previous);
-  if (SameEndpoints(replaced, NewFlowEndpoints(service))) {
-    service.endpoints_since = previous.endpoints_since;
-  } else if (!replaced.empty()) {
-    AddPastSet(service.lineage,
-               PastEndpointSet{version, published, std::move(replaced)});
+  if (previous != nullptr) {
+    service.lineage = previous->lineage;
+  }
+  auto& lineage = service.lineage;
+  auto present = NewFlowEndpoints(service);
+  if (lineage.empty() || !SameEndpoints(lineage.back().endpoints, present)) {
+    lineage.push_back(PastEndpointSet{version, published, std::move(present)});
   }
-  std::erase_if(service.lineage, [&](const PastEndpointSet& set) {
-    return set.published + service.flow_lifetime <= published;
-  });
+  DropEndedSets(published, service);
 }
 
 }  // namespace
@@ -91,7 +88,6 @@
   service.idle_timeout = object.idle_timeout.value_or(service.idle_timeout);
   service.flow_lifetime = object.flow_lifetime.value_or(service.flow_lifetime);
   service.contract = placed.contract;
-  service.endpoints_since = published;
   service.endpoints.reserve(placed.endpoints.size());
   for (const auto* endpoint : placed.endpoints) {
     service.endpoints.push_back(BuildEndpoint(*endpoint, previous, published));
@@ -104,9 +100,7 @@
                                    ? DefaultBuckets(service.endpoints.size())
                                    : previous->bucket_count;
   service.bucket_count = object.buckets.value_or(default_buckets);
-  if (previous != nullptr) {
-    CarryLineage(*previous, version, published, service);
-  }
+  CarryLineage(previous, version, published, service);
   return service;
 }
 
--- a/Source/Config/service_codec.cc
+++ b/Source/Config/service_codec.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "Config/contract_codec.h"
+#include "Config/endpoint_set.h"
 
 namespace hemlockwick {
 
@@ -125,36 +126,72 @@
   std::size_t present_count_ = 0;
 };
 
+// The members of an earlier set: the position of an equal set before it, or
+// each member's position and weight. An empty array stands for the present
+// set.
+auto MembersToJson(const Service& service, std::size_t position,
+                   PastEndpointTable& table) -> Json {
+  const auto& set = service.lineage[position];
+  if (SameEndpoints(set.endpoints, NewFlowEndpoints(service))) {
+    return Json::array();
+  }
+  for (std::size_t at = 0; at < position; ++at) {
+    if (SameEndpoints(set.endpoints, service.lineage[at].endpoints)) {
+      return at;
+    }
+  }
+  auto members = Json::array();
+  for (const auto& endpoint : set.endpoints) {
+    members.push_back(table.PositionOf(endpoint));
+    members.push_back(endpoint.weight);
+  }
+  return Json::array({members});
+}
+
 void AddLineage(const Service& service, Json& json) {
   auto table = PastEndpointTable(service.endpoints);
   auto past = Json::array();
-  for (const auto& set : service.lineage) {
-    auto members = Json::array();
-    for (const auto& endpoint : set.endpoints) {
-      members.push_back(table.PositionOf(endpoint));
-      members.push_back(endpoint.weight);
-    }
-    past.push_back(Json::array(
-        {set.version.value(), ToUnixMillis(set.published), members}));
+  for (std::size_t at = 0; at < service.lineage.size(); ++at) {
+    const auto& set = service.lineage[at];
+    past.push_back(
+        Json::array({set.version.value(), ToUnixMillis(set.published),
+                     MembersToJson(service, at, table)}));
   }
   json["past"] = std::move(past);
   json["gone"] = table.GoneToJson();
 }
 
-auto PastSetFromJson(const Json& json, const PastEndpointTable& table)
-    -> PastEndpointSet {
-  auto set = PastEndpointSet();
-  set.version = Version(json.at(0).get<std::uint64_t>());
-  set.published = FromUnixMillis(json.at(1).get<std::int64_t>());
-  const auto& members = json.at(2);
+auto MembersFromJson(const Json& json, const Service& service,
+                     const PastEndpointTable& table)
+    -> std::vector<WeightedEndpoint> {
+  if (json.is_number()) {
+    return service.lineage.at(json.get<std::size_t>()).endpoints;
+  }
+  if (!json.is_array()) {
+    throw std::invalid_argument("malformed earlier endpoint set");
+  }
+  if (json.empty()) {
+    return NewFlowEndpoints(service);
+  }
+  const auto& members = json[0];
   if (!members.is_array() || members.size() % 2 != 0) {
     throw std::invalid_argument("malformed earlier endpoint set");
   }
+  auto endpoints = std::vector<WeightedEndpoint>();
   for (std::size_t at = 0; at < members.size(); at += 2) {
     auto endpoint = table.At(members[at].get<std::size_t>());
     endpoint.weight = members[at + 1].get<std::uint32_t>();
-    set.endpoints.push_back(endpoint);
+    endpoints.push_back(endpoint);
   }
+  return endpoints;
+}
+
+auto PastSetFromJson(const Json& json, const Service& service,
+                     const PastEndpointTable& table) -> PastEndpointSet {
+  auto set = PastEndpointSet();
+  set.version = Version(json.at(0).get<std::uint64_t>());
+  set.published = FromUnixMillis(json.at(1).get<std::int64_t>());
+  set.endpoints = MembersFromJson(json.at(2), service, table);
   return set;
 }
 
@@ -167,7 +204,7 @@
         DataCentreId(gone.at(kPastDataCentre).get<std::uint64_t>()), 0});
   }
   for (const auto& set : json.at("past")) {
-    service.lineage.push_back(PastSetFromJson(set, table));
+    service.lineage.push_back(PastSetFromJson(set, service, table));
   }
 }
 
@@ -177,7 +214,6 @@
   auto json = Json{{"name", service.name},
                    {"address", ToString(service.address)},
                    {"buckets", service.bucket_count},
-                   {"since", ToUnixMillis(service.endpoints_since)},
                    {"idle", service.idle_timeout.count()},
                    {"lifetime", service.flow_lifetime.count()}};
   if (service.kind == ServiceKind::kRequest) {
@@ -200,8 +236,6 @@
   service->id = IdFromName<ServiceId>(service->name);
   service->address = AddressFromJson(json.at("address"));
   service->bucket_count = json.at("buckets").get<std::uint32_t>();
-  service->endpoints_since =
-      FromUnixMillis(json.at("since").get<std::int64_t>());
   service->idle_timeout = Duration(json.at("idle").get<Duration::rep>());
   service->flow_lifetime = Duration(json.at("lifetime").get<Duration::rep>());
   if (json.contains("contract")) {
--- a/Tests/Config/sample_config.h
+++ b/Tests/Config/sample_config.h
@@ -34,7 +34,6 @@
   service.id = IdFromName<ServiceId>(name);
   service.address = SocketAddress{Ipv4Address(0xC0000000 + number), Port(6080)};
   service.bucket_count = 256;
-  service.endpoints_since = FromUnixMillis(kSampleTime);
   for (std::uint32_t at = 0; at < endpoints; ++at) {
     service.endpoints.push_back(SampleEndpoint(first + at));
   }
