Request: Claim keys at a majority of data centres before dispatch

A keyed request that is not idempotent must run at most once although instances share no state. Its key has homes in up to three data centres of the region, fixed by the configuration; a claim needs a majority of them. A home grants only what it can vouch for: it must have noted every claim for the length of the key memory, or have taken over from one that has. Other homes note claims without granting them, so that they can take over.

--- a/Source/Request/request_message.h
+++ b/Source/Request/request_message.h
@@ -19,7 +19,12 @@
   kNotRun,    // An earlier attempt ended as not run: the claimant holds it.
   kRunning,   // Another attempt is in progress.
   kAnswered,  // It ran and its answer was delivered.
-  kUnknown,   // It may have run, or the home is too young to know.
+  kUnknown,   // It may have run.
+  // The home noted the claim but cannot exclude an earlier one: it is too
+  // young, was suspended, or is no home by its own view. Grants nothing.
+  kAbstained,
+  // Never claimed, but the home has no room and noted nothing.
+  kRefused,
 };
 
 // Claims a key at its home before the request's first byte leaves.
@@ -27,6 +32,9 @@
   IdempotencyKey key;
   RequestId request;
   TimePoint deadline;
+  // Longest time from a claim until its key may be forgotten: the contract's
+  // largest deadline and its key memory.
+  Duration memory{0};
 };
 
 struct KeyVerdict {
@@ -49,10 +57,15 @@
     InstanceId claimant;
     RequestId request;
     KeyState state = KeyState::kUnknown;
+    TimePoint deadline;
     TimePoint expires;
   };
   std::vector<Entry> entries;
+  // Since when the sender has noted every claim of its keys.
   TimePoint knows_since;
+  // A hand-over may take several messages; it counts when all have arrived.
+  std::uint32_t part = 0;
+  std::uint32_t parts = 1;
 };
 
 // Demand of one service at the sender, for the shared rate limit and slots.
