--- /dev/null
+++ b/Source/Fleet/config_sync.cc
@@ -0,0 +1,364 @@
+#include "Fleet/config_sync.h"
+
+#include <algorithm>
+
+namespace hemlockwick {
+
+namespace {
+
+// A fetch that has not been answered for this long is sent to another peer.
+constexpr Duration kFetchTimeout = std::chrono::milliseconds(300);
+
+// Wait before another peer is asked when a fetch is known to have failed.
+constexpr Duration kRetryDelay = std::chrono::milliseconds(30);
+
+// Peers told of a new version at once, and again a little later for those that
+// missed it.
+constexpr std::size_t kFirstAnnouncements = 3;
+constexpr std::size_t kLaterAnnouncements = 2;
+constexpr Duration kLaterAnnouncement = std::chrono::milliseconds(400);
+
+// A starting instance waits this long for a peer's word on the highest version
+// before it trusts the platform's.
+constexpr Duration kStartGrace = std::chrono::seconds(3);
+
+// And this long for a version that a peer has, before it takes an older one.
+constexpr Duration kOlderVersionGrace = std::chrono::seconds(10);
+
+constexpr std::size_t kAdvertisersKept = 4;
+
+// Missing shards above this number are read from the platform, not a peer.
+constexpr std::size_t kMaxShardsFromPeers = 32;
+
+// Bytes of shard bodies in one offer.
+constexpr std::size_t kOfferBytes = 60'000;
+
+// Refused versions that are remembered.
+constexpr std::size_t kRefusedKept = 64;
+
+}  // namespace
+
+ConfigSync::ConfigSync(NodeState& state, PlatformReader& reader, bool has_seeds,
+                       TimePoint now)
+    : state_(state), reader_(reader), has_seeds_(has_seeds), started_(now) {}
+
+void ConfigSync::OnTick(TimePoint now) {
+  if (now >= announce_at_) {
+    announce_at_ = TimePoint::max();
+    Announce(kLaterAnnouncements, now);
+  }
+  if (is_held_) {
+    Proceed(now);
+  }
+  if (now >= retry_at_) {
+    ++attempts_;
+    retry_at_ = TimePoint::max();
+    is_fetching_ = false;
+    if (HasWork()) {
+      StartFetch(now);
+    }
+  }
+}
+
+auto ConfigSync::NextTick() const -> TimePoint {
+  auto next = std::min(retry_at_, announce_at_);
+  if (is_held_) {
+    const auto is_older =
+        state_.store.candidate()->version < advertised_.version;
+    next = std::min(next,
+                    started_ + (is_older ? kOlderVersionGrace : kStartGrace));
+  }
+  return next;
+}
+
+auto ConfigSync::HasWork() const -> bool {
+  return state_.store.candidate().has_value() ||
+         advertised_.version > state_.store.version();
+}
+
+void ConfigSync::OnIndex(const std::string& body, TimePoint now) {
+  OnIndexBody(body, true, now);
+}
+
+void ConfigSync::OnIndexBody(const std::string& body, bool from_platform,
+                             TimePoint now) {
+  auto reason = std::string();
+  auto index =
+      TryOr([&body]() -> Result<PublishedIndex> { return DecodeIndex(body); },
+            [&reason](const Error& error) {
+              reason = error.message;
+              return PublishedIndex();
+            });
+  if (!reason.empty()) {
+    // The hash of the body tells one malformed value from the next.
+    Refuse(Version(), Digest(HashBytes(body)), reason, now);
+    return;
+  }
+  const auto& candidate = state_.store.candidate();
+  const auto is_known = candidate && candidate->version >= index.version;
+  if (is_known || !IsWanted(index.version, index.digest, now)) {
+    return;
+  }
+  candidate_from_platform_ = from_platform;
+  state_.store.BeginCandidate(body, std::move(index));
+  Proceed(now);
+}
+
+// Whether the version is above the one in force. Says so when a version in
+// force is published a second time with other content.
+auto ConfigSync::IsWanted(Version version, Digest digest, TimePoint now)
+    -> bool {
+  const auto& store = state_.store;
+  if (store.config() != nullptr && version == store.version() &&
+      digest != store.digest()) {
+    Refuse(version, digest,
+           "the version is in force with other content; publish the change "
+           "under a higher version",
+           now);
+    return false;
+  }
+  return version > store.version() && !refused_.contains({version, digest});
+}
+
+void ConfigSync::OnShard(const std::string& body, TimePoint now) {
+  if (!body.empty()) {
+    const auto reason = TryOr(
+        [this, &body]() -> Result<std::string> {
+          BOOST_LEAF_CHECK(state_.store.AddShard(body));
+          return std::string();
+        },
+        [](const Error& error) { return error.message; });
+    const auto& candidate = state_.store.candidate();
+    if (!reason.empty() && candidate) {
+      Refuse(candidate->version, candidate->digest, reason, now);
+      state_.store.DropCandidate();
+    }
+  }
+  Proceed(now);
+}
+
+void ConfigSync::OnAdvertised(InstanceId from, Version version, Digest digest,
+                              TimePoint now) {
+  if (version == Version() || !IsWanted(version, digest, now) ||
+      version < advertised_.version) {
+    return;
+  }
+  if (version > advertised_.version) {
+    advertised_ = Advertised{version, digest, {}};
+    attempts_ = 0;
+  }
+  std::erase(advertised_.peers, from);
+  advertised_.peers.push_back(from);
+  if (advertised_.peers.size() > kAdvertisersKept) {
+    advertised_.peers.erase(advertised_.peers.begin());
+  }
+  if (!is_fetching_) {
+    StartFetch(now);
+  }
+}
+
+void ConfigSync::StartFetch(TimePoint now) {
+  is_fetching_ = true;
+  retry_at_ = now + kFetchTimeout;
+  const auto& candidate = state_.store.candidate();
+  const auto is_newest = candidate && candidate->version >= advertised_.version;
+  if (is_newest) {
+    RequestMissing(now);
+  } else {
+    FetchFromPeer(now);
+  }
+}
+
+void ConfigSync::FetchFromPeer(TimePoint now) {
+  if (advertised_.peers.empty()) {
+    return;
+  }
+  const auto turn = attempts_ % advertised_.peers.size();
+  const auto peer = advertised_.peers[advertised_.peers.size() - 1 - turn];
+  const auto* record = state_.members.Find(peer);
+  if (record == nullptr) {
+    return;
+  }
+  auto fetch = ConfigFetch();
+  fetch.at_least = advertised_.version;
+  if (!wants_whole_index_) {
+    fetch.have_version = state_.store.version();
+    fetch.have_digest = state_.store.digest();
+  }
+  state_.outbox.Send(record->member, std::move(fetch), TrafficClass::kNews,
+                     now);
+}
+
+// Asks the platform and peers in turn for the candidate's missing shards.
+void ConfigSync::RequestMissing(TimePoint now) {
+  auto missing = state_.store.MissingKeys();
+  const auto prefers_platform = candidate_from_platform_ ||
+                                missing.size() > kMaxShardsFromPeers ||
+                                advertised_.peers.empty();
+  const auto is_odd_attempt = attempts_ % 2 == 1;
+  if (prefers_platform != is_odd_attempt) {
+    reader_.ReadShards(missing, now);
+    return;
+  }
+  auto peers = advertised_.peers;
+  if (peers.empty()) {
+    peers = state_.Sample(state_.members.near_peers(), 1, InstanceId());
+  }
+  if (peers.empty()) {
+    return;
+  }
+  const auto* record = state_.members.Find(peers[attempts_ % peers.size()]);
+  if (record == nullptr) {
+    return;
+  }
+  if (missing.size() > kMaxShardsFromPeers) {
+    missing.resize(kMaxShardsFromPeers);
+  }
+  auto fetch = ConfigFetch();
+  fetch.shard_keys = std::move(missing);
+  state_.outbox.Send(record->member, std::move(fetch), TrafficClass::kNews,
+                     now);
+}
+
+// Takes the next step with the candidate.
+void ConfigSync::Proceed(TimePoint now) {
+  is_held_ = false;
+  if (!state_.store.candidate()) {
+    return;
+  }
+  if (!state_.store.MissingKeys().empty()) {
+    attempts_ = 0;
+    StartFetch(now);
+    return;
+  }
+  if (MayAccept(now)) {
+    Accept(now);
+  } else {
+    is_held_ = true;
+  }
+}
+
+// A starting instance does not trust the platform's age before a peer has
+// said which version it has, or there is nobody to ask.
+auto ConfigSync::MayAccept(TimePoint now) const -> bool {
+  if (state_.store.config() != nullptr) {
+    return true;
+  }
+  const auto age = now - started_;
+  if (state_.store.candidate()->version < advertised_.version) {
+    return age >= kOlderVersionGrace;
+  }
+  const auto has_peers = has_seeds_ || !state_.members.peers().empty();
+  return state_.answers > 0 || !has_peers || age >= kStartGrace;
+}
+
+void ConfigSync::Accept(TimePoint now) {
+  const auto candidate = *state_.store.candidate();
+  const auto reason = TryOr(
+      [this]() -> Result<std::string> {
+        BOOST_LEAF_CHECK(state_.store.AcceptCandidate());
+        return std::string();
+      },
+      [](const Error& error) { return error.message; });
+  is_fetching_ = false;
+  retry_at_ = TimePoint::max();
+  wants_whole_index_ = false;
+  if (!reason.empty()) {
+    Refuse(candidate.version, candidate.digest, reason, now);
+    return;
+  }
+  const auto version = std::to_string(candidate.version.value());
+  state_.events.Record(EventKind::kVersionAccepted, version, "", now);
+  state_.events.Record(EventKind::kVersionInForce, version, "", now);
+  state_.outbox.Add(ConfigInForce{state_.store.config()});
+  Announce(kFirstAnnouncements, now);
+  announce_at_ = now + kLaterAnnouncement;
+  if (advertised_.version > state_.store.version()) {
+    StartFetch(now);
+  }
+}
+
+void ConfigSync::Refuse(Version version, Digest digest,
+                        const std::string& reason, TimePoint now) {
+  if (refused_.size() >= kRefusedKept) {
+    refused_.erase(refused_.begin());
+  }
+  if (!refused_.insert({version, digest}).second) {
+    return;
+  }
+  if (advertised_.version == version && advertised_.digest == digest) {
+    advertised_ = Advertised();
+  }
+  state_.events.Record(EventKind::kVersionRefused,
+                       std::to_string(version.value()), reason, now);
+  state_.outbox.Add(ConfigRefused{version, reason});
+}
+
+void ConfigSync::Announce(std::size_t count, TimePoint now) {
+  for (const auto peer :
+       state_.Sample(state_.members.near_peers(), count, InstanceId())) {
+    state_.outbox.Send(state_.members.Find(peer)->member,
+                       state_.Compose<Gossip>(peer, now), TrafficClass::kNews,
+                       now);
+  }
+}
+
+void ConfigSync::OnFetch(InstanceId from, const ConfigFetch& fetch,
+                         TimePoint now) {
+  const auto* record = state_.members.Find(from);
+  if (record == nullptr || state_.store.version() < fetch.at_least) {
+    return;
+  }
+  auto offer = state_.store.OfferFor(fetch, kOfferBytes);
+  const auto is_delta = offer.delta.has_value();
+  state_.outbox.Send(record->member, std::move(offer),
+                     is_delta ? TrafficClass::kNews : TrafficClass::kBulk, now);
+}
+
+void ConfigSync::OnOffer(InstanceId /*from*/, const ConfigOffer& offer,
+                         TimePoint now) {
+  if (offer.delta) {
+    const auto& candidate = state_.store.candidate();
+    const auto is_newer =
+        offer.delta->version > state_.store.version() &&
+        (!candidate || offer.delta->version > candidate->version);
+    if (is_newer) {
+      // A difference that does not fit is replaced by the whole index.
+      wants_whole_index_ = TryOr(
+          [this, &offer]() -> Result<bool> {
+            BOOST_LEAF_CHECK(state_.store.BeginCandidate(*offer.delta));
+            return false;
+          },
+          [](const Error&) { return true; });
+      candidate_from_platform_ = false;
+      if (wants_whole_index_) {
+        retry_at_ = now + kRetryDelay;
+      }
+    }
+  } else if (!offer.index_body.empty()) {
+    OnIndexBody(offer.index_body, false, now);
+  }
+  for (const auto& body : offer.shard_bodies) {
+    // One that is malformed stays missing and is asked for again.
+    TryOr(
+        [this, &body]() -> Result<void> { return state_.store.AddShard(body); },
+        [](const Error&) {});
+  }
+  Proceed(now);
+}
+
+void ConfigSync::OnSendFailed(InstanceId to, TimePoint now) {
+  std::erase(advertised_.peers, to);
+  if (is_fetching_) {
+    retry_at_ = std::min(retry_at_, now + kRetryDelay);
+  }
+}
+
+void ConfigSync::OnPause(TimePoint now) {
+  advertised_ = Advertised();
+  is_fetching_ = false;
+  announce_at_ = TimePoint::max();
+  retry_at_ = state_.store.candidate() ? now + kFetchTimeout : TimePoint::max();
+}
+
+}  // namespace hemlockwick
--- /dev/null
+++ b/Source/Fleet/failure_detector.cc
@@ -0,0 +1,442 @@
+#include "Fleet/failure_detector.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hemlockwick {
+
+namespace {
+
+// Rounds of a verification are this far apart.
+constexpr Duration kRoundInterval = std::chrono::milliseconds(200);
+
+// Rounds without an answer after which the member is published as suspected.
+constexpr int kRoundsBeforeSuspicion = 1;
+
+// Peers that probe on this instance's behalf in each round.
+constexpr std::size_t kHelpers = 3;
+
+// A member that others suspect for longer than this is verified anew, since
+// the one that suspected it may itself be gone.
+constexpr Duration kSuspicionReview = std::chrono::milliseconds(2500);
+
+// A member of the own data centre is given up by an instance that hears nobody
+// after this long.
+constexpr Duration kIsolationTimeout = std::chrono::seconds(10);
+
+// A starting instance asks this many peers, and again until some answer.
+constexpr std::size_t kIntroductions = 4;
+constexpr std::size_t kAnswersWanted = 2;
+constexpr Duration kIntroductionInterval = std::chrono::milliseconds(300);
+constexpr Duration kIntroductionTime = std::chrono::seconds(3);
+
+// In a large fleet every second period probes one more peer.
+constexpr std::uint64_t kExtraProbePeriods = 2;
+
+// Members of a repair page in an answer to a peer that knows others.
+constexpr std::size_t kPageMembers = 6;
+
+}  // namespace
+
+FailureDetector::FailureDetector(NodeState& state,
+                                 std::vector<SocketAddress> seeds,
+                                 TimePoint now)
+    : state_(state),
+      seeds_(std::move(seeds)),
+      started_(now),
+      next_period_(now +
+                   Duration(static_cast<Duration::rep>(state.random.Below(
+                       static_cast<std::uint64_t>(kProbePeriod.count()))))),
+      next_introduction_(now) {}
+
+void FailureDetector::OnTick(TimePoint now) {
+  if (now >= next_introduction_) {
+    const auto is_done =
+        state_.answers >= kAnswersWanted || now - started_ > kIntroductionTime;
+    next_introduction_ =
+        is_done ? TimePoint::max() : now + kIntroductionInterval;
+    if (!is_done) {
+      Introduce(kIntroductions, now);
+    }
+  }
+  ExpireProbes(now);
+  if (now >= next_period_) {
+    next_period_ = now + kProbePeriod;
+    ProbePeriodically(now);
+  }
+  RunVerifications(now);
+}
+
+auto FailureDetector::NextTick() const -> TimePoint {
+  auto next = std::min(next_period_, next_introduction_);
+  for (const auto& [sequence, probe] : pending_) {
+    next = std::min(next, probe.expires);
+  }
+  for (const auto& [target, verification] : verifications_) {
+    next = std::min(next, verification.next_round);
+  }
+  return next;
+}
+
+void FailureDetector::Introduce(std::size_t count, TimePoint now) {
+  for (const auto peer :
+       state_.Sample(state_.members.peers(), count, InstanceId())) {
+    SendProbe(peer, now);
+  }
+  if (!state_.members.peers().empty()) {
+    return;
+  }
+  for (const auto& seed : seeds_) {
+    auto probe = state_.Compose<Probe>(InstanceId(), now);
+    probe.updates.insert(probe.updates.begin(),
+                         state_.members.UpdateOf(state_.members.self()));
+    state_.outbox.Send(seed, std::move(probe), TrafficClass::kProbe, now);
+  }
+}
+
+auto FailureDetector::SendProbe(InstanceId target, TimePoint now)
+    -> std::uint64_t {
+  const auto* record = state_.members.Find(target);
+  if (record == nullptr) {
+    return 0;
+  }
+  const auto& self = state_.members.self();
+  if (introduced_incarnation_ != self.member.incarnation) {
+    introduced_incarnation_ = self.member.incarnation;
+    introduced_.clear();
+  }
+  auto probe = state_.Compose<Probe>(target, now);
+  probe.sequence = next_sequence_++;
+  probe.member_digest = state_.members.LocalDigest();
+  if (!introduced_.contains(target)) {
+    probe.updates.insert(probe.updates.begin(), state_.members.UpdateOf(self));
+  }
+  if (!IsServing(record->member.state) ||
+      record->member.state == MemberState::kSuspect) {
+    // Lets the member refute what is said of it.
+    probe.updates.push_back(state_.members.UpdateOf(*record));
+  }
+  const auto sequence = probe.sequence;
+  pending_.emplace(sequence, PendingProbe{target, now, now + kProbeTimeout,
+                                          InstanceId(), 0});
+  state_.outbox.Send(record->member, std::move(probe), TrafficClass::kProbe,
+                     now);
+  return sequence;
+}
+
+void FailureDetector::ProbePeriodically(TimePoint now) {
+  ++periods_;
+  state_.view_changed = state_.members.Expire(now) || state_.view_changed;
+  const auto& successors = state_.members.Successors();
+  const auto next = FirstUnsuspected(successors);
+  if (next != InstanceId()) {
+    SendProbe(next, now);
+  }
+  const auto is_large = state_.members.peers().size() >= kSingleRingMembers;
+  if (is_large && periods_ % kExtraProbePeriods == 0) {
+    ProbeAnother(now);
+  }
+  ProbeSuspect(now);
+  VerifyLongSuspected(successors, now);
+  VerifyLongSuspected(state_.members.far_peers(), now);
+}
+
+auto FailureDetector::FirstUnsuspected(const std::vector<InstanceId>& ids) const
+    -> InstanceId {
+  for (const auto id : ids) {
+    if (state_.members.Find(id)->member.state != MemberState::kSuspect) {
+      return id;
+    }
+  }
+  return {};
+}
+
+// Takes turns between a contact in another data centre and a random peer of
+// the own one, so that news spreads and differences are repaired.
+void FailureDetector::ProbeAnother(TimePoint now) {
+  const auto& far = state_.members.far_peers();
+  const auto turn = periods_ / kExtraProbePeriods;
+  if (!far.empty() && turn % 2 == 0) {
+    SendProbe(far[(turn / 2) % far.size()], now);
+    return;
+  }
+  for (const auto peer :
+       state_.Sample(state_.members.near_peers(), 1, InstanceId())) {
+    SendProbe(peer, now);
+  }
+}
+
+// Finds out when a suspected member can be reached again.
+void FailureDetector::ProbeSuspect(TimePoint now) {
+  auto suspects = std::vector<InstanceId>();
+  for (const auto peer : state_.members.peers()) {
+    const auto state = state_.members.Find(peer)->member.state;
+    if (state == MemberState::kSuspect && !verifications_.contains(peer)) {
+      suspects.push_back(peer);
+    }
+  }
+  for (const auto suspect : state_.Sample(suspects, 1, InstanceId())) {
+    SendProbe(suspect, now);
+  }
+}
+
+void FailureDetector::ExpireProbes(TimePoint now) {
+  auto late = std::vector<PendingProbe>();
+  std::erase_if(pending_, [now, &late](const auto& entry) {
+    const auto is_late = now >= entry.second.expires;
+    if (is_late) {
+      late.push_back(entry.second);
+    }
+    return is_late;
+  });
+  for (const auto& probe : late) {
+    introduced_.erase(probe.target);
+    const auto* record = state_.members.Find(probe.target);
+    const auto is_known_silent =
+        record == nullptr || record->member.state == MemberState::kSuspect ||
+        record->member.state == MemberState::kDead;
+    if (probe.requester == InstanceId() && !is_known_silent) {
+      Verify(probe.target, probe.sent, now);
+    }
+  }
+}
+
+void FailureDetector::Verify(InstanceId target, TimePoint started,
+                             TimePoint now) {
+  verifications_.try_emplace(target, Verification{started, now, 0});
+}
+
+void FailureDetector::VerifyDataCentre(DataCentreId id, TimePoint now) {
+  for (const auto peer : state_.members.peers()) {
+    const auto& member = state_.members.Find(peer)->member;
+    if (member.data_centre == id && member.state == MemberState::kAlive) {
+      Verify(peer, now, now);
+    }
+  }
+}
+
+void FailureDetector::VerifyLongSuspected(
+    const std::vector<InstanceId>& candidates, TimePoint now) {
+  for (const auto id : candidates) {
+    const auto* record = state_.members.Find(id);
+    if (record->member.state == MemberState::kSuspect &&
+        now - record->state_since > kSuspicionReview &&
+        !state_.members.IsUnreachable(record->member.data_centre)) {
+      Verify(id, now, now);
+    }
+  }
+}
+
+void FailureDetector::RunVerifications(TimePoint now) {
+  auto concluded = std::vector<InstanceId>();
+  for (auto& [target, verification] : verifications_) {
+    if (now < verification.next_round) {
+      continue;
+    }
+    const auto* record = state_.members.Find(target);
+    const auto is_settled = record == nullptr ||
+                            record->member.state == MemberState::kDead ||
+                            (record->heard >= verification.started &&
+                             record->member.state != MemberState::kSuspect);
+    if (is_settled || now - verification.started >= kDeathTimeout) {
+      concluded.push_back(target);
+    }
+  }
+  for (const auto target : concluded) {
+    Conclude(target, now);
+  }
+  for (auto& [target, verification] : verifications_) {
+    if (now >= verification.next_round) {
+      RunRound(target, verification, now);
+    }
+  }
+}
+
+void FailureDetector::RunRound(InstanceId target, Verification& verification,
+                               TimePoint now) {
+  const auto* record = state_.members.Find(target);
+  if (verification.rounds++ == kRoundsBeforeSuspicion &&
+      record->heard < verification.started) {
+    if (record->member.state == MemberState::kAlive) {
+      state_.view_changed =
+          state_.members.SetState(target, MemberState::kSuspect, now) ||
+          state_.view_changed;
+    }
+    if (record->member.data_centre !=
+        state_.members.self().member.data_centre) {
+      VerifyDataCentre(record->member.data_centre, now);
+    }
+  }
+  const auto conclusion = verification.started + kDeathTimeout;
+  verification.next_round = std::min(now + kRoundInterval, conclusion);
+  SendProbe(target, now);
+  auto helpers = std::vector<InstanceId>();
+  for (const auto peer : state_.members.peers()) {
+    if (state_.members.Find(peer)->member.state == MemberState::kAlive) {
+      helpers.push_back(peer);
+    }
+  }
+  for (const auto helper : state_.Sample(helpers, kHelpers, target)) {
+    const auto sequence = next_sequence_++;
+    pending_.emplace(sequence, PendingProbe{target, now, now + kProbeTimeout,
+                                            InstanceId(), 0});
+    state_.outbox.Send(
+        state_.members.Find(helper)->member,
+        ProbeRequest{sequence, target, record->member.incarnation},
+        TrafficClass::kProbe, now);
+  }
+}
+
+void FailureDetector::Conclude(InstanceId target, TimePoint now) {
+  const auto verification = verifications_.at(target);
+  verifications_.erase(target);
+  const auto* record = state_.members.Find(target);
+  if (record == nullptr || record->member.state == MemberState::kDead) {
+    return;
+  }
+  if (record->heard >= verification.started) {
+    if (record->member.state == MemberState::kSuspect) {
+      // It answers, but has not refuted the suspicion yet.
+      Verify(target, now, now);
+    }
+    return;
+  }
+  const auto& self = state_.members.self().member;
+  const auto is_near = record->member.data_centre == self.data_centre;
+  if (IsIsolated(now)) {
+    SuspectEveryone(now);
+    if (!is_near || now - state_.heard < kIsolationTimeout) {
+      return;
+    }
+  }
+  if (!is_near && state_.members.IsUnreachable(record->member.data_centre)) {
+    return;
+  }
+  state_.view_changed =
+      state_.members.SetState(target, MemberState::kDead, now) ||
+      state_.view_changed;
+}
+
+// Whether nobody at all has been heard for so long that this instance is
+// itself more likely to be cut off than every other one to be dead.
+auto FailureDetector::IsIsolated(TimePoint now) const -> bool {
+  return now - state_.heard >= kDeathTimeout;
+}
+
+void FailureDetector::SuspectEveryone(TimePoint now) {
+  const auto peers = state_.members.peers();
+  for (const auto peer : peers) {
+    if (state_.members.Find(peer)->member.state == MemberState::kAlive) {
+      state_.view_changed =
+          state_.members.SetState(peer, MemberState::kSuspect, now) ||
+          state_.view_changed;
+    }
+  }
+}
+
+void FailureDetector::OnProbe(InstanceId from, const Probe& probe,
+                              TimePoint now) {
+  const auto* sender = state_.members.Find(from);
+  if (sender == nullptr) {
+    return;
+  }
+  auto ack = state_.Compose<ProbeAck>(from, now);
+  ack.sequence = probe.sequence;
+  const auto& self = state_.members.self();
+  const auto names = [](InstanceId id) {
+    return [id](const MemberUpdate& update) { return update.member.id == id; };
+  };
+  const auto is_named = std::any_of(probe.updates.begin(), probe.updates.end(),
+                                    names(self.member.id));
+  const auto is_introduction =
+      std::any_of(probe.updates.begin(), probe.updates.end(), names(from));
+  if (is_named || is_introduction) {
+    ack.updates.insert(ack.updates.begin(), state_.members.UpdateOf(self));
+  }
+  if (sender->member.state == MemberState::kSuspect ||
+      sender->member.state == MemberState::kDead) {
+    ack.updates.push_back(state_.members.UpdateOf(*sender));
+  }
+  if (sender->member.data_centre == self.member.data_centre &&
+      probe.member_digest != state_.members.LocalDigest()) {
+    const auto page = state_.members.NextPage(kPageMembers);
+    ack.updates.insert(ack.updates.end(), page.begin(), page.end());
+  }
+  state_.outbox.Send(sender->member, std::move(ack), TrafficClass::kProbe, now);
+}
+
+void FailureDetector::OnProbeAck(InstanceId from, const ProbeAck& ack,
+                                 TimePoint now) {
+  ++state_.answers;
+  state_.refreshed = now;
+  introduced_.insert(from);
+  const auto found = pending_.find(ack.sequence);
+  if (found == pending_.end()) {
+    return;
+  }
+  const auto probe = found->second;
+  pending_.erase(found);
+  state_.members.Heard(probe.target, now);
+  const auto* requester = state_.members.Find(probe.requester);
+  const auto* target = state_.members.Find(probe.target);
+  if (requester == nullptr || target == nullptr) {
+    return;
+  }
+  auto relayed = state_.Compose<ProbeAck>(probe.requester, now);
+  relayed.sequence = probe.requester_sequence;
+  relayed.updates.push_back(state_.members.UpdateOf(*target));
+  state_.outbox.Send(requester->member, std::move(relayed),
+                     TrafficClass::kProbe, now);
+}
+
+void FailureDetector::OnProbeRequest(InstanceId from,
+                                     const ProbeRequest& request,
+                                     TimePoint now) {
+  const auto* target = state_.members.Find(request.target);
+  if (target == nullptr || state_.members.Find(from) == nullptr) {
+    return;
+  }
+  auto probe = state_.Compose<Probe>(request.target, now);
+  probe.sequence = next_sequence_++;
+  probe.member_digest = state_.members.LocalDigest();
+  probe.updates.push_back(state_.members.UpdateOf(state_.members.self()));
+  auto suspicion = MemberUpdate{target->member, target->listed};
+  suspicion.member.name.clear();
+  suspicion.member.state = MemberState::kSuspect;
+  suspicion.member.incarnation = request.incarnation;
+  probe.updates.push_back(std::move(suspicion));
+  pending_.emplace(probe.sequence,
+                   PendingProbe{request.target, now, now + kProbeTimeout, from,
+                                request.sequence});
+  state_.outbox.Send(target->member, std::move(probe), TrafficClass::kProbe,
+                     now);
+}
+
+// The connection was refused or timed out: there is no use in waiting for the
+// answer.
+void FailureDetector::OnSendFailed(InstanceId to, TimePoint now) {
+  for (auto& [sequence, probe] : pending_) {
+    if (probe.target == to && probe.requester == InstanceId()) {
+      probe.expires = now;
+    }
+  }
+}
+
+void FailureDetector::OnPause(TimePoint now) {
+  pending_.clear();
+  verifications_.clear();
+  next_period_ = now + kProbePeriod;
+  state_.heard = now;
+  Introduce(kIntroductions, now);
+}
+
+void FailureDetector::SendNews(std::size_t count, TimePoint now) {
+  for (const auto peer :
+       state_.Sample(state_.members.near_peers(), count, InstanceId())) {
+    state_.outbox.Send(state_.members.Find(peer)->member,
+                       state_.Compose<Gossip>(peer, now), TrafficClass::kNews,
+                       now);
+  }
+}
+
+}  // namespace hemlockwick
--- /dev/null
+++ b/Source/Fleet/failure_detector.h
@@ -0,0 +1,97 @@
+#ifndef HEMLOCKWICK_FLEET_FAILURE_DETECTOR_H_
+#define HEMLOCKWICK_FLEET_FAILURE_DETECTOR_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <vector>
+
+#include "Fleet/fleet_message.h"
+#include "Fleet/node_state.h"
+
+namespace hemlockwick {
+
+// Time between two probes of the next member in the ring.
+inline constexpr Duration kProbePeriod = std::chrono::milliseconds(1000);
+
+// An answer later than this starts a verification.
+inline constexpr Duration kProbeTimeout = std::chrono::milliseconds(200);
+
+// A member is declared dead when it has not answered for this long after the
+// first probe that it missed. Longer than a pause of a second.
+inline constexpr Duration kDeathTimeout = std::chrono::milliseconds(1600);
+
+// Probes members, verifies silence by way of others and declares deaths.
+// Each member is probed once a period by the one before it in a ring, so
+// that the cost does not depend on the number of members.
+class FailureDetector {
+ public:
+  FailureDetector(NodeState& state, std::vector<SocketAddress> seeds,
+                  TimePoint now);
+
+  void OnTick(TimePoint now);
+  [[nodiscard]] auto NextTick() const -> TimePoint;
+
+  void OnProbe(InstanceId from, const Probe& probe, TimePoint now);
+  void OnProbeAck(InstanceId from, const ProbeAck& ack, TimePoint now);
+  void OnProbeRequest(InstanceId from, const ProbeRequest& request,
+                      TimePoint now);
+  void OnSendFailed(InstanceId to, TimePoint now);
+
+  // Drops all probes and verifications, whose time has passed while the
+  // process was paused, and asks several peers at once.
+  void OnPause(TimePoint now);
+
+  // Sends recent member updates to `count` peers.
+  void SendNews(std::size_t count, TimePoint now);
+
+ private:
+  struct PendingProbe {
+    InstanceId target;
+    TimePoint sent;
+    TimePoint expires;
+    // Set when the probe was sent for another instance.
+    InstanceId requester;
+    std::uint64_t requester_sequence = 0;
+  };
+  struct Verification {
+    TimePoint started;
+    TimePoint next_round;
+    int rounds = 0;
+  };
+
+  auto SendProbe(InstanceId target, TimePoint now) -> std::uint64_t;
+  void Introduce(std::size_t count, TimePoint now);
+  void ProbePeriodically(TimePoint now);
+  void ProbeAnother(TimePoint now);
+  void ProbeSuspect(TimePoint now);
+  void ExpireProbes(TimePoint now);
+  void Verify(InstanceId target, TimePoint started, TimePoint now);
+  void VerifyDataCentre(DataCentreId id, TimePoint now);
+  void VerifyLongSuspected(const std::vector<InstanceId>& candidates,
+                           TimePoint now);
+  void RunVerifications(TimePoint now);
+  void RunRound(InstanceId target, Verification& verification, TimePoint now);
+  void Conclude(InstanceId target, TimePoint now);
+  void SuspectEveryone(TimePoint now);
+  [[nodiscard]] auto IsIsolated(TimePoint now) const -> bool;
+  [[nodiscard]] auto FirstUnsuspected(const std::vector<InstanceId>& ids) const
+      -> InstanceId;
+
+  NodeState& state_;
+  std::vector<SocketAddress> seeds_;
+  TimePoint started_;
+  TimePoint next_period_;
+  TimePoint next_introduction_;
+  std::uint64_t periods_ = 0;
+  std::uint64_t next_sequence_ = 1;
+  std::map<std::uint64_t, PendingProbe> pending_;
+  std::map<InstanceId, Verification> verifications_;
+  // Peers that have this instance's present member record.
+  std::set<InstanceId> introduced_;
+  std::uint64_t introduced_incarnation_ = 0;
+};
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_FLEET_FAILURE_DETECTOR_H_
--- /dev/null
+++ b/Source/Fleet/fleet_node.cc
@@ -0,0 +1,317 @@
+#include "Fleet/fleet_node.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Fleet/config_sync.h"
+#include "Fleet/failure_detector.h"
+#include "Fleet/instance_list.h"
+#include "Fleet/node_state.h"
+#include "Fleet/platform_reader.h"
+
+namespace hemlockwick {
+
+namespace {
+
+// A call that comes this much later than a tick was due means that the process
+// was suspended in between.
+constexpr Duration kPauseThreshold = std::chrono::milliseconds(500);
+
+// The view is published again when its proof of freshness has moved this far.
+constexpr Duration kRefreshStep = std::chrono::milliseconds(250);
+
+// Peers told of a birth, death or leave by the instance that finds it, and by
+// each that learns of it.
+constexpr std::size_t kNewsFanOut = 4;
+
+// Peers told of a planned stop.
+constexpr std::size_t kLeaveFanOut = 6;
+
+auto MakeSelf(const FleetSettings& settings, TimePoint now) -> Member {
+  auto self = Member();
+  self.id = IdFromName<InstanceId>(settings.name);
+  self.name = settings.name;
+  self.data_centre = IdFromName<DataCentreId>(settings.data_centre);
+  self.http_address = settings.http_address;
+  self.packet_address = settings.packet_address;
+  // A later process of the same name outranks what was said of this one.
+  self.incarnation = static_cast<std::uint64_t>(ToUnixMillis(now));
+  self.started = now;
+  return self;
+}
+
+}  // namespace
+
+class FleetNode::Impl {
+ public:
+  Impl(const FleetSettings& settings, EventLog& events, TimePoint now)
+      : state_(MakeSelf(settings, now), events, settings.random_seed, now),
+        detector_(state_, settings.seeds, now),
+        reader_(state_, now),
+        sync_(state_, reader_, !settings.seeds.empty(), now),
+        last_call_(now),
+        next_tick_(now) {
+    state_.heard = now;
+    state_.refreshed = now;
+    RebuildView();
+  }
+
+  auto OnTick(TimePoint now) -> FleetActions {
+    Enter(now);
+    RunDue(now);
+    return Leave(now);
+  }
+
+  [[nodiscard]] auto NextTick() const -> TimePoint { return next_tick_; }
+
+  auto OnPlatformAnswer(const PlatformAnswer& answer, TimePoint now)
+      -> FleetActions {
+    Enter(now);
+    if (reader_.OnAnswer(answer, now)) {
+      Dispatch(answer, now);
+    }
+    return Leave(now);
+  }
+
+  auto OnMessage(InstanceId from, const FleetMessage& message, TimePoint now)
+      -> FleetActions {
+    Enter(now);
+    state_.heard = now;
+    std::visit([this, from, now](const auto& typed) { Take(from, typed, now); },
+               message);
+    return Leave(now);
+  }
+
+  auto OnSendFailed(InstanceId to, TimePoint now) -> FleetActions {
+    Enter(now);
+    detector_.OnSendFailed(to, now);
+    sync_.OnSendFailed(to, now);
+    return Leave(now);
+  }
+
+  auto BeginLeave(TimePoint now) -> FleetActions {
+    Enter(now);
+    state_.members.Leave(now);
+    state_.view_changed = true;
+    detector_.SendNews(kLeaveFanOut, now);
+    return Leave(now);
+  }
+
+  [[nodiscard]] auto config() const -> std::shared_ptr<const FleetConfig> {
+    return state_.store.config();
+  }
+  [[nodiscard]] auto view() const -> const MemberView& { return view_; }
+  [[nodiscard]] auto budget() const -> const ByteBudget& {
+    return state_.outbox.budget();
+  }
+
+ private:
+  // Notices that the process was suspended and drops what has grown old.
+  void Enter(TimePoint now) {
+    const auto due = std::max(next_tick_, last_call_);
+    last_call_ = now;
+    if (now - due <= kPauseThreshold) {
+      return;
+    }
+    const auto millis =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - due);
+    state_.events.Record(EventKind::kProcessPaused, view_name(),
+                         std::to_string(millis.count()) + " ms", now);
+    detector_.OnPause(now);
+    reader_.OnPause(now);
+    sync_.OnPause(now);
+  }
+
+  void RunDue(TimePoint now) {
+    detector_.OnTick(now);
+    reader_.OnTick(now);
+    sync_.OnTick(now);
+  }
+
+  auto Leave(TimePoint now) -> FleetActions {
+    if (state_.members.TakeUrgent()) {
+      detector_.SendNews(kNewsFanOut, now);
+    }
+    PublishView(now);
+    next_tick_ =
+        std::min({detector_.NextTick(), reader_.NextTick(), sync_.NextTick()});
+    // A tick that is overdue because another call came first.
+    next_tick_ = std::max(next_tick_, now);
+    return state_.outbox.Take();
+  }
+
+  void PublishView(TimePoint now) {
+    if (KnowsNoLivingPeer()) {
+      state_.refreshed = now;
+    }
+    if (state_.view_changed) {
+      state_.view_changed = false;
+      RebuildView();
+      RecordPartitions(now);
+      state_.outbox.Add(MembersChanged{});
+    } else if (state_.refreshed - view_.refreshed >= kRefreshStep) {
+      view_.refreshed = state_.refreshed;
+      state_.outbox.Add(MembersChanged{});
+    }
+  }
+
+  void RebuildView() { view_ = state_.members.View(state_.refreshed); }
+
+  [[nodiscard]] auto KnowsNoLivingPeer() const -> bool {
+    return std::none_of(view_.members.begin(), view_.members.end(),
+                        [this](const Member& member) {
+                          return member.id != view_.self &&
+                                 (member.state == MemberState::kAlive ||
+                                  member.state == MemberState::kLeaving);
+                        });
+  }
+
+  void RecordPartitions(TimePoint now) {
+    const auto describe = [this](DataCentreId id) {
+      auto names = std::string();
+      for (const auto& member : view_.members) {
+        if (member.data_centre == id) {
+          names += (names.empty() ? "" : " ") + member.name;
+        }
+      }
+      return names;
+    };
+    const auto contains = [](const std::vector<DataCentreId>& ids,
+                             DataCentreId id) {
+      return std::find(ids.begin(), ids.end(), id) != ids.end();
+    };
+    for (const auto id : view_.unreachable) {
+      if (!contains(unreachable_, id)) {
+        state_.events.Record(EventKind::kPartitionBegun, describe(id), "", now);
+      }
+    }
+    for (const auto id : unreachable_) {
+      if (!contains(view_.unreachable, id)) {
+        state_.events.Record(EventKind::kPartitionEnded, describe(id), "", now);
+      }
+    }
+    unreachable_ = view_.unreachable;
+  }
+
+  [[nodiscard]] auto view_name() const -> const std::string& {
+    return state_.members.self().member.name;
+  }
+
+  void Dispatch(const PlatformAnswer& answer, TimePoint now) {
+    const auto has_value = answer.status == PlatformStatus::kValue;
+    if (answer.key == kInstanceListKey) {
+      if (has_value) {
+        TakeInstanceList(answer.body, now);
+      }
+    } else if (answer.key == kIndexKey) {
+      if (has_value) {
+        sync_.OnIndex(answer.body, now);
+      }
+    } else {
+      sync_.OnShard(has_value ? answer.body : std::string(), now);
+    }
+  }
+
+  void TakeInstanceList(const std::string& body, TimePoint now) {
+    const auto reason = TryOr(
+        [this, &body, now]() -> Result<std::string> {
+          BOOST_LEAF_AUTO(list, DecodeInstanceList(body));
+          state_.view_changed =
+              state_.members.ApplyList(list, now) || state_.view_changed;
+          return std::string();
+        },
+        [](const Error& error) { return error.message; });
+    if (!reason.empty() && reason != list_problem_) {
+      state_.events.Record(EventKind::kVersionRefused,
+                           std::string(kInstanceListKey), reason, now);
+    }
+    list_problem_ = reason;
+  }
+
+  void Take(InstanceId from, const Probe& probe, TimePoint now) {
+    // A sender whose identity the adapter does not know introduces itself in
+    // the first update.
+    const auto is_unknown = from == InstanceId() && !probe.updates.empty();
+    const auto sender = is_unknown ? probe.updates.front().member.id : from;
+    state_.Absorb(sender, probe, now);
+    detector_.OnProbe(sender, probe, now);
+    sync_.OnAdvertised(sender, probe.version, probe.digest, now);
+  }
+  void Take(InstanceId from, const ProbeAck& ack, TimePoint now) {
+    state_.Absorb(from, ack, now);
+    detector_.OnProbeAck(from, ack, now);
+    sync_.OnAdvertised(from, ack.version, ack.digest, now);
+  }
+  void Take(InstanceId from, const ProbeRequest& request, TimePoint now) {
+    state_.members.Heard(from, now);
+    detector_.OnProbeRequest(from, request, now);
+  }
+  void Take(InstanceId from, const ConfigFetch& fetch, TimePoint now) {
+    state_.members.Heard(from, now);
+    sync_.OnFetch(from, fetch, now);
+  }
+  void Take(InstanceId from, const ConfigOffer& offer, TimePoint now) {
+    state_.members.Heard(from, now);
+    sync_.OnOffer(from, offer, now);
+  }
+  void Take(InstanceId from, const Gossip& gossip, TimePoint now) {
+    state_.Absorb(from, gossip, now);
+    sync_.OnAdvertised(from, gossip.version, gossip.digest, now);
+  }
+
+  NodeState state_;
+  FailureDetector detector_;
+  PlatformReader reader_;
+  ConfigSync sync_;
+  MemberView view_;
+  std::vector<DataCentreId> unreachable_;
+  std::string list_problem_;
+  TimePoint last_call_;
+  TimePoint next_tick_;
+};
+
+FleetNode::FleetNode(const FleetSettings& settings, EventLog& events,
+                     TimePoint now)
+    : impl_(std::make_unique<Impl>(settings, events, now)) {}
+
+FleetNode::~FleetNode() = default;
+
+auto FleetNode::OnTick(TimePoint now) -> FleetActions {
+  return impl_->OnTick(now);
+}
+
+auto FleetNode::NextTick() const -> TimePoint { return impl_->NextTick(); }
+
+auto FleetNode::OnPlatformAnswer(const PlatformAnswer& answer, TimePoint now)
+    -> FleetActions {
+  return impl_->OnPlatformAnswer(answer, now);
+}
+
+auto FleetNode::OnMessage(InstanceId from, const FleetMessage& message,
+                          TimePoint now) -> FleetActions {
+  return impl_->OnMessage(from, message, now);
+}
+
+auto FleetNode::OnSendFailed(InstanceId to, TimePoint now) -> FleetActions {
+  return impl_->OnSendFailed(to, now);
+}
+
+auto FleetNode::BeginLeave(TimePoint now) -> FleetActions {
+  return impl_->BeginLeave(now);
+}
+
+auto FleetNode::config() const -> std::shared_ptr<const FleetConfig> {
+  return impl_->config();
+}
+
+auto FleetNode::members() const -> const MemberView& { return impl_->view(); }
+
+auto FleetNode::sent_bytes() const -> std::uint64_t {
+  return impl_->budget().sent();
+}
+
+auto FleetNode::refused_sends() const -> std::uint64_t {
+  return impl_->budget().refused();
+}
+
+}  // namespace hemlockwick
--- a/Source/Fleet/fleet_node.h
+++ b/Source/Fleet/fleet_node.h
@@ -1,8 +1,10 @@
 #ifndef HEMLOCKWICK_FLEET_FLEET_NODE_H_
 #define HEMLOCKWICK_FLEET_FLEET_NODE_H_
 
+#include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -52,6 +54,7 @@
   Version version;
   std::string reason;
 };
+// Also reported when the view's `refreshed` has moved on.
 struct MembersChanged {};
 
 using FleetAction = std::variant<SendFleetMessage, PlatformRead, ConfigInForce,
@@ -103,10 +106,13 @@
 
   [[nodiscard]] auto members() const -> const MemberView&;
 
-  // Bytes of control traffic sent since start, by message kind, as counted
-  // against the budget.
+  // Bytes of control traffic sent since start, as counted against the budget,
+  // with the envelopes of JSON-RPC and HTTP.
   [[nodiscard]] auto sent_bytes() const -> std::uint64_t;
 
+  // Messages that were not sent because the budget was used up.
+  [[nodiscard]] auto refused_sends() const -> std::uint64_t;
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- /dev/null
+++ b/Source/Fleet/member_table.cc
@@ -0,0 +1,482 @@
+#include "Fleet/member_table.h"
+
+#include <algorithm>
+#include <bit>
+#include <utility>
+
+namespace hemlockwick {
+
+namespace {
+
+// A death is remembered for this long, so that a lagging list does not bring
+// the member back.
+constexpr Duration kDeathMemory = std::chrono::minutes(10);
+
+// Each instance carries a change in this many messages per doubling of the
+// data centre.
+constexpr std::uint32_t kSendsPerDoubling = 2;
+
+// Instances of a data centre that probe the same contact elsewhere.
+constexpr std::size_t kProbersPerContact = 2;
+
+constexpr std::size_t kSuccessors = 3;
+
+// A claim of death is not taken over of a member that this instance has heard
+// itself within this time: a death is only declared after a longer silence.
+constexpr Duration kHeardRecently = std::chrono::seconds(1);
+
+constexpr std::uint64_t kReaderSalt = 0x7265616465720001ULL;
+constexpr std::uint64_t kRingSalt = 0x72696e6700000001ULL;
+
+auto RankOf(InstanceId id, std::uint64_t salt) -> std::uint64_t {
+  return MixWords(id.value(), salt);
+}
+
+auto IsGone(const MemberRecord& record) -> bool {
+  return record.member.state == MemberState::kDead;
+}
+
+}  // namespace
+
+MemberTable::MemberTable(Member self, EventLog& events, TimePoint now)
+    : self_(self.id), data_centre_(self.data_centre), events_(events) {
+  auto record = MemberRecord{std::move(self), true, now, now, 0};
+  Touch(records_.emplace(self_, std::move(record)).first->second);
+}
+
+auto MemberTable::Apply(const MemberUpdate& update, TimePoint now) -> bool {
+  if (update.member.id == self_) {
+    return RefuteIfNeeded(update.member);
+  }
+  const auto found = records_.find(update.member.id);
+  if (found == records_.end()) {
+    return Insert(update, now);
+  }
+  return Accept(found->second, update, now);
+}
+
+auto MemberTable::RefuteIfNeeded(const Member& claim) -> bool {
+  auto& self = records_.at(self_);
+  const auto is_right =
+      claim.state == MemberState::kAlive || claim.state == self.member.state;
+  if (is_right || claim.incarnation < self.member.incarnation) {
+    return false;
+  }
+  self.member.incarnation = claim.incarnation + 1;
+  Touch(self);
+  return true;
+}
+
+auto MemberTable::Insert(const MemberUpdate& update, TimePoint now) -> bool {
+  const auto& member = update.member;
+  // A brief update says nothing to an instance that does not know the member.
+  if (member.name.empty() || !HasRoom(member)) {
+    return false;
+  }
+  auto record = MemberRecord{member, update.listed, TimePoint(), now, 0};
+  auto& inserted = records_.emplace(member.id, std::move(record)).first->second;
+  list_known_ = list_known_ || update.listed;
+  Touch(inserted);
+  if (!IsPublished(inserted) || IsGone(inserted)) {
+    return false;
+  }
+  urgent_ = true;
+  events_.Record(EventKind::kMemberJoined, member.name, "", now);
+  return true;
+}
+
+// Of another data centre only the contacts are kept: those with the lowest
+// rank, so that instances that know the same members keep the same ones.
+auto MemberTable::HasRoom(const Member& member) -> bool {
+  if (member.data_centre == data_centre_) {
+    return true;
+  }
+  auto kept = std::vector<InstanceId>();
+  for (const auto& [id, record] : records_) {
+    if (record.member.data_centre == member.data_centre && !IsGone(record)) {
+      kept.push_back(id);
+    }
+  }
+  if (kept.size() < kContactsPerDataCentre) {
+    return true;
+  }
+  const auto salt = member.data_centre.value();
+  const auto last = *std::max_element(
+      kept.begin(), kept.end(), [salt](InstanceId left, InstanceId right) {
+        return RankOf(left, salt) < RankOf(right, salt);
+      });
+  if (RankOf(last, salt) <= RankOf(member.id, salt)) {
+    return false;
+  }
+  records_.erase(last);
+  return true;
+}
+
+auto MemberTable::Accept(MemberRecord& record, const MemberUpdate& update,
+                         TimePoint now) -> bool {
+  const auto& claim = update.member;
+  auto& known = record.member;
+  const auto was_published = IsPublished(record);
+  const auto newly_listed = update.listed && !record.listed;
+  if (newly_listed) {
+    record.listed = true;
+    list_known_ = true;
+    Touch(record);
+  }
+  if (claim.state == MemberState::kDead &&
+      now - record.heard < kHeardRecently) {
+    return false;
+  }
+  const auto is_newer =
+      claim.incarnation > known.incarnation ||
+      (claim.incarnation == known.incarnation && claim.state > known.state);
+  if (is_newer) {
+    const auto before = known.state;
+    if (claim.name.empty()) {
+      known.state = claim.state;
+      known.incarnation = claim.incarnation;
+    } else {
+      known = claim;
+    }
+    if (before != known.state) {
+      record.state_since = now;
+      RecordChange(known, before, now);
+    }
+    Touch(record);
+  }
+  if (!was_published && IsPublished(record)) {
+    urgent_ = true;
+    events_.Record(EventKind::kMemberJoined, known.name, "", now);
+  }
+  return (is_newer || newly_listed) && IsPublished(record);
+}
+
+auto MemberTable::ApplyList(const std::vector<ListedInstance>& list,
+                            TimePoint now) -> bool {
+  auto changed = !list_known_;
+  list_known_ = true;
+  selected_ = false;
+  for (const auto& instance : list) {
+    auto update = MemberUpdate();
+    update.listed = true;
+    auto& member = update.member;
+    member.id = IdFromName<InstanceId>(instance.name);
+    if (member.id == self_) {
+      continue;
+    }
+    member.name = instance.name;
+    member.data_centre = IdFromName<DataCentreId>(instance.data_centre);
+    member.http_address = instance.http_address;
+    member.packet_address = instance.packet_address;
+    const auto* known = Find(member.id);
+    if (known != nullptr) {
+      member.incarnation = known->member.incarnation;
+    }
+    // Taken once, since the list may still name the leave of a process that
+    // has been started again.
+    const auto was_leaving = known != nullptr && known->listed_leaving;
+    if (instance.leaving && !was_leaving) {
+      member.state = MemberState::kLeaving;
+    }
+    changed = Apply(update, now) || changed;
+    const auto applied = records_.find(member.id);
+    if (applied != records_.end()) {
+      applied->second.listed_leaving = instance.leaving;
+    }
+  }
+  return changed;
+}
+
+void MemberTable::Heard(InstanceId id, TimePoint now) {
+  const auto found = records_.find(id);
+  if (found != records_.end()) {
+    found->second.heard = now;
+  }
+}
+
+auto MemberTable::SetState(InstanceId id, MemberState state, TimePoint now)
+    -> bool {
+  const auto found = records_.find(id);
+  if (found == records_.end() || found->second.member.state == state) {
+    return false;
+  }
+  auto& record = found->second;
+  const auto before = std::exchange(record.member.state, state);
+  record.state_since = now;
+  RecordChange(record.member, before, now);
+  Touch(record);
+  return IsPublished(record);
+}
+
+void MemberTable::Leave(TimePoint now) {
+  auto& self = records_.at(self_);
+  self.member.state = MemberState::kLeaving;
+  ++self.member.incarnation;
+  self.state_since = now;
+  Touch(self);
+}
+
+auto MemberTable::Expire(TimePoint now) -> bool {
+  const auto erased = std::erase_if(records_, [now](const auto& entry) {
+    const auto& record = entry.second;
+    return IsGone(record) && now - record.state_since > kDeathMemory;
+  });
+  selected_ = selected_ && erased == 0;
+  return erased != 0;
+}
+
+void MemberTable::RecordChange(const Member& member, MemberState before,
+                               TimePoint now) {
+  // Suspicions are frequent under loss; in a large fleet they travel with the
+  // probes only.
+  const auto is_small = records_.size() <= kSingleRingMembers;
+  const auto is_suspicion =
+      member.state == MemberState::kSuspect || before == MemberState::kSuspect;
+  const auto is_death = member.state == MemberState::kDead;
+  urgent_ = urgent_ || is_small || is_death || !is_suspicion;
+  switch (member.state) {
+    case MemberState::kAlive:
+      events_.Record(EventKind::kMemberBack, member.name, "", now);
+      return;
+    case MemberState::kSuspect:
+      events_.Record(EventKind::kMemberSuspected, member.name, "", now);
+      return;
+    case MemberState::kLeaving:
+      events_.Record(EventKind::kMemberLeaving, member.name, "", now);
+      return;
+    case MemberState::kDead:
+      events_.Record(EventKind::kMemberDead, member.name,
+                     before == MemberState::kLeaving ? "after its leave" : "",
+                     now);
+      return;
+  }
+}
+
+void MemberTable::Touch(MemberRecord& record) {
+  const auto doublings = std::bit_width(local_.size() + 1);
+  record.sends_left = kSendsPerDoubling * static_cast<std::uint32_t>(doublings);
+  selected_ = false;
+}
+
+auto MemberTable::IsPublished(const MemberRecord& record) const -> bool {
+  return record.listed || !list_known_;
+}
+
+auto MemberTable::IsContact(const MemberRecord& record) const -> bool {
+  if (local_.size() <= kContactsPerDataCentre) {
+    return true;
+  }
+  const auto salt = data_centre_.value();
+  const auto rank = RankOf(record.member.id, salt);
+  const auto lower = std::count_if(
+      local_.begin(), local_.end(),
+      [salt, rank](InstanceId id) { return RankOf(id, salt) < rank; });
+  return static_cast<std::size_t>(lower) < kContactsPerDataCentre;
+}
+
+auto MemberTable::UpdateOf(const MemberRecord& record) const -> MemberUpdate {
+  auto update = MemberUpdate{record.member, record.listed};
+  if (record.member.state == MemberState::kSuspect ||
+      record.member.state == MemberState::kDead) {
+    update.member.name.clear();
+  }
+  return update;
+}
+
+auto MemberTable::TakeUpdates(InstanceId to, std::size_t limit)
+    -> std::vector<MemberUpdate> {
+  Select();
+  const auto* receiver = Find(to);
+  const auto is_far =
+      receiver != nullptr && receiver->member.data_centre != data_centre_;
+  auto candidates = std::vector<MemberRecord*>();
+  for (auto& [id, record] : records_) {
+    const auto is_wanted =
+        !is_far ||
+        (record.member.data_centre == data_centre_ && IsContact(record));
+    if (record.sends_left > 0 && is_wanted && id != to) {
+      candidates.push_back(&record);
+    }
+  }
+  const auto count = std::min(limit, candidates.size());
+  std::partial_sort(candidates.begin(),
+                    candidates.begin() + static_cast<std::ptrdiff_t>(count),
+                    candidates.end(),
+                    [](const MemberRecord* left, const MemberRecord* right) {
+                      return left->sends_left > right->sends_left;
+                    });
+  auto updates = std::vector<MemberUpdate>();
+  for (std::size_t at = 0; at < count; ++at) {
+    --candidates[at]->sends_left;
+    updates.push_back(UpdateOf(*candidates[at]));
+  }
+  return updates;
+}
+
+auto MemberTable::NextPage(std::size_t count) -> std::vector<MemberUpdate> {
+  auto updates = std::vector<MemberUpdate>();
+  auto position = records_.upper_bound(page_position_);
+  for (std::size_t seen = 0; seen < records_.size(); ++seen) {
+    if (position == records_.end()) {
+      position = records_.begin();
+    }
+    page_position_ = position->first;
+    const auto& record = position->second;
+    if (record.member.data_centre == data_centre_) {
+      updates.push_back(UpdateOf(record));
+    }
+    if (updates.size() == count) {
+      break;
+    }
+    ++position;
+  }
+  return updates;
+}
+
+auto MemberTable::Find(InstanceId id) const -> const MemberRecord* {
+  const auto found = records_.find(id);
+  return found == records_.end() ? nullptr : &found->second;
+}
+
+auto MemberTable::peers() const -> const std::vector<InstanceId>& {
+  Select();
+  return peers_;
+}
+
+auto MemberTable::near_peers() const -> const std::vector<InstanceId>& {
+  Select();
+  return near_peers_;
+}
+
+auto MemberTable::far_peers() const -> const std::vector<InstanceId>& {
+  Select();
+  return far_peers_;
+}
+
+auto MemberTable::Successors() const -> const std::vector<InstanceId>& {
+  Select();
+  return successors_;
+}
+
+auto MemberTable::IsReader(std::size_t count) const -> bool {
+  Select();
+  const auto rank = RankOf(self_, kReaderSalt);
+  const auto lower =
+      std::count_if(local_.begin(), local_.end(), [this, rank](InstanceId id) {
+        const auto state = records_.at(id).member.state;
+        return state == MemberState::kAlive && RankOf(id, kReaderSalt) < rank;
+      });
+  return static_cast<std::size_t>(lower) < count;
+}
+
+auto MemberTable::LocalCount() const -> std::size_t {
+  Select();
+  return local_.size();
+}
+
+auto MemberTable::LocalDigest() const -> std::uint64_t {
+  Select();
+  std::uint64_t digest = 0;
+  for (const auto id : local_) {
+    const auto& record = records_.at(id);
+    digest ^= MixWords(id.value(), record.listed ? 1 : 0);
+  }
+  return digest;
+}
+
+auto MemberTable::IsUnreachable(DataCentreId id) const -> bool {
+  auto has_suspect = false;
+  for (const auto& [member, record] : records_) {
+    if (record.member.data_centre != id || !IsPublished(record)) {
+      continue;
+    }
+    const auto state = record.member.state;
+    if (state == MemberState::kAlive || state == MemberState::kLeaving) {
+      return false;
+    }
+    has_suspect = has_suspect || state == MemberState::kSuspect;
+  }
+  return has_suspect;
+}
+
+auto MemberTable::View(TimePoint refreshed) const -> MemberView {
+  auto view = MemberView{self_, data_centre_, {}, refreshed, {}};
+  auto others = std::vector<DataCentreId>();
+  for (const auto& [id, record] : records_) {
+    if (!IsPublished(record)) {
+      continue;
+    }
+    view.members.push_back(record.member);
+    if (record.member.data_centre != data_centre_) {
+      others.push_back(record.member.data_centre);
+    }
+  }
+  std::sort(others.begin(), others.end());
+  others.erase(std::unique(others.begin(), others.end()), others.end());
+  std::copy_if(others.begin(), others.end(),
+               std::back_inserter(view.unreachable),
+               [this](DataCentreId id) { return IsUnreachable(id); });
+  return view;
+}
+
+void MemberTable::Select() const {
+  if (selected_) {
+    return;
+  }
+  selected_ = true;
+  peers_.clear();
+  local_.clear();
+  for (const auto& [id, record] : records_) {
+    if (IsGone(record)) {
+      continue;
+    }
+    if (id != self_) {
+      peers_.push_back(id);
+    }
+    if (record.member.data_centre == data_centre_) {
+      local_.push_back(id);
+    }
+  }
+  SelectRing();
+  SelectFarPeers();
+}
+
+void MemberTable::SelectRing() const {
+  near_peers_ = peers_;
+  if (peers_.size() >= kSingleRingMembers) {
+    near_peers_ = local_;
+    std::erase(near_peers_, self_);
+  }
+  successors_ = near_peers_;
+  const auto own_rank = RankOf(self_, kRingSalt);
+  const auto distance = [own_rank](InstanceId id) {
+    return RankOf(id, kRingSalt) - own_rank;
+  };
+  const auto count = std::min(kSuccessors, successors_.size());
+  std::partial_sort(successors_.begin(),
+                    successors_.begin() + static_cast<std::ptrdiff_t>(count),
+                    successors_.end(),
+                    [&distance](InstanceId left, InstanceId right) {
+                      return distance(left) < distance(right);
+                    });
+  successors_.resize(count);
+}
+
+void MemberTable::SelectFarPeers() const {
+  far_peers_.clear();
+  for (const auto contact : peers_) {
+    if (records_.at(contact).member.data_centre == data_centre_) {
+      continue;
+    }
+    const auto salt = contact.value();
+    const auto rank = RankOf(self_, salt);
+    const auto lower = std::count_if(
+        local_.begin(), local_.end(),
+        [salt, rank](InstanceId id) { return RankOf(id, salt) < rank; });
+    if (static_cast<std::size_t>(lower) < kProbersPerContact) {
+      far_peers_.push_back(contact);
+    }
+  }
+}
+
+}  // namespace hemlockwick
--- /dev/null
+++ b/Source/Fleet/member_table.h
@@ -0,0 +1,146 @@
+#ifndef HEMLOCKWICK_FLEET_MEMBER_TABLE_H_
+#define HEMLOCKWICK_FLEET_MEMBER_TABLE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "Core/ids.h"
+#include "Core/random.h"
+#include "Core/time.h"
+#include "Fleet/fleet_message.h"
+#include "Fleet/instance_list.h"
+#include "Fleet/member_view.h"
+#include "Timeline/event_log.h"
+
+namespace hemlockwick {
+
+// Members kept of each data centre other than the own one.
+inline constexpr std::size_t kContactsPerDataCentre = 8;
+
+// A fleet of at most this many members monitors itself as one ring; a larger
+// one has a ring in each data centre.
+inline constexpr std::size_t kSingleRingMembers = 16;
+
+// A member with what the table knows beyond what is published.
+struct MemberRecord {
+  Member member;
+  bool listed = false;           // The platform's list has named it.
+  TimePoint heard;               // Last message received from it directly.
+  TimePoint state_since;         // When its present state was learnt.
+  std::uint32_t sends_left = 0;  // Messages that still carry its state.
+  bool listed_leaving = false;   // The list has named its leave.
+};
+
+// The members that one instance knows: all of its own data centre and a few of
+// each other one. Merges what the list, probes and peers say.
+class MemberTable {
+ public:
+  MemberTable(Member self, EventLog& events, TimePoint now);
+
+  // Takes what a peer says. Returns whether the published view changed.
+  auto Apply(const MemberUpdate& update, TimePoint now) -> bool;
+
+  // Takes the platform's list: births and planned leaves, never deaths.
+  auto ApplyList(const std::vector<ListedInstance>& list, TimePoint now)
+      -> bool;
+
+  // Notes a message received directly from the member.
+  void Heard(InstanceId id, TimePoint now);
+
+  // Sets the state that this instance's own probes have established.
+  auto SetState(InstanceId id, MemberState state, TimePoint now) -> bool;
+
+  // Marks this instance as leaving.
+  void Leave(TimePoint now);
+
+  // Whether a birth, death, return or leave has been learnt since the last
+  // call, which peers should hear of at once.
+  auto TakeUrgent() -> bool { return std::exchange(urgent_, false); }
+
+  // Forgets dead members whose death has been known for long.
+  auto Expire(TimePoint now) -> bool;
+
+  // Updates to carry in a message to `to`: those sent least often so far.
+  auto TakeUpdates(InstanceId to, std::size_t limit)
+      -> std::vector<MemberUpdate>;
+
+  // `count` records of the own data centre in rotation, to repair a peer that
+  // lacks some.
+  auto NextPage(std::size_t count) -> std::vector<MemberUpdate>;
+
+  [[nodiscard]] auto UpdateOf(const MemberRecord& record) const -> MemberUpdate;
+  [[nodiscard]] auto Find(InstanceId id) const -> const MemberRecord*;
+  [[nodiscard]] auto self() const -> const MemberRecord& {
+    return records_.at(self_);
+  }
+
+  // Other members that may be sent messages, in no order; dead ones excluded.
+  [[nodiscard]] auto peers() const -> const std::vector<InstanceId>&;
+
+  // Peers of the own data centre, or all when the fleet is one ring.
+  [[nodiscard]] auto near_peers() const -> const std::vector<InstanceId>&;
+
+  // Contacts in other data centres that this instance has to probe.
+  [[nodiscard]] auto far_peers() const -> const std::vector<InstanceId>&;
+
+  // The next members of the ring after this instance.
+  [[nodiscard]] auto Successors() const -> const std::vector<InstanceId>&;
+
+  // Whether this instance is among the `count` members of its data centre
+  // that have to read the platform.
+  [[nodiscard]] auto IsReader(std::size_t count) const -> bool;
+
+  // Living members of the own data centre, this instance included.
+  [[nodiscard]] auto LocalCount() const -> std::size_t;
+
+  // Equal on instances that know the same members in the data centre.
+  [[nodiscard]] auto LocalDigest() const -> std::uint64_t;
+
+  // Whether every known member of the data centre is suspected or dead, at
+  // least one suspected.
+  [[nodiscard]] auto IsUnreachable(DataCentreId id) const -> bool;
+  [[nodiscard]] auto View(TimePoint refreshed) const -> MemberView;
+
+  [[nodiscard]] auto records() const
+      -> const std::map<InstanceId, MemberRecord>& {
+    return records_;
+  }
+
+ private:
+  auto Accept(MemberRecord& record, const MemberUpdate& update, TimePoint now)
+      -> bool;
+  auto RefuteIfNeeded(const Member& claim) -> bool;
+  auto Insert(const MemberUpdate& update, TimePoint now) -> bool;
+  auto HasRoom(const Member& member) -> bool;
+  void RecordChange(const Member& member, MemberState before, TimePoint now);
+  void Touch(MemberRecord& record);
+  [[nodiscard]] auto IsPublished(const MemberRecord& record) const -> bool;
+  [[nodiscard]] auto IsContact(const MemberRecord& record) const -> bool;
+  void Select() const;
+  void SelectRing() const;
+  void SelectFarPeers() const;
+
+  InstanceId self_;
+  DataCentreId data_centre_;
+  EventLog& events_;
+  std::map<InstanceId, MemberRecord> records_;
+  bool list_known_ = false;
+  bool urgent_ = false;
+  InstanceId page_position_;
+
+  // Selections over the records, remade when a record has changed.
+  mutable bool selected_ = false;
+  mutable std::vector<InstanceId> peers_;
+  mutable std::vector<InstanceId> local_;  // With this instance.
+  mutable std::vector<InstanceId> near_peers_;
+  mutable std::vector<InstanceId> far_peers_;
+  mutable std::vector<InstanceId> successors_;
+};
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_FLEET_MEMBER_TABLE_H_
--- /dev/null
+++ b/Source/Fleet/node_state.h
@@ -0,0 +1,88 @@
+#ifndef HEMLOCKWICK_FLEET_NODE_STATE_H_
+#define HEMLOCKWICK_FLEET_NODE_STATE_H_
+
+#include <algorithm>
+#include <cstddef>
+#include <vector>
+
+#include "Core/random.h"
+#include "Core/time.h"
+#include "Fleet/config_store.h"
+#include "Fleet/fleet_message.h"
+#include "Fleet/fleet_node.h"
+#include "Fleet/member_table.h"
+#include "Fleet/outbox.h"
+#include "Timeline/event_log.h"
+
+namespace hemlockwick {
+
+// Member updates that one probe, answer or piece of news carries at most.
+inline constexpr std::size_t kUpdatesPerMessage = 6;
+
+// State that the failure detector and the configuration exchange of one
+// instance share.
+struct NodeState {
+  NodeState(Member self, EventLog& event_log, std::uint64_t seed, TimePoint now)
+      : events(event_log),
+        random(seed),
+        members(std::move(self), event_log, now),
+        outbox(now),
+        platform_heard(now) {}
+
+  EventLog& events;
+  Random random;
+  MemberTable members;
+  ConfigStore store;
+  Outbox outbox;
+
+  // When an instance of this data centre last had an answer of the platform.
+  TimePoint platform_heard;
+
+  // Peers that have answered since the process started.
+  std::size_t answers = 0;
+
+  // Last message received from any peer, and last answer to a probe.
+  TimePoint heard;
+  TimePoint refreshed;
+
+  // The published view has to be made anew.
+  bool view_changed = false;
+
+  // A message of a type that carries version, updates and clock.
+  template <typename Message>
+  auto Compose(InstanceId to, TimePoint now) -> Message {
+    auto message = Message();
+    message.version = store.version();
+    message.digest = store.digest();
+    message.updates = members.TakeUpdates(to, kUpdatesPerMessage);
+    message.stamp = events.Stamp(now);
+    message.platform_age = now - platform_heard;
+    return message;
+  }
+
+  // Takes what every message with a version, updates and clock says.
+  template <typename Message>
+  void Absorb(InstanceId from, const Message& message, TimePoint now) {
+    Observe(message.stamp, now);
+    for (const auto& update : message.updates) {
+      view_changed = members.Apply(update, now) || view_changed;
+    }
+    members.Heard(from, now);
+    const auto* sender = members.Find(from);
+    if (sender != nullptr &&
+        sender->member.data_centre == members.self().member.data_centre) {
+      platform_heard = std::max(platform_heard, now - message.platform_age);
+    }
+  }
+
+  // Up to `count` different peers out of `from`, chosen at random.
+  auto Sample(const std::vector<InstanceId>& from, std::size_t count,
+              InstanceId except) -> std::vector<InstanceId>;
+
+ private:
+  void Observe(HlcStamp stamp, TimePoint now);
+};
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_FLEET_NODE_STATE_H_
--- /dev/null
+++ b/Source/Fleet/outbox.h
@@ -0,0 +1,49 @@
+#ifndef HEMLOCKWICK_FLEET_OUTBOX_H_
+#define HEMLOCKWICK_FLEET_OUTBOX_H_
+
+#include <cstdint>
+#include <utility>
+
+#include "Core/ids.h"
+#include "Core/time.h"
+#include "Fleet/byte_budget.h"
+#include "Fleet/fleet_node.h"
+#include "Fleet/member_table.h"
+
+namespace hemlockwick {
+
+// Bytes that JSON-RPC and HTTP add to a message: request line, headers and
+// envelope both ways.
+inline constexpr std::uint64_t kEnvelopeBytes = 250;
+
+// Collects the actions of one call and holds messages to the byte budget.
+class Outbox {
+ public:
+  explicit Outbox(TimePoint now) : budget_(now) {}
+
+  // Returns whether the budget let the message go.
+  auto Send(const Member& to, FleetMessage message, TrafficClass traffic,
+            TimePoint now) -> bool;
+
+  // Sends to an address whose instance is not known.
+  auto Send(const SocketAddress& to, FleetMessage message, TrafficClass traffic,
+            TimePoint now) -> bool;
+
+  void Read(PlatformRead read, TimePoint now);
+
+  void Add(FleetAction action);
+
+  [[nodiscard]] auto Take() -> FleetActions {
+    return std::exchange(actions_, {});
+  }
+
+  [[nodiscard]] auto budget() const -> const ByteBudget& { return budget_; }
+
+ private:
+  ByteBudget budget_;
+  FleetActions actions_;
+};
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_FLEET_OUTBOX_H_
--- /dev/null
+++ b/Source/Fleet/platform_reader.cc
@@ -0,0 +1,202 @@
+#include "Fleet/platform_reader.h"
+
+#include <algorithm>
+
+namespace hemlockwick {
+
+namespace {
+
+// How long the platform holds a watch.
+constexpr Duration kWatchTime = std::chrono::seconds(10);
+
+// An answer that is this much later than asked for counts as lost.
+constexpr Duration kAnswerGrace = std::chrono::seconds(2);
+
+// Shortest time between two calls for a value: changes that come faster are
+// read together.
+constexpr Duration kIndexSpacing = std::chrono::milliseconds(500);
+constexpr Duration kListSpacing = std::chrono::seconds(1);
+
+// Wait after a failed call, doubled with each further one.
+constexpr Duration kFirstBackoff = std::chrono::milliseconds(250);
+constexpr std::uint32_t kMaxBackoffDoublings = 5;
+
+// Failed calls after which the platform counts as lost.
+constexpr std::uint32_t kFailuresUntilLost = 2;
+
+// A data centre in which no reader has had an answer for this long reads
+// directly, each instance once in this time per member on average.
+constexpr Duration kReaderSilence = std::chrono::seconds(15);
+constexpr Duration kDirectReadInterval = std::chrono::seconds(1);
+constexpr Duration kShortestDirectRead = std::chrono::seconds(2);
+
+// How often an instance looks whether it has become a reader.
+constexpr Duration kReviewInterval = std::chrono::milliseconds(500);
+
+constexpr std::size_t kMaxOutstandingShards = 8;
+
+}  // namespace
+
+PlatformReader::PlatformReader(NodeState& state, TimePoint now)
+    : state_(state), next_review_(now) {
+  index_.key = kIndexKey;
+  index_.spacing = kIndexSpacing;
+  list_.key = kInstanceListKey;
+  list_.spacing = kListSpacing;
+  index_.next_read = now;
+  list_.next_read = now;
+}
+
+void PlatformReader::OnTick(TimePoint now) {
+  if (now >= next_review_) {
+    next_review_ = now + kReviewInterval;
+    const auto is_reader = state_.members.IsReader(kReadersPerDataCentre);
+    const auto is_silent = IsReaderSilent(now);
+    for (auto* value : {&index_, &list_}) {
+      const auto is_due_now = is_reader && !was_reader_;
+      const auto is_idle = value->next_read == TimePoint::max();
+      if (is_due_now || (is_silent && is_idle)) {
+        Schedule(*value, now);
+      }
+    }
+    was_reader_ = is_reader;
+  }
+  for (auto* value : {&index_, &list_}) {
+    if (value->is_outstanding && now >= value->answer_due) {
+      NoteFailure(*value, now);
+    }
+    if (!value->is_outstanding && now >= value->next_read) {
+      Read(*value, was_reader_, now);
+    }
+  }
+}
+
+auto PlatformReader::NextTick() const -> TimePoint {
+  auto next = next_review_;
+  for (const auto* value : {&index_, &list_}) {
+    next = std::min(
+        next, value->is_outstanding ? value->answer_due : value->next_read);
+  }
+  return next;
+}
+
+auto PlatformReader::OnAnswer(const PlatformAnswer& answer, TimePoint now)
+    -> bool {
+  const auto is_reached = answer.status != PlatformStatus::kUnreachable;
+  if (is_reached) {
+    state_.platform_heard = now;
+  }
+  for (auto* value : {&index_, &list_}) {
+    if (value->key != answer.key) {
+      continue;
+    }
+    if (!value->is_outstanding) {
+      return true;
+    }
+    if (is_reached) {
+      NoteSuccess(*value, answer, now);
+    } else {
+      NoteFailure(*value, now);
+    }
+    return true;
+  }
+  return outstanding_shards_.erase(answer.key) != 0;
+}
+
+void PlatformReader::ReadShards(const std::vector<std::string>& keys,
+                                TimePoint now) {
+  if (now >= shards_due_) {
+    outstanding_shards_.clear();
+  }
+  for (const auto& key : keys) {
+    if (outstanding_shards_.size() >= kMaxOutstandingShards) {
+      return;
+    }
+    if (outstanding_shards_.insert(key).second) {
+      shards_due_ = now + kAnswerGrace;
+      state_.outbox.Read(PlatformRead{key, 0, Duration(0)}, now);
+    }
+  }
+}
+
+void PlatformReader::OnPause(TimePoint now) {
+  for (auto* value : {&index_, &list_}) {
+    value->is_outstanding = false;
+    Schedule(*value, now);
+  }
+}
+
+void PlatformReader::Read(WatchedValue& value, bool as_reader, TimePoint now) {
+  const auto wait = as_reader && value.after != 0 && value.failures == 0
+                        ? kWatchTime
+                        : Duration(0);
+  value.is_outstanding = true;
+  value.answer_due = now + wait + kAnswerGrace;
+  value.next_read = now + value.spacing;
+  state_.outbox.Read(PlatformRead{value.key, value.after, wait}, now);
+}
+
+void PlatformReader::NoteFailure(WatchedValue& value, TimePoint now) {
+  value.is_outstanding = false;
+  ++value.failures;
+  if (value.failures == kFailuresUntilLost && !is_lost_) {
+    is_lost_ = true;
+    state_.events.Record(EventKind::kPlatformLost, value.key, "", now);
+  }
+  Schedule(value, now);
+}
+
+void PlatformReader::NoteSuccess(WatchedValue& value,
+                                 const PlatformAnswer& answer, TimePoint now) {
+  value.is_outstanding = false;
+  value.failures = 0;
+  // A platform that was restored from a copy may count from a lower index.
+  value.after = answer.index;
+  if (is_lost_) {
+    is_lost_ = false;
+    state_.events.Record(EventKind::kPlatformBack, value.key, "", now);
+  }
+  Schedule(value, now);
+}
+
+// Sets the time of the next call.
+void PlatformReader::Schedule(WatchedValue& value, TimePoint now) {
+  const auto is_reader = state_.members.IsReader(kReadersPerDataCentre);
+  if (value.failures > 0) {
+    const auto doublings = std::min(value.failures - 1, kMaxBackoffDoublings);
+    const auto mean = kFirstBackoff * (1U << doublings);
+    if (is_reader || value.after == 0) {
+      value.next_read = now + Jitter(mean);
+      return;
+    }
+  }
+  if (is_reader) {
+    const auto pause = value.after == 0 ? Jitter(value.spacing) : Duration(0);
+    value.next_read = std::max(now + pause, value.next_read);
+    if (value.next_read == TimePoint::max()) {
+      value.next_read = now;
+    }
+    return;
+  }
+  if (!IsReaderSilent(now)) {
+    value.next_read = TimePoint::max();
+    return;
+  }
+  const auto members = static_cast<Duration::rep>(state_.members.LocalCount());
+  const auto mean =
+      std::max(kShortestDirectRead, kDirectReadInterval * members);
+  value.next_read = now + state_.random.Exponential(mean);
+}
+
+auto PlatformReader::IsReaderSilent(TimePoint now) const -> bool {
+  return now - state_.platform_heard > kReaderSilence;
+}
+
+// A duration between half of `mean` and one and a half times it.
+auto PlatformReader::Jitter(Duration mean) -> Duration {
+  const auto factor = 0.5 + state_.random.Unit();
+  return Duration(
+      static_cast<Duration::rep>(factor * static_cast<double>(mean.count())));
+}
+
+}  // namespace hemlockwick
--- /dev/null
+++ b/Source/Fleet/platform_reader.h
@@ -0,0 +1,68 @@
+#ifndef HEMLOCKWICK_FLEET_PLATFORM_READER_H_
+#define HEMLOCKWICK_FLEET_PLATFORM_READER_H_
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Fleet/node_state.h"
+
+namespace hemlockwick {
+
+// Instances of a data centre that watch the platform.
+inline constexpr std::size_t kReadersPerDataCentre = 2;
+
+// Decides when this instance calls the platform. The readers of a data centre
+// watch the index and the instance list. Another instance reads them only at
+// its start, and when it has heard of no reader's success for long: then at
+// random times whose rate over the data centre does not grow with its size.
+class PlatformReader {
+ public:
+  PlatformReader(NodeState& state, TimePoint now);
+
+  void OnTick(TimePoint now);
+  [[nodiscard]] auto NextTick() const -> TimePoint;
+
+  // Notes an answer. Returns false when it answers nothing that was asked.
+  auto OnAnswer(const PlatformAnswer& answer, TimePoint now) -> bool;
+
+  // Reads shards, as many at a time as may be outstanding.
+  void ReadShards(const std::vector<std::string>& keys, TimePoint now);
+
+  // Reads both values anew after a pause.
+  void OnPause(TimePoint now);
+
+ private:
+  // A value that is read again and again.
+  struct WatchedValue {
+    std::string key;
+    Duration spacing{0};  // Shortest time between two calls.
+    std::uint64_t after = 0;
+    bool is_outstanding = false;
+    TimePoint answer_due;
+    TimePoint next_read;
+    std::uint32_t failures = 0;
+  };
+
+  void Read(WatchedValue& value, bool as_reader, TimePoint now);
+  void NoteFailure(WatchedValue& value, TimePoint now);
+  void NoteSuccess(WatchedValue& value, const PlatformAnswer& answer,
+                   TimePoint now);
+  void Schedule(WatchedValue& value, TimePoint now);
+  [[nodiscard]] auto IsReaderSilent(TimePoint now) const -> bool;
+  auto Jitter(Duration mean) -> Duration;
+
+  NodeState& state_;
+  WatchedValue index_;
+  WatchedValue list_;
+  bool was_reader_ = false;
+  bool is_lost_ = false;
+  TimePoint next_review_;
+  std::set<std::string> outstanding_shards_;
+  TimePoint shards_due_;
+};
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_FLEET_PLATFORM_READER_H_
