--- a/Utilities/StandIn/local_fleet.cc
+++ b/Utilities/StandIn/local_fleet.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "Config/published_value.h"
+#include "Fleet/fleet_node.h"
 #include "Runtime/http_client.h"
 #include "Runtime/socket.h"
 
