--- a/Utilities/StandIn/demo.cc
+++ b/Utilities/StandIn/demo.cc
@@ -139,7 +139,7 @@
   fleet_->process(kKilled).Signal(SIGKILL);
   const auto noticed = Await(
       [this] {
-        const auto status = fleet_->Status(0);
+        auto status = fleet_->Status(0);
         return status && status->members[fleet_->name(kKilled)] == "dead";
       },
       kAwaitBound);
