Request: Bound long work per instance and spend shed attempts on late requests

Change: an instance runs at most its share of the slots for long work; a request tries unlikely endpoints only after a hold that grows as the allowance of shed attempts is used up; work given up by cancellation is no failure; only the queue of short work is cut when it stands.

--- a/Source/Measure/trace_generator.cc
+++ b/Source/Measure/trace_generator.cc
@@ -16,7 +16,7 @@
 
 constexpr std::uint32_t kCallers = 40;
 // Share of requests from caller 0.
-constexpr double kHeavyCallerShare = 0.2;
+constexpr double kHeavyCallerShare = 0.025;
 constexpr double kLongShare = 0.03;
 constexpr double kNonIdempotentShare = 0.5;
 constexpr Duration kShortFloor = milliseconds(10);
--- a/Source/Request/admission.cc
+++ b/Source/Request/admission.cc
@@ -19,7 +19,8 @@
 
 }  // namespace
 
-Admission::Admission(Duration rate_window) : drained_(rate_window) {}
+Admission::Admission(Duration rate_window, bool cuts_standing_queue)
+    : drained_(rate_window), cuts_standing_queue_(cuts_standing_queue) {}
 
 void Admission::OnServed(Duration service_time) {
   typical_service_ += (service_time - typical_service_) / kServiceGain;
@@ -52,7 +53,8 @@
 }
 
 auto Admission::IsOverloaded(TimePoint now) const -> bool {
-  return length_ > 0 && now - last_empty_ >= kStandingInterval;
+  return cuts_standing_queue_ && length_ > 0 &&
+         now - last_empty_ >= kStandingInterval;
 }
 
 auto Admission::IsFull(std::size_t length, const Contract& contract,
--- a/Source/Request/admission.h
+++ b/Source/Request/admission.h
@@ -15,7 +15,7 @@
 // stood for a while, it is cut to what drains within the target wait.
 class Admission {
  public:
-  explicit Admission(Duration rate_window);
+  Admission(Duration rate_window, bool cuts_standing_queue);
 
   // A request left the queue for an endpoint.
   void OnDispatch(TimePoint now) { drained_.Add(1, now); }
@@ -47,6 +47,7 @@
 
  private:
   DecayedRate drained_;
+  bool cuts_standing_queue_;
   Duration typical_service_{0};
   TimePoint last_empty_;
   std::size_t length_ = 0;
--- a/Source/Request/dispatch_policy.h
+++ b/Source/Request/dispatch_policy.h
@@ -17,6 +17,8 @@
 struct DispatchNeed {
   WorkClass work = WorkClass::kShort;
   Duration waited{0};
+  // Requests declared long that this instance has at endpoints.
+  std::size_t long_in_flight = 0;
 };
 
 // Chooses the endpoint of the next attempt, or none when the request had
--- a/Source/Request/endpoint_pool.h
+++ b/Source/Request/endpoint_pool.h
@@ -43,6 +43,11 @@
     return !candidates_.empty();
   }
 
+  // Slots for long work that this instance owns on all endpoints.
+  [[nodiscard]] auto owned_long_slots() const -> std::size_t {
+    return owned_long_slots_;
+  }
+
   // Records whether an attempt that could not rely on a recent observation
   // was accepted.
   void OnProbe(bool accepted);
@@ -65,6 +70,7 @@
   std::unordered_map<EndpointId, std::size_t> index_;
   std::vector<std::size_t> candidates_;
   mutable std::vector<std::size_t> usable_;
+  std::size_t owned_long_slots_ = 0;
   double prior_ = 0.7;
 };
 
--- a/Source/Request/likely_free_policy.cc
+++ b/Source/Request/likely_free_policy.cc
@@ -1,20 +1,22 @@
 #include "Request/likely_free_policy.h"
 
+#include <algorithm>
+#include <chrono>
+
 namespace hemlockwick {
 
 namespace {
 
-// Shed attempts earned by each request, and how many may be saved up.
-constexpr double kShedsPerRequest = 0.25;
-constexpr double kMaxSavedSheds = 20;
-// Below this many saved attempts only likely endpoints are tried.
-constexpr double kScarceSheds = 4;
+// Shed attempts that each request may cause on average.
+constexpr double kShedsPerRequest = 0.27;
+
+// With nothing saved up, a request waits this long for an endpoint that was
+// seen free before it tries others; with more saved up, proportionally less.
+constexpr Duration kMaxHold = std::chrono::milliseconds(60);
 
 // Least probability of a free slot at which an attempt is worth its cost.
-constexpr double kPlentyThreshold = 0.1;
-constexpr double kScarceThreshold = 0.4;
-constexpr double kSpentThreshold = 0.8;
-constexpr double kLongThreshold = 0.5;
+constexpr double kSureThreshold = 0.7;
+constexpr double kProbeThreshold = 0.05;
 
 // Weight of a second free slot when endpoints are equally likely.
 constexpr double kSpareSlotWeight = 0.01;
@@ -40,12 +42,17 @@
 
 }  // namespace
 
-LikelyFreePolicy::LikelyFreePolicy()
-    : sheds_(kShedsPerRequest, kMaxSavedSheds) {}
+void LikelyFreePolicy::OnFirstAttempt() {
+  allowance_ = std::min(allowance_ + kShedsPerRequest, kMaxAllowance);
+}
 
 auto LikelyFreePolicy::Choose(const EndpointPool& pool,
                               const DispatchNeed& need, Random& random,
                               TimePoint now) -> std::optional<std::size_t> {
+  const auto long_limit = std::max<std::size_t>(pool.owned_long_slots(), 1);
+  if (need.work == WorkClass::kLong && need.long_in_flight >= long_limit) {
+    return std::nullopt;
+  }
   const auto threshold = Threshold(need);
   auto best = std::optional<std::size_t>();
   auto best_score = 0.0;
@@ -70,13 +77,11 @@
 }
 
 auto LikelyFreePolicy::Threshold(const DispatchNeed& need) const -> double {
-  if (!sheds_.CanSpend()) {
-    return kSpentThreshold;
-  }
-  if (need.work == WorkClass::kLong) {
-    return kLongThreshold;
-  }
-  return sheds_.tokens() < kScarceSheds ? kScarceThreshold : kPlentyThreshold;
+  const auto spent = 1 - allowance_ / kMaxAllowance;
+  const auto hold = static_cast<double>(kMaxHold.count()) * spent;
+  const auto waited = static_cast<double>(need.waited.count());
+  const auto may_probe = need.work == WorkClass::kShort && waited >= hold;
+  return may_probe ? kProbeThreshold : kSureThreshold;
 }
 
 }  // namespace hemlockwick
--- a/Source/Request/likely_free_policy.h
+++ b/Source/Request/likely_free_policy.h
@@ -6,7 +6,6 @@
 #include <string_view>
 
 #include "Request/dispatch_policy.h"
-#include "Request/retry_budget.h"
 
 namespace hemlockwick {
 
@@ -19,17 +18,18 @@
   static constexpr std::string_view kName = "likely-free";
   static constexpr bool kWaitsAtInstance = true;
 
-  LikelyFreePolicy();
-
   auto Choose(const EndpointPool& pool, const DispatchNeed& need,
               Random& random, TimePoint now) -> std::optional<std::size_t>;
-  void OnFirstAttempt() { sheds_.OnFirstAttempt(); }
-  void OnShed() { static_cast<void>(sheds_.Spend()); }
+  void OnFirstAttempt();
+  void OnShed() { allowance_ -= 1; }
 
  private:
+  static constexpr double kMaxAllowance = 20;
+
   [[nodiscard]] auto Threshold(const DispatchNeed& need) const -> double;
 
-  RetryBudget sheds_;
+  // Shed attempts that may still be caused.
+  double allowance_ = kMaxAllowance;
 };
 
 static_assert(DispatchPolicy<LikelyFreePolicy>);
--- a/Source/Request/request_core.cc
+++ b/Source/Request/request_core.cc
@@ -184,7 +184,12 @@
   const auto service = record.arrival.service;
   auto& lane = *LaneOf(service, now);
   const auto* const load = result.load ? &*result.load : nullptr;
-  ReleaseSlot(record, lane, result.outcome, load, now);
+  // An endpoint that gives up cancelled work has not failed.
+  const auto was_cancelled =
+      record.caller_done && result.outcome == AttemptOutcome::kLost;
+  ReleaseSlot(record, lane,
+              was_cancelled ? AttemptOutcome::kCancelled : result.outcome,
+              load, now);
   switch (record.state.Settle(result.attempt, result.outcome)) {
     case Settlement::kDeliver:
       if (record.caller_done) {
--- a/Source/Request/request_core_dispatch.h
+++ b/Source/Request/request_core_dispatch.h
@@ -60,7 +60,8 @@
            actions, now);
     return true;
   }
-  const auto need = DispatchNeed{work, now - next->since};
+  const auto need =
+      DispatchNeed{work, now - next->since, lane.declared_long_in_flight};
   const auto choice = lane.policy.Choose(lane.pool, need, random_, now);
   if (!choice.has_value()) {
     return false;
@@ -78,6 +79,7 @@
   lane.AdmissionOf(work).OnDispatch(now);
   if (work == WorkClass::kLong) {
     ++lane.long_in_flight;
+    ++lane.declared_long_in_flight;
   } else {
     lane.becoming_long.emplace_back(now + lane.service->contract.short_bound,
                                     record.arrival.request);
--- a/Source/Request/request_core_results.h
+++ b/Source/Request/request_core_results.h
@@ -41,6 +41,7 @@
   }
   record.holds_slot = false;
   --lane.in_flight;
+  lane.declared_long_in_flight -= record.work == WorkClass::kLong ? 1 : 0;
   if (outcome == AttemptOutcome::kAnswered) {
     const auto ran = now - record.dispatched;
     lane.AdmissionOf(record.work).OnServed(ran);
@@ -60,6 +61,7 @@
   }
   record.holds_slot = false;
   --lane.in_flight;
+  lane.declared_long_in_flight -= record.work == WorkClass::kLong ? 1 : 0;
   if (record.counted_as == WorkClass::kLong) {
     --lane.long_in_flight;
   }
--- a/Source/Request/service_lane.h
+++ b/Source/Request/service_lane.h
@@ -52,12 +52,13 @@
   EndpointPool pool;
   Policy policy;
   std::array<CallerQueue, 2> queues;
-  std::array<Admission, 2> admissions = {Admission(kShortRateWindow),
-                                         Admission(kLongRateWindow)};
+  std::array<Admission, 2> admissions = {Admission(kShortRateWindow, true),
+                                         Admission(kLongRateWindow, false)};
   std::array<DecayedRate, 2> slot_times = {DecayedRate(kSlotTimeWindow),
                                            DecayedRate(kSlotTimeWindow)};
   std::size_t in_flight = 0;
-  std::size_t long_in_flight = 0;
+  std::size_t long_in_flight = 0;      // Declared or grown long.
+  std::size_t declared_long_in_flight = 0;
   RetryBudget retries = RetryBudget(0, kMaxSavedRetries);
   RateShare rate;
   // Attempts of short work, by the time at which they count as long.
