Runtime: Keep the status of an empty answer

Cause: ulfius refuses a binary body of length 0 and leaves the status at 200, so a 304 of the platform and a shed answer of an endpoint read as empty 200s. Change: an empty body is set as such; a test covers four statuses.

--- a/Source/Runtime/http_server.cc
+++ b/Source/Runtime/http_server.cc
@@ -102,8 +102,13 @@
 }
 
 void WriteResponse(const HttpResponse& response, _u_response& target) {
-  ulfius_set_binary_body_response(&target, response.status,
-                                  response.body.data(), response.body.size());
+  // Ulfius takes no binary body of length 0.
+  if (response.body.empty()) {
+    ulfius_set_empty_body_response(&target, response.status);
+  } else {
+    ulfius_set_binary_body_response(&target, response.status,
+                                    response.body.data(), response.body.size());
+  }
   for (const auto& [name, value] : response.headers) {
     ulfius_add_header_to_response(&target, name.c_str(), value.c_str());
   }
--- a/Tests/Runtime/http_test.cc
+++ b/Tests/Runtime/http_test.cc
@@ -57,6 +57,18 @@
   cr_assert(response.body == body);
 }
 
+Test(http, keeps_the_status_of_an_empty_answer) {
+  for (const auto status : {200, 304, 404, 503}) {
+    const auto server = StartServer([status](const HttpCall&) {
+      return HttpResponse{status, {{"X-Sent", "yes"}}, {}};
+    });
+    const auto response = Require(SendHttp(server->address(), {}));
+    cr_assert_eq(response.status, status);
+    cr_assert_eq(response.headers.at("x-sent"), "yes");
+    cr_assert(response.body.empty());
+  }
+}
+
 Test(http, answers_413_above_the_limit_only) {
   auto calls = std::atomic<int>(0);
   const auto server = StartServer([&calls](const HttpCall& call) {
--- a/Utilities/StandIn/demo.h
+++ b/Utilities/StandIn/demo.h
@@ -46,11 +46,11 @@
       std::chrono::steady_clock::now();
   RunLedger ledger_;
   LocalObjects objects_;
-  std::unique_ptr<FlowCaller> flows_;
   std::vector<std::unique_ptr<FlowEndpoint>> flow_endpoints_;
   std::vector<std::unique_ptr<RequestEndpoint>> request_endpoints_;
   std::unique_ptr<LocalFleet> fleet_;
   std::unique_ptr<Fabric> fabric_;
+  std::unique_ptr<FlowCaller> flows_;  // Sends through the fabric.
   std::unique_ptr<RequestCaller> requests_;
   std::set<std::size_t> gone_;  // Instances that were stopped or killed.
   std::uint32_t first_late_flow_ = 0;
