--- a/Source/Flow/packet_decision.cc
+++ b/Source/Flow/packet_decision.cc
@@ -32,6 +32,10 @@
   if (settled && fresh_) {
     return Forward(table_.OwnerOf(bucket_));
   }
+  if (packet_.opens && !fresh_) {
+    // The caller has sent the SYN again meanwhile.
+    return Refuse(DropReason::kNoEndpoint);
+  }
   switch (packet_.relay.stage) {
     case RelayStage::kNone:
       return FromFabric();
@@ -88,9 +92,6 @@
   if (record && IsRetransmission(*record)) {
     return Relay(*homes_.first, RelayStage::kFirstHome, record->endpoint);
   }
-  if (!fresh_) {
-    return Relay(*homes_.first, RelayStage::kFirstHome, kUnknownOwner);
-  }
   const auto owner = ChooseOwner();
   if (owner == kNoOwner) {
     return Refuse(DropReason::kNoEndpoint);
