--- a/Source/Command/check_command.cc
+++ b/Source/Command/check_command.cc
@@ -1,20 +1,16 @@
 #include "Command/check_command.h"
 
-#include <algorithm>
 #include <cxxopts.hpp>
 #include <filesystem>
 #include <iostream>
-#include <memory>
 #include <nlohmann/json.hpp>
 #include <numeric>
 #include <optional>
-#include <set>
-#include <stdexcept>
 
+#include "Command/object_files.h"
 #include "Command/value_files.h"
 #include "Config/config_check.h"
 #include "Config/digest_text.h"
-#include "Config/object_reader.h"
 #include "Config/utc_time.h"
 #include "Runtime/system_clock.h"
 
@@ -98,53 +94,6 @@
   return options;
 }
 
-// Returns the files that the inputs stand for, each once and sorted within its
-// folder.
-auto ListFiles(const std::vector<std::string>& inputs)
-    -> Result<std::vector<fs::path>> {
-  auto files = std::vector<fs::path>();
-  auto seen = std::set<fs::path>();
-  for (const auto& input : inputs) {
-    auto found = std::vector<fs::path>();
-    auto error = std::error_code();
-    if (fs::is_directory(input, error)) {
-      for (const auto& entry : fs::recursive_directory_iterator(input)) {
-        const auto extension = entry.path().extension();
-        if (entry.is_regular_file() &&
-            (extension == ".yaml" || extension == ".yml")) {
-          found.push_back(entry.path());
-        }
-      }
-      std::sort(found.begin(), found.end());
-    } else if (fs::exists(input, error)) {
-      found.emplace_back(input);
-    } else {
-      return Fail(ErrorCode::kNotFound, "'" + input + "' does not exist",
-                  "check the path");
-    }
-    for (auto& file : found) {
-      if (seen.insert(fs::weakly_canonical(file)).second) {
-        files.push_back(std::move(file));
-      }
-    }
-  }
-  if (files.empty()) {
-    return Fail(ErrorCode::kNotFound, "no *.yaml file found", "check the path");
-  }
-  return files;
-}
-
-auto ReadObjects(const std::vector<std::string>& inputs)
-    -> Result<ObjectReader> {
-  BOOST_LEAF_AUTO(files, ListFiles(inputs));
-  auto reader = ObjectReader();
-  for (const auto& file : files) {
-    BOOST_LEAF_AUTO(text, ReadTextFile(file));
-    reader.Read(text, file.string());
-  }
-  return reader;
-}
-
 auto FindingToJson(const Finding& finding) -> Json {
   return Json{
       {"severity", finding.severity == Severity::kError ? "error" : "warning"},
@@ -228,7 +177,8 @@
 
 auto Check(const CheckOptions& options) -> Result<ExitCode> {
   BOOST_LEAF_AUTO(previous, ReadPrevious(options));
-  BOOST_LEAF_AUTO(reader, ReadObjects(options.inputs));
+  BOOST_LEAF_AUTO(files, LoadObjectFiles(options.inputs));
+  const auto reader = ParseObjectFiles(files);
   auto outcome = CheckObjects(reader, previous, NextVersion(options, previous),
                               options.published);
   auto values = std::vector<PublishedValue>();
--- /dev/null
+++ b/Source/Command/object_files.h
@@ -0,0 +1,35 @@
+#ifndef HEMLOCKWICK_COMMAND_OBJECT_FILES_H_
+#define HEMLOCKWICK_COMMAND_OBJECT_FILES_H_
+
+#include <filesystem>
+#include <string>
+#include <vector>
+
+#include "Config/object_reader.h"
+#include "Core/error.h"
+
+namespace hemlockwick {
+
+// Threads that parse object files at most.
+inline constexpr std::size_t kMaxReaderThreads = 4;
+
+// The text of an object file and the name shown in findings.
+struct ObjectFile {
+  std::string name;
+  std::string text;
+};
+
+// Reads the files that the inputs stand for: files as they are, and the *.yaml
+// and *.yml files below folders, each once and sorted within its folder. Fails
+// with kNotFound.
+[[nodiscard]] auto LoadObjectFiles(const std::vector<std::string>& inputs)
+    -> Result<std::vector<ObjectFile>>;
+
+// Parses the files on several threads. The result is the same as that of one
+// reader that reads them in order.
+[[nodiscard]] auto ParseObjectFiles(const std::vector<ObjectFile>& files)
+    -> ObjectReader;
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_COMMAND_OBJECT_FILES_H_
--- a/Source/Config/object_reader.cc
+++ b/Source/Config/object_reader.cc
@@ -1,6 +1,7 @@
 #include "Config/object_reader.h"
 
 #include <chrono>
+#include <iterator>
 #include <utility>
 
 #include "Config/object_fields.h"
@@ -149,8 +150,25 @@
   return object;
 }
 
+template <typename T>
+void MoveTo(std::vector<T>& target, std::vector<T>& source) {
+  target.insert(target.end(), std::make_move_iterator(source.begin()),
+                std::make_move_iterator(source.end()));
+}
+
 }  // namespace
 
+void ObjectReader::Append(ObjectReader other) {
+  MoveTo(objects_.data_centres, other.objects_.data_centres);
+  MoveTo(objects_.contracts, other.objects_.contracts);
+  MoveTo(objects_.limits, other.objects_.limits);
+  MoveTo(objects_.services, other.objects_.services);
+  MoveTo(objects_.groups, other.objects_.groups);
+  MoveTo(objects_.placements, other.objects_.placements);
+  MoveTo(findings_, other.findings_);
+  is_complete_ = is_complete_ && other.is_complete_;
+}
+
 void ObjectReader::Read(const std::string& text, const std::string& file) {
   const auto findings_before = findings_.size();
   const auto documents = ParseYaml(text, file, findings_);
--- a/Source/Config/object_reader.h
+++ b/Source/Config/object_reader.h
@@ -16,6 +16,9 @@
   // Reads the documents of one file. `file` is the name shown in findings.
   void Read(const std::string& text, const std::string& file);
 
+  // Adds what another reader has read, as if this one had read it next.
+  void Append(ObjectReader other);
+
   [[nodiscard]] auto objects() const -> const ObjectSet& { return objects_; }
   [[nodiscard]] auto findings() const -> const Findings& { return findings_; }
 
--- a/Source/Config/published_value.cc
+++ b/Source/Config/published_value.cc
@@ -30,9 +30,9 @@
   return std::string(kShardKeyPrefix) + ToString(digest);
 }
 
-// Puts the digest in front of the members of a JSON object.
-auto WithDigest(const Json& members) -> std::string {
-  const auto rest = members.dump().substr(1);
+// Puts the digest in front of the members of a JSON object; `rest` is the text
+// of the object after its opening brace.
+auto WithDigest(const std::string& rest) -> std::string {
   return std::string(kOpening) + ToString(Digest(HashBytes(rest))) +
          std::string(kAfterDigest) + rest;
 }
@@ -114,8 +114,8 @@
   auto index = PublishedIndex{
       config.version, config.digest, config.published, config.data_centres, {}};
   auto values = std::vector<PublishedValue>();
-  for (const auto& members : SplitIntoShards(config.services)) {
-    auto body = WithDigest(Json{{"services", members}});
+  for (const auto& services : SplitIntoShards(config.services)) {
+    auto body = WithDigest("\"services\":" + services + "}");
     const auto digest =
         *ParseDigest(body.substr(kOpening.size(), kDigestTextLength));
     auto key = KeyOfShard(digest);
@@ -131,10 +131,11 @@
   for (const auto& data_centre : index.data_centres) {
     data_centres.push_back(DataCentreToJson(data_centre));
   }
-  return WithDigest(Json{{"version", index.version.value()},
+  const auto json = Json{{"version", index.version.value()},
                          {"published", ToUnixMillis(index.published)},
                          {"data_centres", std::move(data_centres)},
-                         {"shards", JoinDigests(index.shards)}});
+                         {"shards", JoinDigests(index.shards)}};
+  return WithDigest(json.dump().substr(1));
 }
 
 auto DecodeIndex(std::string_view body) -> Result<PublishedIndex> {
--- a/Source/Config/shard_split.cc
+++ b/Source/Config/shard_split.cc
@@ -4,7 +4,7 @@
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <numeric>
-#include <utility>
+#include <string>
 
 #include "Config/service_codec.h"
 
@@ -16,8 +16,7 @@
 
 struct EncodedService {
   std::uint64_t id = 0;
-  std::size_t bytes = 0;
-  nlohmann::json json;
+  std::string text;
 };
 
 using Iterator = std::vector<EncodedService>::iterator;
@@ -25,24 +24,28 @@
 auto BytesOf(Iterator begin, Iterator end) -> std::size_t {
   return std::accumulate(begin, end, std::size_t{0},
                          [](std::size_t sum, const EncodedService& service) {
-                           return sum + service.bytes;
+                           return sum + service.text.size();
                          });
 }
 
+auto Join(Iterator begin, Iterator end) -> std::string {
+  auto text = std::string("[");
+  for (auto at = begin; at != end; ++at) {
+    text += (at == begin ? "" : ",") + at->text;
+  }
+  return text + "]";
+}
+
 // Appends the shards of the services in [begin, end), whose ids agree in their
 // first `depth` bits.
 void Split(Iterator begin, Iterator end, int depth,
-           std::vector<nlohmann::json>& shards) {
+           std::vector<std::string>& shards) {
   if (begin == end) {
     return;
   }
   const auto is_small = BytesOf(begin, end) <= kTargetShardBytes;
   if (is_small || end - begin == 1 || depth == kIdBits) {
-    auto shard = nlohmann::json::array();
-    for (auto at = begin; at != end; ++at) {
-      shard.push_back(std::move(at->json));
-    }
-    shards.push_back(std::move(shard));
+    shards.push_back(Join(begin, end));
     return;
   }
   const auto bit = std::uint64_t{1} << (kIdBits - 1 - depth);
@@ -57,16 +60,14 @@
 
 auto SplitIntoShards(
     const std::vector<std::shared_ptr<const Service>>& services)
-    -> std::vector<nlohmann::json> {
+    -> std::vector<std::string> {
   auto encoded = std::vector<EncodedService>();
   encoded.reserve(services.size());
   for (const auto& service : services) {
-    auto json = ServiceToJson(*service);
-    const auto bytes = json.dump().size();
     encoded.push_back(
-        EncodedService{service->id.value(), bytes, std::move(json)});
+        EncodedService{service->id.value(), ServiceToJson(*service).dump()});
   }
-  auto shards = std::vector<nlohmann::json>();
+  auto shards = std::vector<std::string>();
   Split(encoded.begin(), encoded.end(), 0, shards);
   return shards;
 }
--- a/Source/Config/shard_split.h
+++ b/Source/Config/shard_split.h
@@ -3,7 +3,7 @@
 
 #include <cstddef>
 #include <memory>
-#include <nlohmann/json_fwd.hpp>
+#include <string>
 #include <vector>
 
 #include "Config/fleet_config.h"
@@ -15,10 +15,10 @@
 
 // Splits services, sorted by id, into shards: each holds the services whose
 // ids share a prefix, and a change of one service changes one shard, or two
-// when a shard splits. Returns each shard's services as a JSON array.
+// when a shard splits. Returns the text of each shard's services, a JSON array.
 [[nodiscard]] auto SplitIntoShards(
     const std::vector<std::shared_ptr<const Service>>& services)
-    -> std::vector<nlohmann::json>;
+    -> std::vector<std::string>;
 
 }  // namespace hemlockwick
 
