--- a/Source/Request/at_most_once.cc
+++ b/Source/Request/at_most_once.cc
@@ -233,4 +233,9 @@
   return stats;
 }
 
+auto AtMostOnce::Describe() const -> std::string {
+  return "keys " + ledger_.Describe() + " home " + watch_.Describe() +
+         " claims " + claims_.Describe() + (is_leaving_ ? " leaving" : "");
+}
+
 }  // namespace hemlockwick
--- a/Source/Request/at_most_once.h
+++ b/Source/Request/at_most_once.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <string>
 #include <vector>
 
 #include "Config/fleet_config.h"
@@ -76,6 +77,9 @@
   [[nodiscard]] auto size() const -> std::size_t { return ledger_.size(); }
   [[nodiscard]] auto stats() const -> AtMostOnceStats;
 
+  // Text of the state, for diagnosis; equal for equal states.
+  [[nodiscard]] auto Describe() const -> std::string;
+
  private:
   // Parts of a hand-over that have arrived.
   struct Arriving {
--- a/Source/Request/key_claims.cc
+++ b/Source/Request/key_claims.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <sstream>
 #include <utility>
 
 namespace hemlockwick {
@@ -276,4 +277,27 @@
   SendSettlement(settlements_.back(), now, actions);
 }
 
+auto KeyClaims::Describe() const -> std::string {
+  auto text = std::ostringstream();
+  for (const auto& [id, claim] : claims_) {
+    text << id.value() << (claim.is_held ? "held" : "open") << " sends "
+         << ToUnixMillis(claim.next_send) << " ends "
+         << ToUnixMillis(claim.gives_up);
+    for (const auto& group : claim.groups) {
+      text << " |";
+      for (const auto& home : group) {
+        text << " " << home.instance.value() << "="
+             << (home.has_answered ? static_cast<int>(home.state) : -1);
+      }
+    }
+    text << " of " << claim.contacted.size() << ";";
+  }
+  for (const auto& settlement : settlements_) {
+    text << " settles " << settlement.message.request.value() << "="
+         << static_cast<int>(settlement.message.state) << " x"
+         << settlement.sends_left << "@" << ToUnixMillis(settlement.next_send);
+  }
+  return text.str();
+}
+
 }  // namespace hemlockwick
--- a/Source/Request/key_claims.h
+++ b/Source/Request/key_claims.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstddef>
 #include <map>
+#include <string>
 #include <vector>
 
 #include "Core/ids.h"
@@ -75,6 +76,9 @@
   void Settle(RequestId request, KeyState state, const MemberView& view,
               TimePoint now, KeyActions& actions);
 
+  // Text of the state, for diagnosis; equal for equal states.
+  [[nodiscard]] auto Describe() const -> std::string;
+
   // Claims that are undecided or held.
   [[nodiscard]] auto size() const -> std::size_t { return claims_.size(); }
 
--- a/Source/Request/key_home_watch.cc
+++ b/Source/Request/key_home_watch.cc
@@ -2,12 +2,13 @@
 
 #include <algorithm>
 #include <iterator>
+#include <sstream>
 #include <utility>
 
 namespace hemlockwick {
 
-KeyHomeWatch::KeyHomeWatch(InstanceId self, TimePoint started)
-    : self_(self), knows_since_(started), last_call_(started) {}
+KeyHomeWatch::KeyHomeWatch(InstanceId self, TimePoint knows_since)
+    : self_(self), knows_since_(knows_since) {}
 
 void KeyHomeWatch::OnMembers(const MemberView& view, TimePoint now) {
   NoteTime(now);
@@ -61,10 +62,10 @@
 }
 
 void KeyHomeWatch::NoteTime(TimePoint now) {
-  if (last_call_ + kViewLag <= now) {
+  if (last_call_ && *last_call_ + kViewLag <= now) {
     knows_since_ = now;
   }
-  last_call_ = std::max(last_call_, now);
+  last_call_ = std::max(last_call(), now);
 }
 
 void KeyHomeWatch::OnHandOver(InstanceId from, TimePoint knows_since,
@@ -150,4 +151,19 @@
   return since;
 }
 
+auto KeyHomeWatch::Describe() const -> std::string {
+  auto text = std::ostringstream();
+  text << ToUnixMillis(knows_since_) << "/" << ToUnixMillis(last_call());
+  for (const auto& member : neighbours_) {
+    text << " n" << member.id.value();
+  }
+  for (const auto& [id, departure] : departed_) {
+    text << " d" << id.value() << "@" << ToUnixMillis(departure.seen);
+  }
+  for (const auto& [id, hand_over] : handed_over_) {
+    text << " h" << id.value() << "@" << ToUnixMillis(hand_over.knows_since);
+  }
+  return text.str();
+}
+
 }  // namespace hemlockwick
--- a/Source/Request/key_home_watch.h
+++ b/Source/Request/key_home_watch.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "Core/ids.h"
@@ -20,7 +21,7 @@
 // Decides at a home whether it would know of every earlier claim of a key.
 class KeyHomeWatch {
  public:
-  KeyHomeWatch(InstanceId self, TimePoint started);
+  KeyHomeWatch(InstanceId self, TimePoint knows_since);
 
   void OnMembers(const MemberView& view, TimePoint now);
 
@@ -38,7 +39,13 @@
   [[nodiscard]] auto CanVouch(IdempotencyKey key, Duration memory,
                               TimePoint now) const -> bool;
 
-  [[nodiscard]] auto last_call() const -> TimePoint { return last_call_; }
+  // Text of the state, for diagnosis; equal for equal states.
+  [[nodiscard]] auto Describe() const -> std::string;
+
+  // When NoteTime was called last; the epoch before the first call.
+  [[nodiscard]] auto last_call() const -> TimePoint {
+    return last_call_.value_or(TimePoint());
+  }
 
   // Since when the keys of this home are complete, for a hand-over.
   [[nodiscard]] auto KnowsSince() const -> TimePoint;
@@ -73,7 +80,7 @@
 
   InstanceId self_;
   TimePoint knows_since_;
-  TimePoint last_call_;
+  std::optional<TimePoint> last_call_;
   std::optional<DataCentreId> data_centre_;
   std::vector<Member> neighbours_;  // Others that serve in this data centre.
   std::map<InstanceId, Departure> departed_;
--- a/Source/Request/key_ledger.cc
+++ b/Source/Request/key_ledger.cc
@@ -1,6 +1,7 @@
 #include "Request/key_ledger.h"
 
 #include <algorithm>
+#include <sstream>
 
 namespace hemlockwick {
 
@@ -124,6 +125,17 @@
   }
 }
 
+auto KeyLedger::Describe() const -> std::string {
+  auto text = std::ostringstream();
+  for (const auto& [expires, key] : by_expiry_) {
+    const auto& entry = entries_.at(key);
+    text << key.value() << ":" << entry.claimant.value() << "/"
+         << entry.request.value() << "=" << static_cast<int>(entry.state) << "@"
+         << ToUnixMillis(entry.deadline) << "-" << ToUnixMillis(expires) << ";";
+  }
+  return text.str();
+}
+
 auto KeyLedger::Find(IdempotencyKey key, TimePoint now) -> Entry* {
   const auto found = entries_.find(key);
   if (found == entries_.end()) {
--- a/Source/Request/key_ledger.h
+++ b/Source/Request/key_ledger.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <optional>
 #include <set>
+#include <string>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -47,6 +48,9 @@
   // Forgets entries whose time has passed.
   void Expire(TimePoint now);
 
+  // Text of the entries, for diagnosis; equal for equal contents.
+  [[nodiscard]] auto Describe() const -> std::string;
+
   [[nodiscard]] auto size() const -> std::size_t { return entries_.size(); }
   [[nodiscard]] auto refused() const -> std::uint64_t { return refused_; }
 
