--- a/Source/Runtime/inbox.h
+++ b/Source/Runtime/inbox.h
@@ -16,7 +16,7 @@
  public:
   void Push(Input input) {
     {
-      const auto lock = std::lock_guard(mutex_);
+      const std::lock_guard lock(mutex_);
       waiting_.push_back(std::move(input));
     }
     arrived_.notify_one();
@@ -24,7 +24,7 @@
 
   // Waits up to `wait` for an input and takes all that have arrived, in order.
   auto TakeAll(Duration wait) -> std::vector<Input> {
-    auto lock = std::unique_lock(mutex_);
+    std::unique_lock lock(mutex_);
     arrived_.wait_for(lock, wait, [this] { return !waiting_.empty(); });
     return std::exchange(waiting_, {});
   }
--- a/Source/Runtime/instance.cc
+++ b/Source/Runtime/instance.cc
@@ -7,6 +7,7 @@
 #include "Runtime/control_loop.h"
 #include "Runtime/http_server.h"
 #include "Runtime/json_rpc.h"
+#include "Runtime/log.h"
 #include "Runtime/metrics.h"
 #include "Runtime/operations.h"
 #include "Runtime/request_headers.h"
@@ -140,6 +141,8 @@
   }
 
   void OnSendFailed(const PeerMessage& message) {
+    Log(LogLevel::kDebug, "message not taken",
+        {{"to", ToString(message.address)}, {"plane", message.plane}});
     inbox_.Push(SendFailure{message.to});
   }
 
@@ -164,7 +167,11 @@
           }
           return true;
         },
-        [](const Error&) { return false; });
+        [&envelope](const Error& error) {
+          Log(LogLevel::kWarning, "message refused",
+              {{"plane", envelope.plane}, {"error", error.message}});
+          return false;
+        });
   }
 
   const ServeSettings settings_;
--- a/Source/Runtime/request_gateway.cc
+++ b/Source/Runtime/request_gateway.cc
@@ -156,7 +156,7 @@
   return std::move(*pending.result);
 }
 
-void RequestGateway::Run(RequestActions actions) {
+void RequestGateway::Run(const RequestActions& actions) {
   for (const auto& action : actions) {
     std::visit([this](const auto& step) { Carry(step); }, action);
   }
--- a/Source/Runtime/request_gateway.h
+++ b/Source/Runtime/request_gateway.h
@@ -51,7 +51,7 @@
   using PendingPtr = std::shared_ptr<Pending>;
 
   // The following need mutex_.
-  void Run(RequestActions actions);
+  void Run(const RequestActions& actions);
   void Carry(const DispatchRequest& dispatch);
   void Carry(const RefuseRequest& refusal);
   void Carry(const DeliverAnswer& answer);
--- a/Source/Runtime/settings.cc
+++ b/Source/Runtime/settings.cc
@@ -13,7 +13,7 @@
 #include <sstream>
 #include <utility>
 
-#include "Runtime/nearest_name.h"
+#include "Config/nearest_name.h"
 
 namespace hemlockwick {
 
--- /dev/null
+++ b/Tests/Fuzz/gue_fuzzer.cc
@@ -0,0 +1,25 @@
+// libFuzzer target for the packet decoder. What it finds belongs into
+// GueCorpus and, as a case, into Tests/Runtime/gue_codec_test.cc.
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+#include <variant>
+
+#include "Runtime/gue_codec.h"
+
+extern "C" auto LLVMFuzzerTestOneInput(const std::uint8_t* data,
+                                       std::size_t size) -> int {
+  const auto datagram = hemlockwick::Bytes(data, size);
+  const auto decoded = hemlockwick::DecodeGue(datagram);
+  const auto* const packet = std::get_if<hemlockwick::GuePacket>(&decoded);
+  if (packet == nullptr) {
+    return 0;
+  }
+  const auto inner = packet->inner;
+  const auto within = inner.data() >= datagram.data() &&
+                      inner.data() + inner.size() <= datagram.data() + size;
+  if (!within) {
+    std::abort();
+  }
+  return 0;
+}
--- a/Tests/Runtime/gue_codec_test.cc
+++ b/Tests/Runtime/gue_codec_test.cc
@@ -4,7 +4,11 @@
 
 #include <algorithm>
 #include <array>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
 #include <memory>
+#include <vector>
 
 #include "Core/random.h"
 #include "Runtime/packet_bytes.h"
@@ -175,12 +179,32 @@
   cr_assert_leq(packet->packet.relay.stage, RelayStage::kAskPeer);
 }
 
+auto ReadCorpus() -> std::vector<ByteVector> {
+  auto corpus = std::vector<ByteVector>();
+  for (const auto& entry :
+       std::filesystem::directory_iterator(HEMLOCKWICK_GUE_CORPUS)) {
+    auto file = std::ifstream(entry.path(), std::ios::binary);
+    corpus.emplace_back(std::istreambuf_iterator<char>(file),
+                        std::istreambuf_iterator<char>());
+  }
+  std::ranges::sort(corpus);
+  return corpus;
+}
+
+Test(gue_codec, decodes_the_corpus) {
+  const auto corpus = ReadCorpus();
+  cr_assert_geq(corpus.size(), 5);
+  const auto decoded = std::ranges::count_if(corpus, [](const auto& datagram) {
+    return std::holds_alternative<GuePacket>(Decode(datagram));
+  });
+  // All but the fragment.
+  cr_assert_eq(static_cast<std::size_t>(decoded), corpus.size() - 1);
+}
+
 Test(gue_codec, survives_seeded_mutations) {
   constexpr auto kRounds = 100'000;
   constexpr auto kSeed = std::uint64_t{20'260'101};
-  const auto corpus = std::vector{
-      Encapsulate(TcpPacket(kSynFlag)), Encapsulate(UdpPacket()),
-      WithMark({1, RelayStage::kFirstHome, Version(7), {}}, TcpPacket(0))};
+  const auto corpus = ReadCorpus();
   auto random = Random(kSeed);
   for (auto round = 0; round < kRounds; ++round) {
     auto datagram = corpus[random.Below(corpus.size())];
--- a/Utilities/StandIn/platform.cc
+++ b/Utilities/StandIn/platform.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <ranges>
 #include <string_view>
 #include <utility>
 
@@ -83,7 +82,7 @@
 void PlatformStandIn::SetStale(bool stale) {
   Change([&] {
     stale_ = stale;
-    for (auto& versions : values_ | std::views::values) {
+    for (auto& [key, versions] : values_) {
       for (auto& value : versions) {
         value.visible_from = stale ? value.visible_from
                                    : std::min(value.visible_from, clock_.Now());
@@ -116,11 +115,10 @@
     return nullptr;
   }
   const auto now = clock_.Now();
-  const auto newest_first = found->second | std::views::reverse;
-  const auto visible = std::ranges::find_if(
-      newest_first,
+  const auto visible = std::find_if(
+      found->second.rbegin(), found->second.rend(),
       [now](const Value& value) { return value.visible_from <= now; });
-  return visible == newest_first.end() ? nullptr : &*visible;
+  return visible == found->second.rend() ? nullptr : &*visible;
 }
 
 auto PlatformStandIn::Answer(const HttpCall& call) -> HttpResponse {
