Flow: Let new homes ask the former ones

A restarted home had no record of flows that opened in its absence and sent them to the earliest owner. It now asks the members that were homes before, also those that are about to stop.

--- a/Source/Flow/flow_router_impl.cc
+++ b/Source/Flow/flow_router_impl.cc
@@ -119,6 +119,11 @@
   if (config_ == nullptr) {
     return;
   }
+  auto running = RunningMembersOf(view_, *config_);
+  if (running != running_) {
+    running_ = std::move(running);
+    changed_ = true;
+  }
   auto members = HomeMembersOf(view_, *config_, leaving_since_.has_value());
   if (homes_ != nullptr && homes_->members() == members) {
     return;
@@ -130,6 +135,10 @@
   if (before != nullptr) {
     RememberHomes(before, now);
     QueueRecords(*before, now);
+  } else {
+    // The homes before this instance started.
+    RememberHomes(
+        std::make_shared<const HomeTable>(WithoutSelf(*homes_, self_)), now);
   }
 }
 
@@ -191,6 +200,7 @@
   next->tables = tables_.by_address();
   next->quarantined = tables_.quarantined();
   next->homes = homes_;
+  next->running = running_;
   for (const auto& former : former_homes_) {
     next->former_homes.push_back(former.table);
   }
@@ -264,7 +274,13 @@
     return;
   }
   next_expiry_ = now + kExpiryInterval;
-  records_.RemoveIf([this, now](const FlowRecord& record) {
+  const auto may_forget = hand_overs_.empty() && homes_ != nullptr;
+  records_.RemoveIf([this, may_forget, now](const FlowRecord& record) {
+    // A former home's copy must not outlive the flow and meet its successor.
+    if (may_forget && !IsHome(record.flow) &&
+        IsOlderThan(record.last_seen_seconds, kFormerHomeTime, now)) {
+      return true;
+    }
     const auto* table = tables_.Find(record.service);
     const auto idle =
         table == nullptr ? kUnknownServiceIdle : table->service().idle_timeout;
@@ -277,6 +293,12 @@
   });
 }
 
+auto FlowRouter::Impl::IsHome(FlowKey flow) const -> bool {
+  const auto homes = homes_->HomesOf(flow);
+  return (homes.first != nullptr && homes.first->id == self_) ||
+         (homes.second != nullptr && homes.second->id == self_);
+}
+
 auto FlowRouter::Impl::OnMessage(InstanceId from, const FlowMessage& message,
                                  TimePoint now) -> FlowActions {
   if (const auto* ack = std::get_if<HandOverAck>(&message)) {
--- a/Source/Flow/flow_router_impl.h
+++ b/Source/Flow/flow_router_impl.h
@@ -54,6 +54,7 @@
   void UpdatePartition(TimePoint now);
   void TakeConflicts();
   void ExpireRecords(TimePoint now);
+  auto IsHome(FlowKey flow) const -> bool;
   void TakeRecord(const HandedRecord& record);
   void Publish(TimePoint now);
 
@@ -65,6 +66,7 @@
   MemberView view_;
   TableSet tables_;
   std::shared_ptr<const HomeTable> homes_;
+  std::vector<HomeMember> running_;
   std::deque<FormerHomes> former_homes_;  // Newest first.
   HandOverQueue hand_overs_;
   TimePoint next_expiry_;
--- a/Source/Flow/flow_snapshot.h
+++ b/Source/Flow/flow_snapshot.h
@@ -25,6 +25,8 @@
   std::shared_ptr<const HomeTable> homes;
   // Home tables before recent changes of members, newest first.
   std::vector<std::shared_ptr<const HomeTable>> former_homes;
+  // Members that answer packets: the homes and those about to stop.
+  std::vector<HomeMember> running;
   // Data centres whose endpoints take no new flows now.
   std::vector<DataCentreId> unreachable;
   // Whether flows may live that opened on both sides of a partition, so that
--- a/Source/Flow/home_table.cc
+++ b/Source/Flow/home_table.cc
@@ -90,21 +90,31 @@
   return nullptr;
 }
 
-auto HomeMembersOf(const MemberView& view, const FleetConfig& config,
-                   bool self_leaves) -> std::vector<HomeMember> {
+auto RunningMembersOf(const MemberView& view, const FleetConfig& config)
+    -> std::vector<HomeMember> {
   const auto own_region = RegionOf(config, view.data_centre);
-  auto homes = std::vector<HomeMember>();
+  auto running = std::vector<HomeMember>();
   for (const auto& member : view.members) {
-    const auto leaves = self_leaves && member.id == view.self;
     const auto is_self = member.id == view.self;
     const auto reached = is_self || !IsUnreachable(view, member.data_centre);
     const auto near = RegionOf(config, member.data_centre) == own_region;
-    if (IsServing(member.state) && reached && near && !leaves) {
-      homes.push_back({member.id, member.data_centre, member.packet_address,
-                       member.http_address, member.started,
-                       member.state == MemberState::kSuspect});
+    if (member.state != MemberState::kDead && reached && near) {
+      running.push_back({member.id, member.data_centre, member.packet_address,
+                         member.http_address, member.started,
+                         member.state == MemberState::kSuspect});
     }
   }
+  return running;
+}
+
+auto HomeMembersOf(const MemberView& view, const FleetConfig& config,
+                   bool self_leaves) -> std::vector<HomeMember> {
+  auto homes = RunningMembersOf(view, config);
+  std::erase_if(homes, [&view, self_leaves](const HomeMember& home) {
+    const auto* member = FindMember(view, home.id);
+    const auto leaves = self_leaves && home.id == view.self;
+    return leaves || !IsServing(member->state);
+  });
   return homes;
 }
 
--- a/Source/Flow/home_table.h
+++ b/Source/Flow/home_table.h
@@ -65,8 +65,13 @@
   std::vector<Slot> slots_;
 };
 
-// The members of `view` that can be homes: serving, reachable and in the
-// region of the view's own data centre. Leaves out self when `self_leaves`.
+// The members of `view` that run and are reachable, in the region of the view's
+// own data centre; those about to stop included.
+[[nodiscard]] auto RunningMembersOf(const MemberView& view,
+                                    const FleetConfig& config)
+    -> std::vector<HomeMember>;
+
+// The running members that can be homes. Leaves out self when `self_leaves`.
 [[nodiscard]] auto HomeMembersOf(const MemberView& view,
                                  const FleetConfig& config, bool self_leaves)
     -> std::vector<HomeMember>;
--- a/Source/Flow/packet_decision.cc
+++ b/Source/Flow/packet_decision.cc
@@ -156,15 +156,16 @@
 }
 
 auto PacketDecision::UnknownAtFirstHome() -> FlowAction {
-  if (fresh_) {
+  const auto from_second = packet_.relay.stage == RelayStage::kFirstHome;
+  if (fresh_ && from_second) {
     return AskFormerHome();
   }
-  // A home that was away lets the other one decide.
-  const auto from_second = packet_.relay.stage == RelayStage::kFirstHome;
-  if (from_second && homes_.second != nullptr && !IsSelf(homes_.second)) {
+  // The second home has not been asked yet, or this home was away and lets the
+  // second one decide.
+  if (homes_.second != nullptr && !IsSelf(homes_.second)) {
     return Relay(*homes_.second, RelayStage::kAskPeer, kUnknownOwner);
   }
-  return Refuse(DropReason::kNoEndpoint);
+  return fresh_ ? AskFormerHome() : Refuse(DropReason::kNoEndpoint);
 }
 
 auto PacketDecision::AskFormerHome() -> FlowAction {
@@ -190,7 +191,7 @@
   if (!fresh_) {
     return Refuse(DropReason::kNoEndpoint);
   }
-  // The other home was away and sent the packet back.
+  // The first home does not know the flow.
   const auto returned = IsSelf(homes_.second);
   return returned ? AskFormerHome() : Forward(table_.EarliestOwnerOf(bucket_));
 }
@@ -250,6 +251,7 @@
 // Returns false when the flow needs a record and there is no room for it.
 auto PacketDecision::Record(EndpointId owner) -> bool {
   if (!NeedsRecord(owner)) {
+    records_.Remove(packet_.flow);
     return true;
   }
   const auto nearly_full = records_.NearlyFull(packet_.flow);
@@ -284,7 +286,7 @@
   for (const auto& table : snapshot_.former_homes) {
     const auto former = table->HomesOf(packet_.flow);
     for (const auto* member : {former.first, former.second}) {
-      if (usable(member) && snapshot_.homes->Find(*member) != nullptr) {
+      if (usable(member) && IsRunning(*member)) {
         return member;
       }
     }
@@ -292,6 +294,14 @@
   return nullptr;
 }
 
+auto PacketDecision::IsRunning(const HomeMember& member) const -> bool {
+  return std::any_of(
+      snapshot_.running.begin(), snapshot_.running.end(),
+      [&member](const HomeMember& running) {
+        return running.id == member.id && running.started == member.started;
+      });
+}
+
 auto PacketDecision::Forward(OwnerIndex owner) const -> FlowAction {
   if (owner == kNoOwner) {
     return DropPacket{DropReason::kNoEndpoint};
--- a/Source/Flow/packet_decision.h
+++ b/Source/Flow/packet_decision.h
@@ -46,6 +46,7 @@
   auto MayDoWithout(EndpointId owner) const -> bool;
   auto Record(EndpointId owner) -> bool;
   auto FormerHome() const -> const HomeMember*;
+  auto IsRunning(const HomeMember& member) const -> bool;
 
   auto Forward(OwnerIndex owner) const -> FlowAction;
   auto ForwardTo(EndpointId owner) -> FlowAction;
