--- a/Source/Flow/packet_decision.cc
+++ b/Source/Flow/packet_decision.cc
@@ -75,6 +75,11 @@
     return AtFirstHome();
   }
   const auto record = records_.Touch(packet_.flow, packet_.closes, now_);
+  const auto is_second = homes_.second == nullptr || IsSelf(homes_.second);
+  if (!is_second && (packet_.opens || !record)) {
+    // The sender has an older view of the members.
+    return Relay(*homes_.second, RelayStage::kSecondHome, kUnknownOwner);
+  }
   if (packet_.opens) {
     return OpenAtSecondHome(record);
   }
@@ -329,11 +334,11 @@
 
 // Forwards by way of the second home when that does not know the flow.
 auto PacketDecision::ForwardAndTeach(EndpointId owner) -> FlowAction {
-  const auto from_second = packet_.relay.stage == RelayStage::kFirstHome;
+  const auto asked = packet_.relay.stage == RelayStage::kAskPeer;
   const auto has_second = homes_.second != nullptr && !IsSelf(homes_.second) &&
                           !homes_.second->suspect;
   const auto has_hops = packet_.relay.hops < kMaxRelayHops;
-  if (from_second && has_second && has_hops && NeedsRecord(owner)) {
+  if (!asked && has_second && has_hops && NeedsRecord(owner)) {
     return Relay(*homes_.second, RelayStage::kAskPeer, owner);
   }
   return ForwardTo(owner);
