--- a/Source/Flow/packet_decision.cc
+++ b/Source/Flow/packet_decision.cc
@@ -75,6 +75,11 @@
     return AtFirstHome();
   }
   const auto record = records_.Touch(packet_.flow, packet_.closes, now_);
+  const auto is_second = homes_.second == nullptr || IsSelf(homes_.second);
+  if (!is_second && (packet_.opens || !record)) {
+    // The sender has an older view of the members.
+    return Relay(*homes_.second, RelayStage::kSecondHome, kUnknownOwner);
+  }
   if (packet_.opens) {
     return OpenAtSecondHome(record);
   }
@@ -156,15 +161,16 @@
 }
 
 auto PacketDecision::UnknownAtFirstHome() -> FlowAction {
-  if (fresh_) {
+  const auto from_second = packet_.relay.stage == RelayStage::kFirstHome;
+  if (fresh_ && from_second) {
     return AskFormerHome();
   }
-  // A home that was away lets the other one decide.
-  const auto from_second = packet_.relay.stage == RelayStage::kFirstHome;
-  if (from_second && homes_.second != nullptr && !IsSelf(homes_.second)) {
+  // The second home has not been asked yet, or this home was away and lets the
+  // second one decide.
+  if (homes_.second != nullptr && !IsSelf(homes_.second)) {
     return Relay(*homes_.second, RelayStage::kAskPeer, kUnknownOwner);
   }
-  return Refuse(DropReason::kNoEndpoint);
+  return fresh_ ? AskFormerHome() : Refuse(DropReason::kNoEndpoint);
 }
 
 auto PacketDecision::AskFormerHome() -> FlowAction {
@@ -190,7 +196,7 @@
   if (!fresh_) {
     return Refuse(DropReason::kNoEndpoint);
   }
-  // The other home was away and sent the packet back.
+  // The first home does not know the flow.
   const auto returned = IsSelf(homes_.second);
   return returned ? AskFormerHome() : Forward(table_.EarliestOwnerOf(bucket_));
 }
@@ -250,6 +256,7 @@
 // Returns false when the flow needs a record and there is no room for it.
 auto PacketDecision::Record(EndpointId owner) -> bool {
   if (!NeedsRecord(owner)) {
+    records_.Remove(packet_.flow);
     return true;
   }
   const auto nearly_full = records_.NearlyFull(packet_.flow);
@@ -284,7 +291,7 @@
   for (const auto& table : snapshot_.former_homes) {
     const auto former = table->HomesOf(packet_.flow);
     for (const auto* member : {former.first, former.second}) {
-      if (usable(member) && snapshot_.homes->Find(*member) != nullptr) {
+      if (usable(member) && IsRunning(*member)) {
         return member;
       }
     }
@@ -292,6 +299,14 @@
   return nullptr;
 }
 
+auto PacketDecision::IsRunning(const HomeMember& member) const -> bool {
+  return std::any_of(
+      snapshot_.running.begin(), snapshot_.running.end(),
+      [&member](const HomeMember& running) {
+        return running.id == member.id && running.started == member.started;
+      });
+}
+
 auto PacketDecision::Forward(OwnerIndex owner) const -> FlowAction {
   if (owner == kNoOwner) {
     return DropPacket{DropReason::kNoEndpoint};
@@ -319,11 +334,11 @@
 
 // Forwards by way of the second home when that does not know the flow.
 auto PacketDecision::ForwardAndTeach(EndpointId owner) -> FlowAction {
-  const auto from_second = packet_.relay.stage == RelayStage::kFirstHome;
+  const auto asked = packet_.relay.stage == RelayStage::kAskPeer;
   const auto has_second = homes_.second != nullptr && !IsSelf(homes_.second) &&
                           !homes_.second->suspect;
   const auto has_hops = packet_.relay.hops < kMaxRelayHops;
-  if (from_second && has_second && has_hops && NeedsRecord(owner)) {
+  if (!asked && has_second && has_hops && NeedsRecord(owner)) {
     return Relay(*homes_.second, RelayStage::kAskPeer, owner);
   }
   return ForwardTo(owner);
