Fleet: Watch members by heartbeats instead of probes

Cause: A probe and its answer once a second cost two messages. Change: Each member sends one heartbeat to the next of a ring and watches the one before.

--- a/Source/Fleet/config_sync.cc
+++ b/Source/Fleet/config_sync.cc
@@ -14,7 +14,7 @@
 
 // Peers told of a new version at once, and again a little later for those that
 // missed it.
-constexpr std::size_t kFirstAnnouncements = 3;
+constexpr std::size_t kFirstAnnouncements = 2;
 constexpr std::size_t kLaterAnnouncements = 2;
 constexpr Duration kLaterAnnouncement = std::chrono::milliseconds(400);
 
@@ -45,7 +45,7 @@
 void ConfigSync::OnTick(TimePoint now) {
   if (now >= announce_at_) {
     announce_at_ = TimePoint::max();
-    Announce(kLaterAnnouncements, now);
+    state_.SendNews(kLaterAnnouncements, now);
   }
   if (is_held_) {
     Proceed(now);
@@ -137,6 +137,13 @@
   Proceed(now);
 }
 
+void ConfigSync::OnNews(InstanceId from, const Gossip& gossip, TimePoint now) {
+  if (gossip.version < state_.store.version()) {
+    state_.SendNewsTo(from, now);
+  }
+  OnAdvertised(from, gossip.version, gossip.digest, now);
+}
+
 void ConfigSync::OnAdvertised(InstanceId from, Version version, Digest digest,
                               TimePoint now) {
   if (version == Version() || !IsWanted(version, digest, now) ||
@@ -271,8 +278,11 @@
   state_.events.Record(EventKind::kVersionAccepted, version, "", now);
   state_.events.Record(EventKind::kVersionInForce, version, "", now);
   state_.outbox.Add(ConfigInForce{state_.store.config()});
-  Announce(kFirstAnnouncements, now);
-  announce_at_ = now + kLaterAnnouncement;
+  state_.SendNews(kFirstAnnouncements, now);
+  // In a large fleet the heartbeats reach those that missed it.
+  if (state_.members.near_peers().size() <= kSingleRingMembers) {
+    announce_at_ = now + kLaterAnnouncement;
+  }
   if (advertised_.version > state_.store.version()) {
     StartFetch(now);
   }
@@ -294,15 +304,6 @@
   state_.outbox.Add(ConfigRefused{version, reason});
 }
 
-void ConfigSync::Announce(std::size_t count, TimePoint now) {
-  for (const auto peer :
-       state_.Sample(state_.members.near_peers(), count, InstanceId())) {
-    state_.outbox.Send(state_.members.Find(peer)->member,
-                       state_.Compose<Gossip>(peer, now), TrafficClass::kNews,
-                       now);
-  }
-}
-
 void ConfigSync::OnFetch(InstanceId from, const ConfigFetch& fetch,
                          TimePoint now) {
   const auto* record = state_.members.Find(from);
--- a/Source/Fleet/config_sync.h
+++ b/Source/Fleet/config_sync.h
@@ -34,6 +34,9 @@
   // A peer says which version it has in force.
   void OnAdvertised(InstanceId from, Version version, Digest digest,
                     TimePoint now);
+
+  // Takes an unanswered message, and tells a sender that is behind.
+  void OnNews(InstanceId from, const Gossip& gossip, TimePoint now);
   void OnFetch(InstanceId from, const ConfigFetch& fetch, TimePoint now);
   void OnOffer(InstanceId from, const ConfigOffer& offer, TimePoint now);
   void OnSendFailed(InstanceId to, TimePoint now);
@@ -58,7 +61,6 @@
               TimePoint now);
   void OnIndexBody(const std::string& body, bool from_platform, TimePoint now);
   auto IsWanted(Version version, Digest digest, TimePoint now) -> bool;
-  void Announce(std::size_t count, TimePoint now);
   [[nodiscard]] auto MayAccept(TimePoint now) const -> bool;
   [[nodiscard]] auto HasWork() const -> bool;
 
--- a/Source/Fleet/failure_detector.cc
+++ b/Source/Fleet/failure_detector.cc
@@ -8,12 +8,12 @@
 namespace {
 
 // Rounds of a verification are this far apart.
-constexpr Duration kRoundInterval = std::chrono::milliseconds(200);
+constexpr Duration kRoundInterval = std::chrono::milliseconds(150);
 
 // Rounds without an answer after which the member is published as suspected.
-constexpr int kRoundsBeforeSuspicion = 1;
+constexpr int kRoundsBeforeSuspicion = 2;
 
-// Peers that probe on this instance's behalf in each round.
+// Peers that probe on this instance's behalf in each round but the first.
 constexpr std::size_t kHelpers = 3;
 
 // A member that others suspect for longer than this is verified anew, since
@@ -30,8 +30,11 @@
 constexpr Duration kIntroductionInterval = std::chrono::milliseconds(300);
 constexpr Duration kIntroductionTime = std::chrono::seconds(3);
 
-// In a large fleet every second period probes one more peer.
-constexpr std::uint64_t kExtraProbePeriods = 2;
+// In a large fleet one of this many periods probes one more peer.
+constexpr std::uint64_t kExtraProbePeriods = 4;
+
+// How often a heartbeat carries the sender's own record in full.
+constexpr std::uint64_t kSelfUpdatePeriods = 16;
 
 // Members of a repair page in an answer to a peer that knows others.
 constexpr std::size_t kPageMembers = 6;
@@ -46,7 +49,7 @@
       started_(now),
       next_period_(now +
                    Duration(static_cast<Duration::rep>(state.random.Below(
-                       static_cast<std::uint64_t>(kProbePeriod.count()))))),
+                       static_cast<std::uint64_t>(kHeartbeatPeriod.count()))))),
       next_introduction_(now) {}
 
 void FailureDetector::OnTick(TimePoint now) {
@@ -61,14 +64,20 @@
   }
   ExpireProbes(now);
   if (now >= next_period_) {
-    next_period_ = now + kProbePeriod;
-    ProbePeriodically(now);
+    next_period_ = now + kHeartbeatPeriod;
+    RunPeriod(now);
   }
+  Watch(now);
   RunVerifications(now);
 }
 
 auto FailureDetector::NextTick() const -> TimePoint {
   auto next = std::min(next_period_, next_introduction_);
+  const auto* watched = state_.members.Find(watched_);
+  if (watched != nullptr && !verifications_.contains(watched_)) {
+    next = std::min(
+        next, std::max(watched->heard, watched_since_) + kHeartbeatTimeout);
+  }
   for (const auto& [sequence, probe] : pending_) {
     next = std::min(next, probe.expires);
   }
@@ -107,7 +116,6 @@
   }
   auto probe = state_.Compose<Probe>(target, now);
   probe.sequence = next_sequence_++;
-  probe.member_digest = state_.members.LocalDigest();
   if (!introduced_.contains(target)) {
     probe.updates.insert(probe.updates.begin(), state_.members.UpdateOf(self));
   }
@@ -124,23 +132,47 @@
   return sequence;
 }
 
-void FailureDetector::ProbePeriodically(TimePoint now) {
+void FailureDetector::RunPeriod(TimePoint now) {
   ++periods_;
   state_.view_changed = state_.members.Expire(now) || state_.view_changed;
-  const auto& successors = state_.members.Successors();
-  const auto next = FirstUnsuspected(successors);
-  if (next != InstanceId()) {
-    SendProbe(next, now);
-  }
+  SendHeartbeat(now);
   const auto is_large = state_.members.peers().size() >= kSingleRingMembers;
   if (is_large && periods_ % kExtraProbePeriods == 0) {
     ProbeAnother(now);
   }
   ProbeSuspect(now);
-  VerifyLongSuspected(successors, now);
+  VerifyLongSuspected(state_.members.predecessors(), now);
   VerifyLongSuspected(state_.members.far_peers(), now);
 }
 
+void FailureDetector::SendHeartbeat(TimePoint now) {
+  const auto* next =
+      state_.members.Find(FirstUnsuspected(state_.members.successors()));
+  if (next == nullptr) {
+    return;
+  }
+  auto heartbeat = state_.Compose<Gossip>(next->member.id, now);
+  if (periods_ % kSelfUpdatePeriods == 0) {
+    heartbeat.updates.push_back(state_.members.UpdateOf(state_.members.self()));
+  }
+  state_.outbox.Send(next->member, std::move(heartbeat), TrafficClass::kProbe,
+                     now);
+}
+
+// Starts to verify the member before this one when its heartbeats are missing.
+void FailureDetector::Watch(TimePoint now) {
+  const auto previous = FirstUnsuspected(state_.members.predecessors());
+  if (previous != watched_) {
+    watched_ = previous;
+    watched_since_ = now;
+  }
+  const auto* record = state_.members.Find(watched_);
+  if (record != nullptr &&
+      now - std::max(record->heard, watched_since_) >= kHeartbeatTimeout) {
+    Verify(watched_, now, now + kVerificationTime, now);
+  }
+}
+
 auto FailureDetector::FirstUnsuspected(const std::vector<InstanceId>& ids) const
     -> InstanceId {
   for (const auto id : ids) {
@@ -195,22 +227,25 @@
     const auto is_known_silent =
         record == nullptr || record->member.state == MemberState::kSuspect ||
         record->member.state == MemberState::kDead;
-    if (probe.requester == InstanceId() && !is_known_silent) {
-      Verify(probe.target, probe.sent, now);
+    if (probe.requester != InstanceId()) {
+      // Tells the requester that it is not itself cut off.
+      state_.SendNewsTo(probe.requester, now);
+    } else if (!is_known_silent) {
+      Verify(probe.target, probe.sent, probe.sent + kDeathTimeout, now);
     }
   }
 }
 
 void FailureDetector::Verify(InstanceId target, TimePoint started,
-                             TimePoint now) {
-  verifications_.try_emplace(target, Verification{started, now, 0});
+                             TimePoint deadline, TimePoint now) {
+  verifications_.try_emplace(target, Verification{started, deadline, now, 0});
 }
 
 void FailureDetector::VerifyDataCentre(DataCentreId id, TimePoint now) {
   for (const auto peer : state_.members.peers()) {
     const auto& member = state_.members.Find(peer)->member;
     if (member.data_centre == id && member.state == MemberState::kAlive) {
-      Verify(peer, now, now);
+      Verify(peer, now, now + kDeathTimeout, now);
     }
   }
 }
@@ -222,7 +257,7 @@
     if (record->member.state == MemberState::kSuspect &&
         now - record->state_since > kSuspicionReview &&
         !state_.members.IsUnreachable(record->member.data_centre)) {
-      Verify(id, now, now);
+      Verify(id, now, now + kDeathTimeout, now);
     }
   }
 }
@@ -238,7 +273,7 @@
                             record->member.state == MemberState::kDead ||
                             (record->heard >= verification.started &&
                              record->member.state != MemberState::kSuspect);
-    if (is_settled || now - verification.started >= kDeathTimeout) {
+    if (is_settled || now >= verification.deadline) {
       concluded.push_back(target);
     }
   }
@@ -267,9 +302,12 @@
       VerifyDataCentre(record->member.data_centre, now);
     }
   }
-  const auto conclusion = verification.started + kDeathTimeout;
-  verification.next_round = std::min(now + kRoundInterval, conclusion);
+  verification.next_round =
+      std::min(now + kRoundInterval, verification.deadline);
   SendProbe(target, now);
+  if (verification.rounds == 1) {
+    return;
+  }
   auto helpers = std::vector<InstanceId>();
   for (const auto peer : state_.members.peers()) {
     if (state_.members.Find(peer)->member.state == MemberState::kAlive) {
@@ -297,7 +335,7 @@
   if (record->heard >= verification.started) {
     if (record->member.state == MemberState::kSuspect) {
       // It answers, but has not refuted the suspicion yet.
-      Verify(target, now, now);
+      Verify(target, now, now + kDeathTimeout, now);
     }
     return;
   }
@@ -358,7 +396,7 @@
     ack.updates.push_back(state_.members.UpdateOf(*sender));
   }
   if (sender->member.data_centre == self.member.data_centre &&
-      probe.member_digest != state_.members.LocalDigest()) {
+      probe.member_digest != state_.members.RingDigest()) {
     const auto page = state_.members.NextPage(kPageMembers);
     ack.updates.insert(ack.updates.end(), page.begin(), page.end());
   }
@@ -368,7 +406,6 @@
 void FailureDetector::OnProbeAck(InstanceId from, const ProbeAck& ack,
                                  TimePoint now) {
   ++state_.answers;
-  state_.refreshed = now;
   introduced_.insert(from);
   const auto found = pending_.find(ack.sequence);
   if (found == pending_.end()) {
@@ -389,6 +426,25 @@
                      TrafficClass::kProbe, now);
 }
 
+// Repairs a peer that goes on naming other members than are known here.
+void FailureDetector::OnGossip(InstanceId from, const Gossip& gossip,
+                               TimePoint now) {
+  if (gossip.member_digest == state_.members.RingDigest()) {
+    differing_.erase(from);
+    return;
+  }
+  const auto* sender = state_.members.Find(from);
+  if (differing_.insert(from).second || sender == nullptr) {
+    return;
+  }
+  differing_.erase(from);
+  auto repair = state_.Compose<Gossip>(from, now);
+  const auto page = state_.members.NextPage(kPageMembers);
+  repair.updates.insert(repair.updates.end(), page.begin(), page.end());
+  state_.outbox.Send(sender->member, std::move(repair), TrafficClass::kNews,
+                     now);
+}
+
 void FailureDetector::OnProbeRequest(InstanceId from,
                                      const ProbeRequest& request,
                                      TimePoint now) {
@@ -398,7 +454,6 @@
   }
   auto probe = state_.Compose<Probe>(request.target, now);
   probe.sequence = next_sequence_++;
-  probe.member_digest = state_.members.LocalDigest();
   probe.updates.push_back(state_.members.UpdateOf(state_.members.self()));
   auto suspicion = MemberUpdate{target->member, target->listed};
   suspicion.member.name.clear();
@@ -425,18 +480,10 @@
 void FailureDetector::OnPause(TimePoint now) {
   pending_.clear();
   verifications_.clear();
-  next_period_ = now + kProbePeriod;
+  next_period_ = now;
+  watched_since_ = now;
   state_.heard = now;
   Introduce(kIntroductions, now);
 }
 
-void FailureDetector::SendNews(std::size_t count, TimePoint now) {
-  for (const auto peer :
-       state_.Sample(state_.members.near_peers(), count, InstanceId())) {
-    state_.outbox.Send(state_.members.Find(peer)->member,
-                       state_.Compose<Gossip>(peer, now), TrafficClass::kNews,
-                       now);
-  }
-}
-
 }  // namespace hemlockwick
--- a/Source/Fleet/failure_detector.h
+++ b/Source/Fleet/failure_detector.h
@@ -11,19 +11,27 @@
 
 namespace hemlockwick {
 
-// Time between two probes of the next member in the ring.
-inline constexpr Duration kProbePeriod = std::chrono::milliseconds(1000);
+// Time between two heartbeats to the next member in the ring.
+inline constexpr Duration kHeartbeatPeriod = std::chrono::milliseconds(1000);
+
+// A member before this one in the ring that has sent nothing for this long is
+// verified.
+inline constexpr Duration kHeartbeatTimeout = std::chrono::milliseconds(1300);
+
+// And declared dead when it does not answer for this long after that. Together
+// longer than a heartbeat delayed by a pause of a second.
+inline constexpr Duration kVerificationTime = std::chrono::milliseconds(1100);
 
 // An answer later than this starts a verification.
 inline constexpr Duration kProbeTimeout = std::chrono::milliseconds(200);
 
-// A member is declared dead when it has not answered for this long after the
-// first probe that it missed. Longer than a pause of a second.
+// A member outside the ring's watch is declared dead when it has not answered
+// for this long after the first probe that it missed.
 inline constexpr Duration kDeathTimeout = std::chrono::milliseconds(1600);
 
-// Probes members, verifies silence by way of others and declares deaths.
-// Each member is probed once a period by the one before it in a ring, so
-// that the cost does not depend on the number of members.
+// Sends heartbeats to the next member of a ring, watches the one before,
+// verifies silence by probes of its own and of others, and declares deaths.
+// The cost does not depend on the number of members.
 class FailureDetector {
  public:
   FailureDetector(NodeState& state, std::vector<SocketAddress> seeds,
@@ -34,6 +42,7 @@
 
   void OnProbe(InstanceId from, const Probe& probe, TimePoint now);
   void OnProbeAck(InstanceId from, const ProbeAck& ack, TimePoint now);
+  void OnGossip(InstanceId from, const Gossip& gossip, TimePoint now);
   void OnProbeRequest(InstanceId from, const ProbeRequest& request,
                       TimePoint now);
   void OnSendFailed(InstanceId to, TimePoint now);
@@ -42,9 +51,6 @@
   // process was paused, and asks several peers at once.
   void OnPause(TimePoint now);
 
-  // Sends recent member updates to `count` peers.
-  void SendNews(std::size_t count, TimePoint now);
-
  private:
   struct PendingProbe {
     InstanceId target;
@@ -56,17 +62,21 @@
   };
   struct Verification {
     TimePoint started;
+    TimePoint deadline;
     TimePoint next_round;
     int rounds = 0;
   };
 
   auto SendProbe(InstanceId target, TimePoint now) -> std::uint64_t;
   void Introduce(std::size_t count, TimePoint now);
-  void ProbePeriodically(TimePoint now);
+  void RunPeriod(TimePoint now);
+  void SendHeartbeat(TimePoint now);
+  void Watch(TimePoint now);
   void ProbeAnother(TimePoint now);
   void ProbeSuspect(TimePoint now);
   void ExpireProbes(TimePoint now);
-  void Verify(InstanceId target, TimePoint started, TimePoint now);
+  void Verify(InstanceId target, TimePoint started, TimePoint deadline,
+              TimePoint now);
   void VerifyDataCentre(DataCentreId id, TimePoint now);
   void VerifyLongSuspected(const std::vector<InstanceId>& candidates,
                            TimePoint now);
@@ -84,6 +94,11 @@
   TimePoint next_period_;
   TimePoint next_introduction_;
   std::uint64_t periods_ = 0;
+  // The member whose heartbeats are awaited, and since when.
+  InstanceId watched_;
+  TimePoint watched_since_;
+  // Peers whose last heartbeat named other members than are known here.
+  std::set<InstanceId> differing_;
   std::uint64_t next_sequence_ = 1;
   std::map<std::uint64_t, PendingProbe> pending_;
   std::map<InstanceId, Verification> verifications_;
--- a/Source/Fleet/fleet_message.cc
+++ b/Source/Fleet/fleet_message.cc
@@ -180,7 +180,9 @@
 }
 
 auto ToJson(const Gossip& message) -> json {
-  return CommonFields("gossip", message);
+  auto value = CommonFields("gossip", message);
+  value["members"] = message.member_digest;
+  return value;
 }
 
 auto ToProbe(const json& value) -> FleetMessage {
@@ -196,6 +198,12 @@
   return message;
 }
 
+auto ToGossip(const json& value) -> FleetMessage {
+  auto message = ReadCommonFields<Gossip>(value);
+  message.member_digest = value.at("members").get<std::uint64_t>();
+  return message;
+}
+
 auto ToProbeRequest(const json& value) -> FleetMessage {
   return ProbeRequest{value.at("seq").get<std::uint64_t>(),
                       InstanceId(value.at("target").get<std::uint64_t>()),
@@ -266,7 +274,7 @@
     return ToConfigOffer(value);
   }
   if (type == "gossip") {
-    return ReadCommonFields<Gossip>(value);
+    return ToGossip(value);
   }
   throw json::other_error::create(0, "unknown message type", &value);
 }
--- a/Source/Fleet/fleet_message.h
+++ b/Source/Fleet/fleet_message.h
@@ -33,7 +33,7 @@
   Digest digest;
   std::vector<MemberUpdate> updates;
   HlcStamp stamp;
-  // Hash over the members that the sender knows in its data centre.
+  // Hash over the members of the sender's ring.
   std::uint64_t member_digest = 0;
   // Time since an instance of the sender's data centre last had an answer of
   // the platform, as far as the sender has heard.
@@ -99,12 +99,13 @@
   std::optional<ConfigDelta> delta;
 };
 
-// News that is not answered: member updates and the sender's version.
+// A heartbeat or news, not answered when the receiver has nothing newer.
 struct Gossip {
   Version version;
   Digest digest;
   std::vector<MemberUpdate> updates;
   HlcStamp stamp;
+  std::uint64_t member_digest = 0;
   Duration platform_age{0};
 };
 
--- a/Source/Fleet/fleet_node.cc
+++ b/Source/Fleet/fleet_node.cc
@@ -93,7 +93,7 @@
     Enter(now);
     state_.members.Leave(now);
     state_.view_changed = true;
-    detector_.SendNews(kLeaveFanOut, now);
+    state_.SendNews(kLeaveFanOut, now);
     return Leave(now);
   }
 
@@ -130,7 +130,7 @@
 
   auto Leave(TimePoint now) -> FleetActions {
     if (state_.members.TakeUrgent()) {
-      detector_.SendNews(kNewsFanOut, now);
+      state_.SendNews(kNewsFanOut, now);
     }
     PublishView(now);
     next_tick_ =
@@ -256,7 +256,8 @@
   }
   void Take(InstanceId from, const Gossip& gossip, TimePoint now) {
     state_.Absorb(from, gossip, now);
-    sync_.OnAdvertised(from, gossip.version, gossip.digest, now);
+    detector_.OnGossip(from, gossip, now);
+    sync_.OnNews(from, gossip, now);
   }
 
   NodeState state_;
--- a/Source/Fleet/member_table.cc
+++ b/Source/Fleet/member_table.cc
@@ -19,7 +19,9 @@
 // Instances of a data centre that probe the same contact elsewhere.
 constexpr std::size_t kProbersPerContact = 2;
 
-constexpr std::size_t kSuccessors = 3;
+// Members known before and after this instance in the ring: enough to pass
+// over those of an unreachable data centre.
+constexpr std::size_t kNeighbours = 16;
 
 // A claim of death is not taken over of a member that this instance has heard
 // itself within this time: a death is only declared after a longer silence.
@@ -32,6 +34,20 @@
   return MixWords(id.value(), salt);
 }
 
+// The kNeighbours first ids by `distance`.
+template <typename Distance>
+auto Nearest(std::vector<InstanceId> ids, const Distance& distance)
+    -> std::vector<InstanceId> {
+  const auto count = std::min(kNeighbours, ids.size());
+  std::partial_sort(ids.begin(),
+                    ids.begin() + static_cast<std::ptrdiff_t>(count), ids.end(),
+                    [&distance](InstanceId left, InstanceId right) {
+                      return distance(left) < distance(right);
+                    });
+  ids.resize(count);
+  return ids;
+}
+
 auto IsGone(const MemberRecord& record) -> bool {
   return record.member.state == MemberState::kDead;
 }
@@ -287,8 +303,8 @@
     -> std::vector<MemberUpdate> {
   Select();
   const auto* receiver = Find(to);
-  const auto is_far =
-      receiver != nullptr && receiver->member.data_centre != data_centre_;
+  const auto is_far = !IsSingleRing() && receiver != nullptr &&
+                      receiver->member.data_centre != data_centre_;
   auto candidates = std::vector<MemberRecord*>();
   for (auto& [id, record] : records_) {
     const auto is_wanted =
@@ -322,7 +338,7 @@
     }
     page_position_ = position->first;
     const auto& record = position->second;
-    if (record.member.data_centre == data_centre_) {
+    if (IsSingleRing() || record.member.data_centre == data_centre_) {
       updates.push_back(UpdateOf(record));
     }
     if (updates.size() == count) {
@@ -353,11 +369,16 @@
   return far_peers_;
 }
 
-auto MemberTable::Successors() const -> const std::vector<InstanceId>& {
+auto MemberTable::successors() const -> const std::vector<InstanceId>& {
   Select();
   return successors_;
 }
 
+auto MemberTable::predecessors() const -> const std::vector<InstanceId>& {
+  Select();
+  return predecessors_;
+}
+
 auto MemberTable::IsReader(std::size_t count) const -> bool {
   Select();
   const auto rank = RankOf(self_, kReaderSalt);
@@ -374,12 +395,12 @@
   return local_.size();
 }
 
-auto MemberTable::LocalDigest() const -> std::uint64_t {
+auto MemberTable::RingDigest() const -> std::uint64_t {
   Select();
-  std::uint64_t digest = 0;
-  for (const auto id : local_) {
-    const auto& record = records_.at(id);
-    digest ^= MixWords(id.value(), record.listed ? 1 : 0);
+  const auto& self = records_.at(self_);
+  auto digest = MixWords(self_.value(), self.listed ? 1 : 0);
+  for (const auto id : near_peers_) {
+    digest ^= MixWords(id.value(), records_.at(id).listed ? 1 : 0);
   }
   return digest;
 }
@@ -441,25 +462,23 @@
   SelectFarPeers();
 }
 
+auto MemberTable::IsSingleRing() const -> bool {
+  return peers_.size() < kSingleRingMembers;
+}
+
 void MemberTable::SelectRing() const {
   near_peers_ = peers_;
-  if (peers_.size() >= kSingleRingMembers) {
+  if (!IsSingleRing()) {
     near_peers_ = local_;
     std::erase(near_peers_, self_);
   }
-  successors_ = near_peers_;
   const auto own_rank = RankOf(self_, kRingSalt);
-  const auto distance = [own_rank](InstanceId id) {
+  successors_ = Nearest(near_peers_, [own_rank](InstanceId id) {
     return RankOf(id, kRingSalt) - own_rank;
-  };
-  const auto count = std::min(kSuccessors, successors_.size());
-  std::partial_sort(successors_.begin(),
-                    successors_.begin() + static_cast<std::ptrdiff_t>(count),
-                    successors_.end(),
-                    [&distance](InstanceId left, InstanceId right) {
-                      return distance(left) < distance(right);
-                    });
-  successors_.resize(count);
+  });
+  predecessors_ = Nearest(near_peers_, [own_rank](InstanceId id) {
+    return own_rank - RankOf(id, kRingSalt);
+  });
 }
 
 void MemberTable::SelectFarPeers() const {
--- a/Source/Fleet/member_table.h
+++ b/Source/Fleet/member_table.h
@@ -68,8 +68,8 @@
   auto TakeUpdates(InstanceId to, std::size_t limit)
       -> std::vector<MemberUpdate>;
 
-  // `count` records of the own data centre in rotation, to repair a peer that
-  // lacks some.
+  // `count` records of the ring's members and its dead in rotation, to repair a
+  // peer that lacks some.
   auto NextPage(std::size_t count) -> std::vector<MemberUpdate>;
 
   [[nodiscard]] auto UpdateOf(const MemberRecord& record) const -> MemberUpdate;
@@ -87,8 +87,9 @@
   // Contacts in other data centres that this instance has to probe.
   [[nodiscard]] auto far_peers() const -> const std::vector<InstanceId>&;
 
-  // The next members of the ring after this instance.
-  [[nodiscard]] auto Successors() const -> const std::vector<InstanceId>&;
+  // The members of the ring after and before this instance, nearest first.
+  [[nodiscard]] auto successors() const -> const std::vector<InstanceId>&;
+  [[nodiscard]] auto predecessors() const -> const std::vector<InstanceId>&;
 
   // Whether this instance is among the `count` members of its data centre
   // that have to read the platform.
@@ -97,8 +98,8 @@
   // Living members of the own data centre, this instance included.
   [[nodiscard]] auto LocalCount() const -> std::size_t;
 
-  // Equal on instances that know the same members in the data centre.
-  [[nodiscard]] auto LocalDigest() const -> std::uint64_t;
+  // Equal on instances that know the same members of the ring.
+  [[nodiscard]] auto RingDigest() const -> std::uint64_t;
 
   // Whether every known member of the data centre is suspected or dead, at
   // least one suspected.
@@ -122,6 +123,7 @@
   [[nodiscard]] auto IsContact(const MemberRecord& record) const -> bool;
   void Select() const;
   void SelectRing() const;
+  [[nodiscard]] auto IsSingleRing() const -> bool;
   void SelectFarPeers() const;
 
   InstanceId self_;
@@ -139,6 +141,7 @@
   mutable std::vector<InstanceId> near_peers_;
   mutable std::vector<InstanceId> far_peers_;
   mutable std::vector<InstanceId> successors_;
+  mutable std::vector<InstanceId> predecessors_;
 };
 
 }  // namespace hemlockwick
--- a/Source/Fleet/node_state.cc
+++ b/Source/Fleet/node_state.cc
@@ -24,6 +24,20 @@
   return pool;
 }
 
+void NodeState::SendNews(std::size_t count, TimePoint now) {
+  for (const auto peer : Sample(members.near_peers(), count, InstanceId())) {
+    SendNewsTo(peer, now);
+  }
+}
+
+void NodeState::SendNewsTo(InstanceId peer, TimePoint now) {
+  const auto* record = members.Find(peer);
+  if (record != nullptr) {
+    outbox.Send(record->member, Compose<Gossip>(peer, now), TrafficClass::kNews,
+                now);
+  }
+}
+
 void NodeState::Observe(HlcStamp stamp, TimePoint now) {
   if (stamp.unix_millis <= ToUnixMillis(now + kMaxStampLead)) {
     events.Observe(stamp, now);
--- a/Source/Fleet/node_state.h
+++ b/Source/Fleet/node_state.h
@@ -41,7 +41,7 @@
   // Peers that have answered since the process started.
   std::size_t answers = 0;
 
-  // Last message received from any peer, and last answer to a probe.
+  // When a message of any peer last arrived, and when the latest was sent.
   TimePoint heard;
   TimePoint refreshed;
 
@@ -57,6 +57,9 @@
     message.updates = members.TakeUpdates(to, kUpdatesPerMessage);
     message.stamp = events.Stamp(now);
     message.platform_age = now - platform_heard;
+    if constexpr (requires { message.member_digest; }) {
+      message.member_digest = members.RingDigest();
+    }
     return message;
   }
 
@@ -64,6 +67,10 @@
   template <typename Message>
   void Absorb(InstanceId from, const Message& message, TimePoint now) {
     Observe(message.stamp, now);
+    // A message that waited while the process was suspended proves nothing
+    // about the time since.
+    refreshed = std::max(
+        refreshed, std::min(now, FromUnixMillis(message.stamp.unix_millis)));
     for (const auto& update : message.updates) {
       view_changed = members.Apply(update, now) || view_changed;
     }
@@ -75,6 +82,12 @@
     }
   }
 
+  // Sends recent member updates and the version to `count` peers.
+  void SendNews(std::size_t count, TimePoint now);
+
+  // Sends them to one peer.
+  void SendNewsTo(InstanceId peer, TimePoint now);
+
   // Up to `count` different peers out of `from`, chosen at random.
   auto Sample(const std::vector<InstanceId>& from, std::size_t count,
               InstanceId except) -> std::vector<InstanceId>;
--- a/Source/Fleet/outbox.cc
+++ b/Source/Fleet/outbox.cc
@@ -1,10 +1,16 @@
 #include "Fleet/outbox.h"
 
+#include <algorithm>
+
 namespace hemlockwick {
 
 auto Outbox::Send(const Member& to, FleetMessage message, TrafficClass traffic,
                   TimePoint now) -> bool {
-  const auto bytes = Encode(message).size() + kEnvelopeBytes;
+  const auto text = Encode(message);
+  const auto escaped = std::count_if(
+      text.begin(), text.end(), [](char c) { return c == '"' || c == '\\'; });
+  const auto bytes =
+      text.size() + static_cast<std::size_t>(escaped) + kEnvelopeBytes;
   if (!budget_.TryTake(bytes, traffic, now)) {
     return false;
   }
@@ -23,7 +29,7 @@
 
 void Outbox::Read(PlatformRead read, TimePoint now) {
   // A read is never held back here: the reader's own schedule bounds them.
-  (void)budget_.TryTake(read.key.size() + kEnvelopeBytes, TrafficClass::kProbe,
+  (void)budget_.TryTake(read.key.size() + kReadBytes, TrafficClass::kProbe,
                         now);
   Add(std::move(read));
 }
--- a/Source/Fleet/outbox.h
+++ b/Source/Fleet/outbox.h
@@ -13,8 +13,11 @@
 namespace hemlockwick {
 
 // Bytes that JSON-RPC and HTTP add to a message: request line, headers and
-// envelope both ways.
-inline constexpr std::uint64_t kEnvelopeBytes = 250;
+// envelope both ways. The message itself travels as escaped text.
+inline constexpr std::uint64_t kEnvelopeBytes = 450;
+
+// Bytes of a call of the platform besides the key.
+inline constexpr std::uint64_t kReadBytes = 200;
 
 // Collects the actions of one call and holds messages to the byte budget.
 class Outbox {
--- a/Source/Measure/slope_table.cc
+++ b/Source/Measure/slope_table.cc
@@ -14,10 +14,9 @@
 }
 
 auto SlopeTable::Find(std::string_view name) const -> Result<SlopeFit> {
-  const auto found = std::find_if(entries_.begin(), entries_.end(),
-                                  [name](const FittedSlope& entry) {
-                                    return entry.slope.name == name;
-                                  });
+  const auto found = std::find_if(
+      entries_.begin(), entries_.end(),
+      [name](const FittedSlope& entry) { return entry.slope.name == name; });
   if (found == entries_.end()) {
     return Fail(ErrorCode::kNotFound,
                 "no slope is called '" + std::string(name) + "'",
