--- a/Source/Flow/flow_router_impl.cc
+++ b/Source/Flow/flow_router_impl.cc
@@ -39,7 +39,7 @@
 
 // Whether `member` was a home of the flow before.
 auto WasHome(const Homes& before, const HomeMember& member) -> bool {
-  for (const auto* home : {before.first, before.second}) {
+  for (const auto* home : {before.first, before.second, before.third}) {
     if (home != nullptr && home->id == member.id &&
         home->started == member.started) {
       return true;
@@ -155,7 +155,7 @@
   records_.ForEach([this, &before](const FlowRecord& record) {
     const auto old_homes = before.HomesOf(record.flow);
     const auto homes = homes_->HomesOf(record.flow);
-    for (const auto* home : {homes.first, homes.second}) {
+    for (const auto* home : {homes.first, homes.second, homes.third}) {
       if (home != nullptr && home->id != self_ && !WasHome(old_homes, *home)) {
         hand_overs_.Add(*home, record.flow);
       }
@@ -295,8 +295,12 @@
 
 auto FlowRouter::Impl::IsHome(FlowKey flow) const -> bool {
   const auto homes = homes_->HomesOf(flow);
-  return (homes.first != nullptr && homes.first->id == self_) ||
-         (homes.second != nullptr && homes.second->id == self_);
+  for (const auto* home : {homes.first, homes.second, homes.third}) {
+    if (home != nullptr && home->id == self_) {
+      return true;
+    }
+  }
+  return false;
 }
 
 auto FlowRouter::Impl::OnMessage(InstanceId from, const FlowMessage& message,
--- a/Source/Flow/flow_timing.h
+++ b/Source/Flow/flow_timing.h
@@ -36,6 +36,10 @@
 // Former homes are still asked for this long after a change of members.
 inline constexpr Duration kFormerHomeTime = std::chrono::minutes(10);
 
+// The third home of a flow sees at least one packet in each such period in
+// which the flow has any.
+inline constexpr Duration kRefreshInterval = std::chrono::minutes(15);
+
 // A record whose flow has closed is kept for this long.
 inline constexpr Duration kClosingTime = std::chrono::minutes(2);
 
--- a/Source/Flow/packet_decision.cc
+++ b/Source/Flow/packet_decision.cc
@@ -56,7 +56,7 @@
   if (IsSelf(homes_.first) && !packet_.opens) {
     if (const auto record =
             records_.Touch(packet_.flow, packet_.closes, now_)) {
-      return ForwardTo(record->endpoint);
+      return ForwardAndRefresh(*record);
     }
   }
   if (homes_.second == nullptr) {
@@ -123,7 +123,7 @@
     return UnknownAtFirstHome();
   }
   Record(packet_.relay.known_owner);
-  return ForwardTo(packet_.relay.known_owner);
+  return ForwardByThirdHome(packet_.relay.known_owner);
 }
 
 auto PacketDecision::OpenAtFirstHome(const std::optional<FlowRecord>& record)
@@ -135,7 +135,7 @@
     if (!Record(packet_.relay.known_owner)) {
       return Refuse(DropReason::kOverLimit);
     }
-    return ForwardTo(packet_.relay.known_owner);
+    return ForwardByThirdHome(packet_.relay.known_owner);
   }
   const auto owner = ChooseOwner();
   if (owner == kNoOwner) {
@@ -157,7 +157,7 @@
     ++counters_.conflicts;
     conflicting_ = record;
   }
-  return ForwardTo(record.endpoint);
+  return ForwardAndRefresh(record);
 }
 
 auto PacketDecision::UnknownAtFirstHome() -> FlowAction {
@@ -185,10 +185,12 @@
   const auto record = records_.Touch(packet_.flow, packet_.closes, now_);
   const auto told = packet_.relay.known_owner;
   if (told != kUnknownOwner) {
-    if (!record || packet_.opens) {
+    const auto is_new = !record || packet_.opens;
+    if (is_new) {
       Record(told);
     }
-    return ForwardTo(told);
+    const auto from_first = IsSelf(homes_.second);
+    return is_new && from_first ? ForwardByThirdHome(told) : ForwardTo(told);
   }
   if (record) {
     return ForwardTo(record->endpoint);
@@ -197,8 +199,8 @@
     return Refuse(DropReason::kNoEndpoint);
   }
   // The first home does not know the flow.
-  const auto returned = IsSelf(homes_.second);
-  return returned ? AskFormerHome() : Forward(table_.EarliestOwnerOf(bucket_));
+  const auto is_home = IsSelf(homes_.second) || IsSelf(homes_.third);
+  return is_home ? AskFormerHome() : Forward(table_.EarliestOwnerOf(bucket_));
 }
 
 auto PacketDecision::ChooseOwner() const -> OwnerIndex {
@@ -285,7 +287,7 @@
            (homes_.first == nullptr || member->id != homes_.first->id) &&
            (homes_.second == nullptr || member->id != homes_.second->id);
   };
-  if (snapshot_.after_partition && usable(homes_.third)) {
+  if (!snapshot_.former_homes.empty() && usable(homes_.third)) {
     return homes_.third;
   }
   for (const auto& table : snapshot_.former_homes) {
@@ -332,6 +334,31 @@
   return Refuse(DropReason::kNoEndpoint);
 }
 
+// Forwards by way of the third home, which records the flow too, so that every
+// data centre knows it.
+auto PacketDecision::ForwardByThirdHome(EndpointId owner) -> FlowAction {
+  const auto has_third = homes_.third != nullptr && !IsSelf(homes_.third) &&
+                         !homes_.third->suspect;
+  const auto has_hops = packet_.relay.hops < kMaxRelayHops;
+  if (has_third && has_hops && NeedsRecord(owner)) {
+    return Relay(*homes_.third, RelayStage::kAskPeer, owner);
+  }
+  return ForwardTo(owner);
+}
+
+// Visits the third home once in each kRefreshInterval, so that its record does
+// not expire.
+auto PacketDecision::ForwardAndRefresh(const FlowRecord& record)
+    -> FlowAction {
+  constexpr auto kPeriod =
+      std::chrono::duration_cast<std::chrono::seconds>(kRefreshInterval)
+          .count();
+  const auto due = record.last_seen_seconds / kPeriod !=
+                   ToUnixSeconds(now_) / kPeriod;
+  return due || packet_.closes ? ForwardByThirdHome(record.endpoint)
+                               : ForwardTo(record.endpoint);
+}
+
 // Forwards by way of the second home when that does not know the flow.
 auto PacketDecision::ForwardAndTeach(EndpointId owner) -> FlowAction {
   const auto asked = packet_.relay.stage == RelayStage::kAskPeer;
--- a/Source/Flow/packet_decision.h
+++ b/Source/Flow/packet_decision.h
@@ -13,7 +13,8 @@
 namespace hemlockwick {
 
 // Decides one packet. Settled buckets are forwarded by the table alone; the
-// others go by way of the second and the first home, which keep the records.
+// others go by way of the second and the first home, which keep the records. A copy goes
+// to a third home in another data centre.
 class PacketDecision {
  public:
   // `fresh` tells whether the snapshot may be trusted for settled buckets.
@@ -50,6 +51,8 @@
 
   auto Forward(OwnerIndex owner) const -> FlowAction;
   auto ForwardTo(EndpointId owner) -> FlowAction;
+  auto ForwardByThirdHome(EndpointId owner) -> FlowAction;
+  auto ForwardAndRefresh(const FlowRecord& record) -> FlowAction;
   auto ForwardAndTeach(EndpointId owner) -> FlowAction;
   auto Relay(const HomeMember& to, RelayStage stage, EndpointId known_owner)
       -> FlowAction;
--- a/Source/Flow/record_table.cc
+++ b/Source/Flow/record_table.cc
@@ -68,6 +68,7 @@
   if (!record.used) {
     return std::nullopt;
   }
+  const auto before = record;
   const auto seconds = ToUnixSeconds(now);
   record.last_seen_seconds = std::max(record.last_seen_seconds, seconds);
   if (closes) {
@@ -75,7 +76,7 @@
   } else if (seconds > record.closed_seconds + kHalfOpenSeconds) {
     record.closed_seconds = 0;
   }
-  return record;
+  return before;
 }
 
 auto RecordTable::Put(const FlowRecord& record) -> bool {
--- a/Source/Flow/record_table.h
+++ b/Source/Flow/record_table.h
@@ -40,7 +40,7 @@
 
   [[nodiscard]] auto Find(FlowKey flow) const -> std::optional<FlowRecord>;
 
-  // Notes a packet of the flow and returns its record.
+  // Notes a packet of the flow; returns the record as it was before.
   auto Touch(FlowKey flow, bool closes, TimePoint now)
       -> std::optional<FlowRecord>;
 
