Fleet: Spread only news, at most five times a second

Cause: A cold start of 500 instances sent 195 KB/s per instance in its first second in a trial, since every instance passed on what each one reads itself. Change: What is learnt before the instance list is no news, and news is sent at most every 200 ms.

--- a/Source/Fleet/fleet_node.cc
+++ b/Source/Fleet/fleet_node.cc
@@ -23,6 +23,7 @@
 // Peers told of a birth, death or leave by the instance that finds it, and by
 // each that learns of it.
 constexpr std::size_t kNewsFanOut = 4;
+constexpr Duration kNewsSpacing = std::chrono::milliseconds(200);
 
 // Peers told of a planned stop.
 constexpr std::size_t kLeaveFanOut = 6;
@@ -130,6 +131,11 @@
 
   auto Leave(TimePoint now) -> FleetActions {
     if (state_.members.TakeUrgent()) {
+      news_at_ = std::min(news_at_, std::max(now, last_news_ + kNewsSpacing));
+    }
+    if (now >= news_at_) {
+      news_at_ = TimePoint::max();
+      last_news_ = now;
       state_.SendNews(kNewsFanOut, now);
     }
     PublishView(now);
@@ -269,6 +275,8 @@
   std::string list_problem_;
   TimePoint last_call_;
   TimePoint next_tick_;
+  TimePoint news_at_ = TimePoint::max();
+  TimePoint last_news_;
 };
 
 FleetNode::FleetNode(const FleetSettings& settings, EventLog& events,
--- a/Source/Fleet/member_table.cc
+++ b/Source/Fleet/member_table.cc
@@ -91,12 +91,16 @@
   }
   auto record = MemberRecord{member, update.listed, TimePoint(), now, 0};
   auto& inserted = records_.emplace(member.id, std::move(record)).first->second;
+  selected_ = false;
   list_known_ = list_known_ || update.listed;
-  Touch(inserted);
+  // What a starting instance learns before it has read the list is no news.
+  if (list_applied_) {
+    Touch(inserted);
+  }
   if (!IsPublished(inserted) || IsGone(inserted)) {
     return false;
   }
-  urgent_ = true;
+  urgent_ = urgent_ || list_applied_;
   events_.Record(EventKind::kMemberJoined, member.name, "", now);
   return true;
 }
@@ -125,6 +129,7 @@
     return false;
   }
   records_.erase(last);
+  spreading_.erase(last);
   return true;
 }
 
@@ -137,7 +142,10 @@
   if (newly_listed) {
     record.listed = true;
     list_known_ = true;
-    Touch(record);
+    selected_ = false;
+    if (list_applied_) {
+      Touch(record);
+    }
   }
   if (claim.state == MemberState::kDead &&
       now - record.heard < kHeardRecently) {
@@ -157,11 +165,11 @@
     if (before != known.state) {
       record.state_since = now;
       RecordChange(known, before, now);
+      Touch(record);
     }
-    Touch(record);
   }
   if (!was_published && IsPublished(record)) {
-    urgent_ = true;
+    urgent_ = urgent_ || list_applied_;
     events_.Record(EventKind::kMemberJoined, known.name, "", now);
   }
   return (is_newer || newly_listed) && IsPublished(record);
@@ -200,6 +208,7 @@
       applied->second.listed_leaving = instance.leaving;
     }
   }
+  list_applied_ = true;
   return changed;
 }
 
@@ -243,6 +252,7 @@
 
 void MemberTable::RecordChange(const Member& member, MemberState before,
                                TimePoint now) {
+  selected_ = false;
   // Suspicions are frequent under loss; in a large fleet they travel with the
   // probes only.
   const auto is_small = records_.size() <= kSingleRingMembers;
@@ -271,7 +281,7 @@
 void MemberTable::Touch(MemberRecord& record) {
   const auto doublings = std::bit_width(local_.size() + 1);
   record.sends_left = kSendsPerDoubling * static_cast<std::uint32_t>(doublings);
-  selected_ = false;
+  spreading_.insert(record.member.id);
 }
 
 auto MemberTable::IsPublished(const MemberRecord& record) const -> bool {
@@ -306,11 +316,12 @@
   const auto is_far = !IsSingleRing() && receiver != nullptr &&
                       receiver->member.data_centre != data_centre_;
   auto candidates = std::vector<MemberRecord*>();
-  for (auto& [id, record] : records_) {
+  for (const auto id : spreading_) {
+    auto& record = records_.at(id);
     const auto is_wanted =
         !is_far ||
         (record.member.data_centre == data_centre_ && IsContact(record));
-    if (record.sends_left > 0 && is_wanted && id != to) {
+    if (is_wanted && id != to) {
       candidates.push_back(&record);
     }
   }
@@ -323,8 +334,11 @@
                     });
   auto updates = std::vector<MemberUpdate>();
   for (std::size_t at = 0; at < count; ++at) {
-    --candidates[at]->sends_left;
-    updates.push_back(UpdateOf(*candidates[at]));
+    auto& record = *candidates[at];
+    updates.push_back(UpdateOf(record));
+    if (--record.sends_left == 0) {
+      spreading_.erase(record.member.id);
+    }
   }
   return updates;
 }
@@ -397,12 +411,7 @@
 
 auto MemberTable::RingDigest() const -> std::uint64_t {
   Select();
-  const auto& self = records_.at(self_);
-  auto digest = MixWords(self_.value(), self.listed ? 1 : 0);
-  for (const auto id : near_peers_) {
-    digest ^= MixWords(id.value(), records_.at(id).listed ? 1 : 0);
-  }
-  return digest;
+  return ring_digest_;
 }
 
 auto MemberTable::IsUnreachable(DataCentreId id) const -> bool {
@@ -479,6 +488,10 @@
   predecessors_ = Nearest(near_peers_, [own_rank](InstanceId id) {
     return own_rank - RankOf(id, kRingSalt);
   });
+  ring_digest_ = MixWords(self_.value(), records_.at(self_).listed ? 1 : 0);
+  for (const auto id : near_peers_) {
+    ring_digest_ ^= MixWords(id.value(), records_.at(id).listed ? 1 : 0);
+  }
 }
 
 void MemberTable::SelectFarPeers() const {
--- a/Source/Fleet/member_table.h
+++ b/Source/Fleet/member_table.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -130,9 +131,12 @@
   DataCentreId data_centre_;
   EventLog& events_;
   std::map<InstanceId, MemberRecord> records_;
-  bool list_known_ = false;
+  bool list_known_ = false;    // Some member is known to be listed.
+  bool list_applied_ = false;  // This instance has read the list itself.
   bool urgent_ = false;
   InstanceId page_position_;
+  // Members whose state still has to be carried in messages.
+  std::set<InstanceId> spreading_;
 
   // Selections over the records, remade when a record has changed.
   mutable bool selected_ = false;
@@ -142,6 +146,7 @@
   mutable std::vector<InstanceId> far_peers_;
   mutable std::vector<InstanceId> successors_;
   mutable std::vector<InstanceId> predecessors_;
+  mutable std::uint64_t ring_digest_ = 0;
 };
 
 }  // namespace hemlockwick
--- a/Source/Measure/fleet_simulation.cc
+++ b/Source/Measure/fleet_simulation.cc
@@ -23,7 +23,7 @@
 constexpr std::uint16_t kPacketPort = 6081;
 
 // Instances start within this time of each other.
-constexpr Duration kStartSpread = std::chrono::seconds(1);
+constexpr Duration kStartSpread = std::chrono::milliseconds(400);
 
 // The death of the process before counts for this long after a start.
 constexpr Duration kDeathMargin = std::chrono::seconds(6);
