--- a/Source/Fleet/member_table.cc
+++ b/Source/Fleet/member_table.cc
@@ -19,7 +19,9 @@
 // Instances of a data centre that probe the same contact elsewhere.
 constexpr std::size_t kProbersPerContact = 2;
 
-constexpr std::size_t kSuccessors = 3;
+// Members known before and after this instance in the ring: enough to pass
+// over those of an unreachable data centre.
+constexpr std::size_t kNeighbours = 16;
 
 // A claim of death is not taken over of a member that this instance has heard
 // itself within this time: a death is only declared after a longer silence.
@@ -32,6 +34,20 @@
   return MixWords(id.value(), salt);
 }
 
+// The kNeighbours first ids by `distance`.
+template <typename Distance>
+auto Nearest(std::vector<InstanceId> ids, const Distance& distance)
+    -> std::vector<InstanceId> {
+  const auto count = std::min(kNeighbours, ids.size());
+  std::partial_sort(ids.begin(),
+                    ids.begin() + static_cast<std::ptrdiff_t>(count), ids.end(),
+                    [&distance](InstanceId left, InstanceId right) {
+                      return distance(left) < distance(right);
+                    });
+  ids.resize(count);
+  return ids;
+}
+
 auto IsGone(const MemberRecord& record) -> bool {
   return record.member.state == MemberState::kDead;
 }
@@ -75,12 +91,16 @@
   }
   auto record = MemberRecord{member, update.listed, TimePoint(), now, 0};
   auto& inserted = records_.emplace(member.id, std::move(record)).first->second;
+  selected_ = false;
   list_known_ = list_known_ || update.listed;
-  Touch(inserted);
+  // What a starting instance learns before it has read the list is no news.
+  if (list_applied_) {
+    Touch(inserted);
+  }
   if (!IsPublished(inserted) || IsGone(inserted)) {
     return false;
   }
-  urgent_ = true;
+  urgent_ = urgent_ || list_applied_;
   events_.Record(EventKind::kMemberJoined, member.name, "", now);
   return true;
 }
@@ -109,6 +129,7 @@
     return false;
   }
   records_.erase(last);
+  spreading_.erase(last);
   return true;
 }
 
@@ -121,7 +142,10 @@
   if (newly_listed) {
     record.listed = true;
     list_known_ = true;
-    Touch(record);
+    selected_ = false;
+    if (list_applied_) {
+      Touch(record);
+    }
   }
   if (claim.state == MemberState::kDead &&
       now - record.heard < kHeardRecently) {
@@ -141,11 +165,11 @@
     if (before != known.state) {
       record.state_since = now;
       RecordChange(known, before, now);
+      Touch(record);
     }
-    Touch(record);
   }
   if (!was_published && IsPublished(record)) {
-    urgent_ = true;
+    urgent_ = urgent_ || list_applied_;
     events_.Record(EventKind::kMemberJoined, known.name, "", now);
   }
   return (is_newer || newly_listed) && IsPublished(record);
@@ -184,6 +208,7 @@
       applied->second.listed_leaving = instance.leaving;
     }
   }
+  list_applied_ = true;
   return changed;
 }
 
@@ -227,6 +252,7 @@
 
 void MemberTable::RecordChange(const Member& member, MemberState before,
                                TimePoint now) {
+  selected_ = false;
   // Suspicions are frequent under loss; in a large fleet they travel with the
   // probes only.
   const auto is_small = records_.size() <= kSingleRingMembers;
@@ -255,7 +281,7 @@
 void MemberTable::Touch(MemberRecord& record) {
   const auto doublings = std::bit_width(local_.size() + 1);
   record.sends_left = kSendsPerDoubling * static_cast<std::uint32_t>(doublings);
-  selected_ = false;
+  spreading_.insert(record.member.id);
 }
 
 auto MemberTable::IsPublished(const MemberRecord& record) const -> bool {
@@ -287,14 +313,15 @@
     -> std::vector<MemberUpdate> {
   Select();
   const auto* receiver = Find(to);
-  const auto is_far =
-      receiver != nullptr && receiver->member.data_centre != data_centre_;
+  const auto is_far = !IsSingleRing() && receiver != nullptr &&
+                      receiver->member.data_centre != data_centre_;
   auto candidates = std::vector<MemberRecord*>();
-  for (auto& [id, record] : records_) {
+  for (const auto id : spreading_) {
+    auto& record = records_.at(id);
     const auto is_wanted =
         !is_far ||
         (record.member.data_centre == data_centre_ && IsContact(record));
-    if (record.sends_left > 0 && is_wanted && id != to) {
+    if (is_wanted && id != to) {
       candidates.push_back(&record);
     }
   }
@@ -307,8 +334,11 @@
                     });
   auto updates = std::vector<MemberUpdate>();
   for (std::size_t at = 0; at < count; ++at) {
-    --candidates[at]->sends_left;
-    updates.push_back(UpdateOf(*candidates[at]));
+    auto& record = *candidates[at];
+    updates.push_back(UpdateOf(record));
+    if (--record.sends_left == 0) {
+      spreading_.erase(record.member.id);
+    }
   }
   return updates;
 }
@@ -322,7 +352,7 @@
     }
     page_position_ = position->first;
     const auto& record = position->second;
-    if (record.member.data_centre == data_centre_) {
+    if (IsSingleRing() || record.member.data_centre == data_centre_) {
       updates.push_back(UpdateOf(record));
     }
     if (updates.size() == count) {
@@ -353,11 +383,16 @@
   return far_peers_;
 }
 
-auto MemberTable::Successors() const -> const std::vector<InstanceId>& {
+auto MemberTable::successors() const -> const std::vector<InstanceId>& {
   Select();
   return successors_;
 }
 
+auto MemberTable::predecessors() const -> const std::vector<InstanceId>& {
+  Select();
+  return predecessors_;
+}
+
 auto MemberTable::IsReader(std::size_t count) const -> bool {
   Select();
   const auto rank = RankOf(self_, kReaderSalt);
@@ -374,14 +409,9 @@
   return local_.size();
 }
 
-auto MemberTable::LocalDigest() const -> std::uint64_t {
+auto MemberTable::RingDigest() const -> std::uint64_t {
   Select();
-  std::uint64_t digest = 0;
-  for (const auto id : local_) {
-    const auto& record = records_.at(id);
-    digest ^= MixWords(id.value(), record.listed ? 1 : 0);
-  }
-  return digest;
+  return ring_digest_;
 }
 
 auto MemberTable::IsUnreachable(DataCentreId id) const -> bool {
@@ -441,25 +471,27 @@
   SelectFarPeers();
 }
 
+auto MemberTable::IsSingleRing() const -> bool {
+  return peers_.size() < kSingleRingMembers;
+}
+
 void MemberTable::SelectRing() const {
   near_peers_ = peers_;
-  if (peers_.size() >= kSingleRingMembers) {
+  if (!IsSingleRing()) {
     near_peers_ = local_;
     std::erase(near_peers_, self_);
   }
-  successors_ = near_peers_;
   const auto own_rank = RankOf(self_, kRingSalt);
-  const auto distance = [own_rank](InstanceId id) {
+  successors_ = Nearest(near_peers_, [own_rank](InstanceId id) {
     return RankOf(id, kRingSalt) - own_rank;
-  };
-  const auto count = std::min(kSuccessors, successors_.size());
-  std::partial_sort(successors_.begin(),
-                    successors_.begin() + static_cast<std::ptrdiff_t>(count),
-                    successors_.end(),
-                    [&distance](InstanceId left, InstanceId right) {
-                      return distance(left) < distance(right);
-                    });
-  successors_.resize(count);
+  });
+  predecessors_ = Nearest(near_peers_, [own_rank](InstanceId id) {
+    return own_rank - RankOf(id, kRingSalt);
+  });
+  ring_digest_ = MixWords(self_.value(), records_.at(self_).listed ? 1 : 0);
+  for (const auto id : near_peers_) {
+    ring_digest_ ^= MixWords(id.value(), records_.at(id).listed ? 1 : 0);
+  }
 }
 
 void MemberTable::SelectFarPeers() const {
--- a/Source/Flow/packet_decision.cc
+++ b/Source/Flow/packet_decision.cc
@@ -56,7 +56,7 @@
   if (IsSelf(homes_.first) && !packet_.opens) {
     if (const auto record =
             records_.Touch(packet_.flow, packet_.closes, now_)) {
-      return ForwardTo(record->endpoint);
+      return ForwardAndRefresh(*record);
     }
   }
   if (homes_.second == nullptr) {
@@ -75,6 +75,11 @@
     return AtFirstHome();
   }
   const auto record = records_.Touch(packet_.flow, packet_.closes, now_);
+  const auto is_second = homes_.second == nullptr || IsSelf(homes_.second);
+  if (!is_second && (packet_.opens || !record)) {
+    // The sender has an older view of the members.
+    return Relay(*homes_.second, RelayStage::kSecondHome, kUnknownOwner);
+  }
   if (packet_.opens) {
     return OpenAtSecondHome(record);
   }
@@ -118,7 +123,7 @@
     return UnknownAtFirstHome();
   }
   Record(packet_.relay.known_owner);
-  return ForwardTo(packet_.relay.known_owner);
+  return ForwardByThirdHome(packet_.relay.known_owner);
 }
 
 auto PacketDecision::OpenAtFirstHome(const std::optional<FlowRecord>& record)
@@ -130,7 +135,7 @@
     if (!Record(packet_.relay.known_owner)) {
       return Refuse(DropReason::kOverLimit);
     }
-    return ForwardTo(packet_.relay.known_owner);
+    return ForwardByThirdHome(packet_.relay.known_owner);
   }
   const auto owner = ChooseOwner();
   if (owner == kNoOwner) {
@@ -152,19 +157,20 @@
     ++counters_.conflicts;
     conflicting_ = record;
   }
-  return ForwardTo(record.endpoint);
+  return ForwardAndRefresh(record);
 }
 
 auto PacketDecision::UnknownAtFirstHome() -> FlowAction {
-  if (fresh_) {
+  const auto from_second = packet_.relay.stage == RelayStage::kFirstHome;
+  if (fresh_ && from_second) {
     return AskFormerHome();
   }
-  // A home that was away lets the other one decide.
-  const auto from_second = packet_.relay.stage == RelayStage::kFirstHome;
-  if (from_second && homes_.second != nullptr && !IsSelf(homes_.second)) {
+  // The second home has not been asked yet, or this home was away and lets the
+  // second one decide.
+  if (homes_.second != nullptr && !IsSelf(homes_.second)) {
     return Relay(*homes_.second, RelayStage::kAskPeer, kUnknownOwner);
   }
-  return Refuse(DropReason::kNoEndpoint);
+  return fresh_ ? AskFormerHome() : Refuse(DropReason::kNoEndpoint);
 }
 
 auto PacketDecision::AskFormerHome() -> FlowAction {
@@ -179,10 +185,12 @@
   const auto record = records_.Touch(packet_.flow, packet_.closes, now_);
   const auto told = packet_.relay.known_owner;
   if (told != kUnknownOwner) {
-    if (!record || packet_.opens) {
+    const auto is_new = !record || packet_.opens;
+    if (is_new) {
       Record(told);
     }
-    return ForwardTo(told);
+    const auto from_first = IsSelf(homes_.second);
+    return is_new && from_first ? ForwardByThirdHome(told) : ForwardTo(told);
   }
   if (record) {
     return ForwardTo(record->endpoint);
@@ -190,9 +198,9 @@
   if (!fresh_) {
     return Refuse(DropReason::kNoEndpoint);
   }
-  // The other home was away and sent the packet back.
-  const auto returned = IsSelf(homes_.second);
-  return returned ? AskFormerHome() : Forward(table_.EarliestOwnerOf(bucket_));
+  // The first home does not know the flow.
+  const auto is_home = IsSelf(homes_.second) || IsSelf(homes_.third);
+  return is_home ? AskFormerHome() : Forward(table_.EarliestOwnerOf(bucket_));
 }
 
 auto PacketDecision::ChooseOwner() const -> OwnerIndex {
@@ -250,6 +258,7 @@
 // Returns false when the flow needs a record and there is no room for it.
 auto PacketDecision::Record(EndpointId owner) -> bool {
   if (!NeedsRecord(owner)) {
+    records_.Remove(packet_.flow);
     return true;
   }
   const auto nearly_full = records_.NearlyFull(packet_.flow);
@@ -278,13 +287,13 @@
            (homes_.first == nullptr || member->id != homes_.first->id) &&
            (homes_.second == nullptr || member->id != homes_.second->id);
   };
-  if (snapshot_.after_partition && usable(homes_.third)) {
+  if (!snapshot_.former_homes.empty() && usable(homes_.third)) {
     return homes_.third;
   }
   for (const auto& table : snapshot_.former_homes) {
     const auto former = table->HomesOf(packet_.flow);
     for (const auto* member : {former.first, former.second}) {
-      if (usable(member) && snapshot_.homes->Find(*member) != nullptr) {
+      if (usable(member) && IsRunning(*member)) {
         return member;
       }
     }
@@ -292,6 +301,14 @@
   return nullptr;
 }
 
+auto PacketDecision::IsRunning(const HomeMember& member) const -> bool {
+  return std::any_of(
+      snapshot_.running.begin(), snapshot_.running.end(),
+      [&member](const HomeMember& running) {
+        return running.id == member.id && running.started == member.started;
+      });
+}
+
 auto PacketDecision::Forward(OwnerIndex owner) const -> FlowAction {
   if (owner == kNoOwner) {
     return DropPacket{DropReason::kNoEndpoint};
@@ -317,13 +334,38 @@
   return Refuse(DropReason::kNoEndpoint);
 }
 
+// Forwards by way of the third home, which records the flow too, so that every
+// data centre knows it.
+auto PacketDecision::ForwardByThirdHome(EndpointId owner) -> FlowAction {
+  const auto has_third = homes_.third != nullptr && !IsSelf(homes_.third) &&
+                         !homes_.third->suspect;
+  const auto has_hops = packet_.relay.hops < kMaxRelayHops;
+  if (has_third && has_hops && NeedsRecord(owner)) {
+    return Relay(*homes_.third, RelayStage::kAskPeer, owner);
+  }
+  return ForwardTo(owner);
+}
+
+// Visits the third home once in each kRefreshInterval, so that its record does
+// not expire.
+auto PacketDecision::ForwardAndRefresh(const FlowRecord& record)
+    -> FlowAction {
+  constexpr auto kPeriod =
+      std::chrono::duration_cast<std::chrono::seconds>(kRefreshInterval)
+          .count();
+  const auto due = record.last_seen_seconds / kPeriod !=
+                   ToUnixSeconds(now_) / kPeriod;
+  return due || packet_.closes ? ForwardByThirdHome(record.endpoint)
+                               : ForwardTo(record.endpoint);
+}
+
 // Forwards by way of the second home when that does not know the flow.
 auto PacketDecision::ForwardAndTeach(EndpointId owner) -> FlowAction {
-  const auto from_second = packet_.relay.stage == RelayStage::kFirstHome;
+  const auto asked = packet_.relay.stage == RelayStage::kAskPeer;
   const auto has_second = homes_.second != nullptr && !IsSelf(homes_.second) &&
                           !homes_.second->suspect;
   const auto has_hops = packet_.relay.hops < kMaxRelayHops;
-  if (from_second && has_second && has_hops && NeedsRecord(owner)) {
+  if (!asked && has_second && has_hops && NeedsRecord(owner)) {
     return Relay(*homes_.second, RelayStage::kAskPeer, owner);
   }
   return ForwardTo(owner);
