Config: End the check at text that the YAML parser cannot consume

Cause: for a text such as ', a' the parser returned documents without end, and the check filled the memory; mutations of the corpus found it. Change: a document that does not start after the last one ends the file with a finding. The reader, check and codec have a libFuzzer target, a corpus and seeded mutations of it as an ordinary test.

--- a/Source/Config/yaml_node.cc
+++ b/Source/Config/yaml_node.cc
@@ -17,7 +17,14 @@
  public:
   auto TakeRoot() -> YamlNode { return std::move(root_); }
 
-  void OnDocumentStart(const YAML::Mark& /*mark*/) override {}
+  // The parser starts one document after the other at a token that it cannot
+  // consume, without end.
+  void OnDocumentStart(const YAML::Mark& mark) override {
+    if (mark.pos <= last_start_) {
+      throw YAML::ParserException(mark, "unexpected text");
+    }
+    last_start_ = mark.pos;
+  }
   void OnDocumentEnd() override {}
 
   void OnNull(const YAML::Mark& mark, YAML::anchor_t anchor) override {
@@ -91,6 +98,7 @@
 
   YamlNode root_;
   std::vector<YamlNode> open_;  // Innermost last.
+  int last_start_ = -1;         // Position of the last document.
 };
 
 }  // namespace
--- a/Tests/Config/object_text_test.cc
+++ b/Tests/Config/object_text_test.cc
@@ -108,6 +108,14 @@
   cr_assert(findings.size() == 2);
 }
 
+// The parser once returned documents without end for such a text.
+Test(yaml_node, ends_at_text_that_the_parser_does_not_consume) {
+  auto findings = Findings();
+  cr_assert(ParseYaml(", a", "f", findings).size() <= 1);
+  cr_assert(findings.size() == 1);
+  cr_assert(findings[0].place.line == 1);
+}
+
 Test(object_checker, the_order_of_files_does_not_change_the_values) {
   auto texts = std::array<std::string, 3>{
       "kind: data_centre\nname: a\nregion: r\n",
--- /dev/null
+++ b/Tests/Fuzz/object_corpus_test.cc
@@ -0,0 +1,87 @@
+// Runs the corpus of the object reader and seeded mutations of it.
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <string>
+#include <vector>
+
+#include "Core/random.h"
+#include "Fuzz/object_input.h"
+
+namespace hemlockwick {
+namespace {
+
+constexpr std::uint64_t kSeed = 20261204;
+constexpr int kMutationsPerInput = 400;
+
+auto ReadCorpus() -> std::vector<std::string> {
+  auto paths = std::vector<std::filesystem::path>();
+  for (const auto& entry :
+       std::filesystem::directory_iterator(HEMLOCKWICK_OBJECT_CORPUS)) {
+    paths.push_back(entry.path());
+  }
+  std::sort(paths.begin(), paths.end());
+  auto inputs = std::vector<std::string>();
+  for (const auto& path : paths) {
+    auto in = std::ifstream(path, std::ios::binary);
+    inputs.emplace_back(std::istreambuf_iterator<char>(in),
+                        std::istreambuf_iterator<char>());
+  }
+  return inputs;
+}
+
+// Changes, removes, repeats or splices a part of the input.
+auto Mutate(std::string text, const std::vector<std::string>& corpus,
+            Random& random) -> std::string {
+  const auto& other = corpus[random.Below(corpus.size())];
+  const auto at = random.Below(text.size() + 1);
+  const auto length = random.Below(40);
+  switch (random.Below(4)) {
+    case 0:
+      text.insert(at, 1, static_cast<char>(random.Below(256)));
+      break;
+    case 1:
+      text.erase(at, length);
+      break;
+    case 2:
+      text.insert(at, text.substr(at, length));
+      break;
+    default:
+      text.insert(at, other.substr(random.Below(other.size() + 1), length));
+  }
+  return text;
+}
+
+Test(object_corpus, accepts_and_refuses) {
+  auto published = 0;
+  for (const auto& input : ReadCorpus()) {
+    const auto result = RunObjectInput(input);
+    cr_assert(result != ObjectInputResult::kBroken);
+    published += result == ObjectInputResult::kPublished ? 1 : 0;
+  }
+  cr_assert(published == 2);
+}
+
+Test(object_corpus, mutations_never_publish_a_broken_set) {
+  const auto corpus = ReadCorpus();
+  auto random = Random(kSeed);
+  auto published = 0;
+  for (const auto& input : corpus) {
+    for (auto at = 0; at < kMutationsPerInput; ++at) {
+      auto mutated = input;
+      for (auto more = random.Below(4); more < 4; ++more) {
+        mutated = Mutate(std::move(mutated), corpus, random);
+      }
+      const auto result = RunObjectInput(mutated);
+      cr_assert(result != ObjectInputResult::kBroken, "%s", mutated.c_str());
+      published += result == ObjectInputResult::kPublished ? 1 : 0;
+    }
+  }
+  cr_assert(published > 0);
+}
+
+}  // namespace
+}  // namespace hemlockwick
--- /dev/null
+++ b/Tests/Fuzz/object_fuzzer.cc
@@ -0,0 +1,18 @@
+// libFuzzer target for the object reader, the check and the codec. What it
+// finds belongs into ObjectCorpus, which Tests/Fuzz/object_corpus_test.cc runs.
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+#include <string>
+
+#include "Fuzz/object_input.h"
+
+extern "C" auto LLVMFuzzerTestOneInput(const std::uint8_t* data,
+                                       std::size_t size) -> int {
+  const auto text = std::string(data, data + size);
+  if (hemlockwick::RunObjectInput(text) ==
+      hemlockwick::ObjectInputResult::kBroken) {
+    std::abort();
+  }
+  return 0;
+}
--- /dev/null
+++ b/Tests/Fuzz/object_input.h
@@ -0,0 +1,46 @@
+#ifndef HEMLOCKWICK_TESTS_FUZZ_OBJECT_INPUT_H_
+#define HEMLOCKWICK_TESTS_FUZZ_OBJECT_INPUT_H_
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "Config/config_check.h"
+#include "Config/published_value.h"
+
+namespace hemlockwick {
+
+enum class ObjectInputResult {
+  kFindings,   // The input was refused.
+  kPublished,  // It was accepted and its values assemble again.
+  kBroken,     // It was accepted and its values do not assemble.
+};
+
+// Takes any text through the reader, the check, the codec and the assembly.
+inline auto RunObjectInput(const std::string& text) -> ObjectInputResult {
+  auto reader = ObjectReader();
+  reader.Read(text, "input.yaml");
+  const auto outcome = CheckObjects(reader, PreviousConfig(), Version(1),
+                                    FromUnixMillis(1'800'000'000'000));
+  if (outcome.config == nullptr) {
+    return ObjectInputResult::kFindings;
+  }
+  return TryOr(
+      [&outcome]() -> Result<ObjectInputResult> {
+        const auto values = EncodeFleetConfig(*outcome.config);
+        BOOST_LEAF_AUTO(index, DecodeIndex(values.back().body));
+        auto shards = std::vector<std::shared_ptr<const ConfigShard>>();
+        for (std::size_t at = 0; at + 1 < values.size(); ++at) {
+          BOOST_LEAF_AUTO(shard, DecodeShard(values[at].body));
+          shards.push_back(shard);
+        }
+        BOOST_LEAF_CHECK(AssembleFleetConfig(index, shards));
+        return ObjectInputResult::kPublished;
+      },
+      [](const Error&) { return ObjectInputResult::kBroken; });
+}
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_TESTS_FUZZ_OBJECT_INPUT_H_
