Runtime: Test seven real processes through changes and failures

A killed, a stopped and a paused instance, two drains, a platform that goes away and one that rolls back: every version comes into force, none is taken back, and 100 flows hold.

--- a/Source/Command/serve_command.cc
+++ b/Source/Command/serve_command.cc
@@ -1,6 +1,7 @@
 #include "Command/serve_command.h"
 
 #include <csignal>
+#include <cstdlib>
 #include <ctime>
 #include <cxxopts.hpp>
 #include <iostream>
@@ -73,8 +74,8 @@
 }
 
 // Lets the instance leave until it is done, a second signal arrives or the
-// deadline has passed.
-void Leave(Instance& instance, Duration deadline) {
+// deadline has passed. Returns whether it was done.
+auto Leave(Instance& instance, Duration deadline) -> bool {
   const auto clock = SystemClock();
   const auto latest = clock.Now() + deadline;
   Log(LogLevel::kInfo, "stopping");
@@ -82,13 +83,14 @@
   while (!instance.LeaveDone()) {
     if (SignalArrives()) {
       Log(LogLevel::kWarning, "second stop signal; ending at once");
-      return;
+      return false;
     }
     if (clock.Now() >= latest) {
       Log(LogLevel::kWarning, "drain deadline reached; ending at once");
-      return;
+      return false;
     }
   }
+  return true;
 }
 
 auto Serve(const ServeSettings& settings) -> Result<ExitCode> {
@@ -99,7 +101,11 @@
       {{"http", ToString(settings.http)},
        {"packet", ToString(settings.packet)}});
   WaitForSignal();
-  Leave(*instance, settings.drain_deadline);
+  if (!Leave(*instance, settings.drain_deadline)) {
+    instance->Abort();
+    // Attempts at endpoints may run for long; nobody waits for them now.
+    std::quick_exit(static_cast<int>(ExitCode::kFailure));
+  }
   instance.reset();
   Log(LogLevel::kInfo, "stopped");
   return ExitCode::kSuccess;
--- a/Source/Runtime/instance.cc
+++ b/Source/Runtime/instance.cc
@@ -51,8 +51,7 @@
         }) {}
 
   ~Impl() {
-    gateway_.Abort();
-    http_.reset();
+    Abort();
     traffic_.reset();
     control_.reset();
   }
@@ -76,6 +75,11 @@
     return {};
   }
 
+  void Abort() {
+    gateway_.Abort();
+    http_.reset();
+  }
+
   void BeginLeave() {
     leave_begun_ = clock_.Now();
     events_.Record(EventKind::kProcessStopping, settings_.name, {},
@@ -204,6 +208,8 @@
 
 void Instance::BeginLeave() { impl_->BeginLeave(); }
 
+void Instance::Abort() { impl_->Abort(); }
+
 auto Instance::LeaveDone() const -> bool { return impl_->LeaveDone(); }
 
 }  // namespace hemlockwick
--- a/Source/Runtime/instance.h
+++ b/Source/Runtime/instance.h
@@ -24,6 +24,10 @@
   // Announces a planned stop and begins to hand flows and keys over.
   void BeginLeave();
 
+  // Answers every request that still runs as "outcome unknown" and closes the
+  // HTTP listener. Only destruction may follow.
+  void Abort();
+
   // Whether no request runs, everything is handed over and the grace time for
   // the fabric has passed.
   [[nodiscard]] auto LeaveDone() const -> bool;
--- /dev/null
+++ b/Tests/Runtime/processes_test.cc
@@ -0,0 +1,179 @@
+// Seven real processes on loopback with stand-ins for the platform and the
+// endpoints: each change or failure is followed by awaiting what the others
+// report about it.
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <csignal>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "Config/published_value.h"
+#include "StandIn/await.h"
+#include "StandIn/flow_caller.h"
+#include "StandIn/flow_endpoint.h"
+#include "StandIn/local_fleet.h"
+
+namespace hemlockwick {
+
+namespace {
+
+constexpr std::size_t kInstances = 7;
+constexpr std::size_t kStopped = 3;
+constexpr std::size_t kKilled = 4;
+constexpr std::size_t kPaused = 5;
+constexpr std::uint32_t kEndpoints = 6;
+constexpr std::size_t kFlows = 100;
+
+// Far above what is seen, so that a busy machine does not matter.
+constexpr Duration kAwaitBound = std::chrono::minutes(2);
+
+// Returns the value or ends the test.
+template <typename T>
+auto Require(Result<T> result) -> T {
+  cr_assert(static_cast<bool>(result));
+  return std::move(result.value());
+}
+
+class World {
+ public:
+  World() {
+    for (auto number = std::uint32_t{0}; number < kEndpoints; ++number) {
+      endpoints_.push_back(Require(
+          FlowEndpoint::Start(number, kFlowServiceAddress, flows_->address())));
+      objects_.flow_endpoints.push_back(endpoints_.back()->address());
+    }
+  }
+
+  // Publishes a version and awaits it on every running instance.
+  void PublishAndAwait(const char* step) {
+    AwaitVersion(fleet_->Publish(objects_), step);
+  }
+
+  void AwaitVersion(std::uint64_t version, const char* step) {
+    Expect([&] { return fleet_->InForce(version, running_); }, step);
+  }
+
+  // Awaits that the running instances report `state` for a member.
+  void AwaitState(std::size_t member, const std::vector<std::string>& states,
+                  const char* step) {
+    Expect(
+        [&] {
+          return std::ranges::all_of(running_, [&](std::size_t index) {
+            auto status = fleet_->Status(index);
+            return index == member ||
+                   (status &&
+                    std::ranges::count(
+                        states, status->members[fleet_->name(member)]) > 0);
+          });
+        },
+        step);
+  }
+
+  // Awaits an event in the time line of an instance.
+  void AwaitEvent(std::size_t index, const std::string& kind,
+                  const std::string& subject, const char* step) {
+    Expect(
+        [&] {
+          const auto events = fleet_->Get(index, "/events").value_or("");
+          return events.find(kind) != std::string::npos &&
+                 events.find('"' + subject + '"') != std::string::npos;
+        },
+        step);
+  }
+
+  void Drain(std::size_t number) {
+    objects_.draining.insert(EndpointName(kFlowService, number));
+  }
+
+  void Gone(std::size_t index) { std::erase(running_, index); }
+
+  void OpenFlows() {
+    flows_->OpenMore(kFlows);
+    flows_->Begin(fabric_);
+    Expect([&] { return flows_->totals().open == kFlows; }, "flows are open");
+  }
+
+  // Awaits answers to packets that are sent from now on.
+  void AwaitAnswers(const char* step) {
+    const auto before = flows_->totals().answers;
+    Expect([&] { return flows_->totals().answers > before + kFlows; }, step);
+  }
+
+  template <typename Condition>
+  void Expect(Condition&& condition, const char* step) {
+    const auto held = Await(condition, kAwaitBound);
+    cr_assert(held, "%s; log of the first instance:\n%s", step,
+              fleet_->LogOf(0).c_str());
+  }
+
+  [[nodiscard]] auto fleet() -> LocalFleet& { return *fleet_; }
+  [[nodiscard]] auto flows() -> FlowCaller& { return *flows_; }
+  [[nodiscard]] auto objects() const -> const LocalObjects& { return objects_; }
+
+ private:
+  std::unique_ptr<LocalFleet> fleet_ =
+      Require(LocalFleet::Start(HEMLOCKWICK_PROGRAM, kInstances));
+  Fabric fabric_{fleet_->targets(), 1};
+  std::unique_ptr<FlowCaller> flows_ =
+      Require(FlowCaller::Start(kFlowServiceAddress, kAwaitBound));
+  std::vector<std::unique_ptr<FlowEndpoint>> endpoints_;
+  LocalObjects objects_;
+  std::vector<std::size_t> running_ = {0, 1, 2, 3, 4, 5, 6};
+};
+
+Test(processes, keep_flows_and_versions_through_changes_and_failures,
+     .timeout = 600) {
+  auto world = World();
+  auto& fleet = world.fleet();
+  world.PublishAndAwait("version 1 in force");
+  world.OpenFlows();
+
+  world.Drain(0);
+  world.PublishAndAwait("version 2, with a drain, in force");
+
+  fleet.process(kKilled).Signal(SIGKILL);
+  world.Gone(kKilled);
+  world.AwaitState(kKilled, {"dead", ""}, "the killed instance is dead");
+
+  fleet.process(kStopped).Signal(SIGTERM);
+  world.Expect([&] { return fleet.process(kStopped).Ended(); },
+               "the stopped instance has ended");
+  cr_assert_eq(fleet.process(kStopped).exit_code().value_or(-1), 0);
+  world.Gone(kStopped);
+  world.AwaitState(kStopped, {"leaving", "dead", ""},
+                   "the stopped instance has left");
+
+  fleet.process(kPaused).Signal(SIGSTOP);
+  world.Gone(kPaused);
+  world.Drain(1);
+  world.PublishAndAwait("version 3 in force without the paused instance");
+  world.AwaitState(kPaused, {"suspect", "dead"}, "the paused one is missed");
+  fleet.process(kPaused).Signal(SIGCONT);
+  world.Expect([&] { return fleet.InForce(3, {kPaused}); },
+               "the woken instance has version 3");
+  world.AwaitEvent(kPaused, "process_paused", fleet.name(kPaused),
+                   "the woken instance noticed the pause");
+  world.AwaitState(kPaused, {"alive"}, "the woken instance is back");
+  world.AwaitAnswers("flows are answered");
+
+  fleet.platform().SetAway(true);
+  world.Drain(2);
+  const auto latest = fleet.Publish(world.objects());
+  world.AwaitEvent(0, "version_in_force", "3", "version 3 stays");
+  world.AwaitAnswers("flows are answered without the platform");
+  fleet.platform().SetAway(false);
+  world.AwaitVersion(latest, "version 4 in force once the platform is back");
+
+  fleet.platform().RollBack(std::string(kIndexKey));
+  world.AwaitAnswers("flows are answered after the platform rolled back");
+  world.AwaitVersion(latest, "no version is taken back");
+
+  cr_assert_eq(world.flows().totals().broken, 0);
+  cr_assert_eq(world.flows().totals().open, kFlows);
+}
+
+}  // namespace
+
+}  // namespace hemlockwick
--- a/Utilities/StandIn/demo.cc
+++ b/Utilities/StandIn/demo.cc
@@ -22,6 +22,7 @@
 constexpr std::size_t kKilled = 4;
 
 constexpr Duration kAwaitBound = std::chrono::seconds(15);
+constexpr Duration kAnswerTimeout = std::chrono::seconds(10);
 constexpr Duration kQuietTime = std::chrono::seconds(2);
 
 // From this long after a drain was published no new flow may reach the
@@ -51,7 +52,8 @@
 }
 
 auto Demo::StartEndpoints() -> Result<void> {
-  BOOST_LEAF_ASSIGN(flows_, FlowCaller::Start(kFlowServiceAddress));
+  BOOST_LEAF_ASSIGN(flows_,
+                    FlowCaller::Start(kFlowServiceAddress, kAnswerTimeout));
   for (auto number = std::uint32_t{0}; number < kFlowEndpoints; ++number) {
     BOOST_LEAF_AUTO(endpoint, FlowEndpoint::Start(number, kFlowServiceAddress,
                                                   flows_->address()));
--- a/Utilities/StandIn/flow_caller.cc
+++ b/Utilities/StandIn/flow_caller.cc
@@ -15,16 +15,15 @@
 namespace {
 
 constexpr Duration kSendInterval = std::chrono::milliseconds(250);
-constexpr auto kAnswerTimeout = std::chrono::seconds(10);
 constexpr auto kReceiveWait = timeval{0, 50'000};
 
 }  // namespace
 
-auto FlowCaller::Start(SocketAddress service)
+auto FlowCaller::Start(SocketAddress service, Duration answer_timeout)
     -> Result<std::unique_ptr<FlowCaller>> {
   BOOST_LEAF_AUTO(socket, BindUdp(AnyLoopbackPort(), false));
-  auto result =
-      std::unique_ptr<FlowCaller>(new FlowCaller(service, std::move(socket)));
+  auto result = std::unique_ptr<FlowCaller>(
+      new FlowCaller(service, answer_timeout, std::move(socket)));
   result->receiver_ =
       std::jthread([self = result.get()](const std::stop_token& stop) {
         self->Receive(stop);
@@ -32,8 +31,10 @@
   return result;
 }
 
-FlowCaller::FlowCaller(SocketAddress service, FileDescriptor socket)
+FlowCaller::FlowCaller(SocketAddress service, Duration answer_timeout,
+                       FileDescriptor socket)
     : service_(service),
+      answer_timeout_(answer_timeout),
       socket_(std::move(socket)),
       address_(LocalAddress(socket_)) {
   setsockopt(socket_.get(), SOL_SOCKET, SO_RCVTIMEO, &kReceiveWait,
@@ -86,7 +87,7 @@
     if (flow.broken || !target) {
       continue;
     }
-    flow.broken = now - flow.answered > kAnswerTimeout;
+    flow.broken = now - flow.answered > answer_timeout_;
     const auto datagram = EncodeProbe(
         {static_cast<std::uint32_t>(number), flow.sequence}, service_);
     const auto remote = ToSockaddr(target->packet);
--- a/Utilities/StandIn/flow_caller.h
+++ b/Utilities/StandIn/flow_caller.h
@@ -13,6 +13,7 @@
 
 #include "Core/error.h"
 #include "Core/net_address.h"
+#include "Core/time.h"
 #include "Runtime/file_descriptor.h"
 #include "StandIn/fabric.h"
 
@@ -29,10 +30,11 @@
 // Stands in for callers with long-lived flows: sends a packet of each flow
 // several times a second by way of the fabric and repeats it until an endpoint
 // answers. A flow is broken when it is reset, answered by another endpoint
-// than the one that opened it, or not answered for long.
+// than the one that opened it, or not answered for `answer_timeout`.
 class FlowCaller {
  public:
-  [[nodiscard]] static auto Start(SocketAddress service)
+  [[nodiscard]] static auto Start(SocketAddress service,
+                                  Duration answer_timeout)
       -> Result<std::unique_ptr<FlowCaller>>;
   ~FlowCaller();
   FlowCaller(const FlowCaller&) = delete;
@@ -60,12 +62,14 @@
     bool broken = false;
   };
 
-  FlowCaller(SocketAddress service, FileDescriptor socket);
+  FlowCaller(SocketAddress service, Duration answer_timeout,
+             FileDescriptor socket);
   void Send(Fabric& fabric, const std::stop_token& stop);
   void SendAll(Fabric& fabric);
   void Receive(const std::stop_token& stop);
 
   const SocketAddress service_;
+  const Duration answer_timeout_;
   const FileDescriptor socket_;
   const SocketAddress address_;
   mutable std::mutex mutex_;
