--- /dev/null
+++ b/Source/Command/operator_query.cc
@@ -0,0 +1,60 @@
+#include "Command/operator_query.h"
+
+#include <iostream>
+
+#include "Runtime/http_client.h"
+
+namespace hemlockwick {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr Duration kQueryTimeout = std::chrono::seconds(2);
+
+}  // namespace
+
+auto ParseOptions(cxxopts::Options& options,
+                  const std::vector<std::string>& arguments)
+    -> cxxopts::ParseResult {
+  auto argv = std::vector<const char*>{"hemlockwick"};
+  for (const auto& argument : arguments) {
+    argv.push_back(argument.c_str());
+  }
+  return options.parse(static_cast<int>(argv.size()), argv.data());
+}
+
+auto ParseAddresses(const std::vector<std::string>& texts)
+    -> Result<std::vector<SocketAddress>> {
+  auto addresses = std::vector<SocketAddress>();
+  for (const auto& text : texts) {
+    BOOST_LEAF_AUTO(address, ParseSocketAddress(text));
+    addresses.push_back(address);
+  }
+  return addresses;
+}
+
+auto Get(const SocketAddress& address, const std::string& path)
+    -> Result<std::string> {
+  auto request = HttpRequest();
+  request.path = path;
+  request.timeout = kQueryTimeout;
+  BOOST_LEAF_AUTO(response, SendHttp(address, request));
+  if (response.status != kOk) {
+    return Fail(ErrorCode::kUnavailable,
+                ToString(address) + " answered " +
+                    std::to_string(response.status) + " to " + path,
+                "give the HTTP address of an instance");
+  }
+  return response.body;
+}
+
+auto ReportError(std::string_view command, const Error& error) -> ExitCode {
+  std::cerr << "hemlockwick " << command << ": " << error.message;
+  if (!error.remedy.empty()) {
+    std::cerr << "; " << error.remedy;
+  }
+  std::cerr << "\n";
+  return ExitCode::kUsage;
+}
+
+}  // namespace hemlockwick
--- /dev/null
+++ b/Source/Command/operator_query.h
@@ -0,0 +1,34 @@
+#ifndef HEMLOCKWICK_COMMAND_OPERATOR_QUERY_H_
+#define HEMLOCKWICK_COMMAND_OPERATOR_QUERY_H_
+
+#include <cxxopts.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "Command/command.h"
+#include "Core/error.h"
+#include "Core/net_address.h"
+
+namespace hemlockwick {
+
+// Parses a subcommand's arguments; cxxopts throws when they are wrong.
+[[nodiscard]] auto ParseOptions(cxxopts::Options& options,
+                                const std::vector<std::string>& arguments)
+    -> cxxopts::ParseResult;
+
+[[nodiscard]] auto ParseAddresses(const std::vector<std::string>& texts)
+    -> Result<std::vector<SocketAddress>>;
+
+// GET of a path of an instance's HTTP port. Fails with kUnavailable when it
+// does not answer with 200.
+[[nodiscard]] auto Get(const SocketAddress& address, const std::string& path)
+    -> Result<std::string>;
+
+// Prints the error under the command's name and returns kUsage.
+[[nodiscard]] auto ReportError(std::string_view command, const Error& error)
+    -> ExitCode;
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_COMMAND_OPERATOR_QUERY_H_
--- a/Source/Fleet/fleet_node.cc
+++ b/Source/Fleet/fleet_node.cc
@@ -22,7 +22,7 @@
 
 // Peers told of a birth, death or leave by the instance that finds it, and by
 // each that learns of it.
-constexpr std::size_t kNewsFanOut = 4;
+constexpr std::size_t kNewsFanOut = 6;
 constexpr Duration kNewsSpacing = std::chrono::milliseconds(200);
 
 // Peers told of a planned stop.
