--- a/Source/Flow/packet_decision.cc
+++ b/Source/Flow/packet_decision.cc
@@ -348,13 +348,12 @@
 
 // Visits the third home once in each kRefreshInterval, so that its record does
 // not expire.
-auto PacketDecision::ForwardAndRefresh(const FlowRecord& record)
-    -> FlowAction {
+auto PacketDecision::ForwardAndRefresh(const FlowRecord& record) -> FlowAction {
   constexpr auto kPeriod =
       std::chrono::duration_cast<std::chrono::seconds>(kRefreshInterval)
           .count();
-  const auto due = record.last_seen_seconds / kPeriod !=
-                   ToUnixSeconds(now_) / kPeriod;
+  const auto due =
+      record.last_seen_seconds / kPeriod != ToUnixSeconds(now_) / kPeriod;
   return due || packet_.closes ? ForwardByThirdHome(record.endpoint)
                                : ForwardTo(record.endpoint);
 }
--- a/Source/Flow/packet_decision.h
+++ b/Source/Flow/packet_decision.h
@@ -13,8 +13,8 @@
 namespace hemlockwick {
 
 // Decides one packet. Settled buckets are forwarded by the table alone; the
-// others go by way of the second and the first home, which keep the records. A copy goes
-// to a third home in another data centre.
+// others go by way of the second and the first home, which keep the records. A
+// copy goes to a third home in another data centre.
 class PacketDecision {
  public:
   // `fresh` tells whether the snapshot may be trusted for settled buckets.
--- a/Source/Runtime/control_loop.cc
+++ b/Source/Runtime/control_loop.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "Runtime/drain_events.h"
 #include "Runtime/log.h"
 
 namespace hemlockwick {
@@ -25,7 +26,8 @@
                          const SystemClock& clock, Inbox<ControlInput>& inbox,
                          PlatformClient& platform, PeerSender& peers,
                          FlowRouter& router, RequestGateway& gateway)
-    : clock_(clock),
+    : events_(events),
+      clock_(clock),
       inbox_(inbox),
       platform_(platform),
       peers_(peers),
@@ -112,6 +114,8 @@
 
 void ControlLoop::Carry(const ConfigInForce& action, TimePoint now) {
   in_force_since_ = now;
+  RecordDrains(in_force_.get(), *action.config, events_, now);
+  in_force_ = action.config;
   last_refusal_.clear();
   view_changed_ = true;
   router_.Update(action.config, node_.members(), now);
--- a/Source/Runtime/control_loop.h
+++ b/Source/Runtime/control_loop.h
@@ -94,6 +94,7 @@
   void PublishView();
   [[nodiscard]] auto WaitUntilDue() const -> Duration;
 
+  EventLog& events_;
   const SystemClock& clock_;
   Inbox<ControlInput>& inbox_;
   PlatformClient& platform_;
@@ -101,6 +102,7 @@
   FlowRouter& router_;
   RequestGateway& gateway_;
   FleetNode node_;
+  std::shared_ptr<const FleetConfig> in_force_;
   TimePoint in_force_since_;
   TimePoint flow_tick_due_;
   TimePoint refreshed_;
--- /dev/null
+++ b/Source/Runtime/drain_events.h
@@ -0,0 +1,18 @@
+#ifndef HEMLOCKWICK_RUNTIME_DRAIN_EVENTS_H_
+#define HEMLOCKWICK_RUNTIME_DRAIN_EVENTS_H_
+
+#include "Config/fleet_config.h"
+#include "Core/time.h"
+#include "Timeline/event_log.h"
+
+namespace hemlockwick {
+
+// Records the endpoints whose drain begins or ends when `next` follows
+// `previous`, which is null for the first version. A drain ends when the
+// endpoint is active again or no longer published.
+void RecordDrains(const FleetConfig* previous, const FleetConfig& next,
+                  EventLog& events, TimePoint now);
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_RUNTIME_DRAIN_EVENTS_H_
--- a/Source/Runtime/instance.cc
+++ b/Source/Runtime/instance.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "Core/hash.h"
+#include "Fleet/status_report.h"
 #include "Runtime/control_loop.h"
 #include "Runtime/http_server.h"
 #include "Runtime/json_rpc.h"
@@ -119,7 +120,10 @@
       return ReadyResponse(view);
     }
     if (path == "/status") {
-      return StatusResponse(settings_, view);
+      return JsonResponse(EncodeStatus(Report(view)));
+    }
+    if (path == "/members") {
+      return MembersResponse(view);
     }
     if (path == "/events") {
       return EventsResponse(events_, request.path);
@@ -139,6 +143,26 @@
             events_.dropped()};
   }
 
+  [[nodiscard]] auto Report(const ControlView& view) const -> StatusReport {
+    auto report = StatusReport();
+    report.instance = settings_.name;
+    report.data_centre = settings_.data_centre;
+    report.leaving = view.leaving;
+    if (view.config != nullptr) {
+      report.version = view.config->version;
+      report.digest = view.config->digest;
+      report.in_force_since = view.in_force_since;
+    }
+    report.last_refusal = view.last_refusal;
+    report.members = CountMembers(view.members);
+    report.unreachable_data_centres =
+        static_cast<std::uint32_t>(view.members.unreachable.size());
+    report.flows = control_->flow_stats().records;
+    report.requests = gateway_.stats().arrived;
+    report.control_bytes = view.sent_bytes;
+    return report;
+  }
+
   void Send(const SendRequestMessage& message) {
     peers_.Send(
         {message.to, message.address, "request", Encode(message.message)});
--- a/Source/Runtime/operations.cc
+++ b/Source/Runtime/operations.cc
@@ -1,9 +1,12 @@
 #include "Runtime/operations.h"
 
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string_view>
 #include <utility>
 
+#include "Timeline/event_codec.h"
+
 namespace hemlockwick {
 
 namespace {
@@ -11,14 +14,9 @@
 using Json = nlohmann::json;
 
 constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
 constexpr int kUnavailable = 503;
 
-auto JsonResponse(const Json& body) -> HttpResponse {
-  return {kOk,
-          {{"Content-Type", "application/json"}},
-          body.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n"};
-}
-
 auto StateName(MemberState state) -> std::string_view {
   switch (state) {
     case MemberState::kAlive:
@@ -44,6 +42,17 @@
   return members;
 }
 
+// Reads the stamp of the query; without one, the earliest.
+auto ParseAfter(const std::string& path) -> Result<std::optional<HlcStamp>> {
+  constexpr auto kParameter = std::string_view("?after=");
+  const auto begin = path.find(kParameter);
+  if (begin == std::string::npos) {
+    return HlcStamp();
+  }
+  BOOST_LEAF_AUTO(stamp, ParseHlcStamp(path.substr(begin + kParameter.size())));
+  return std::optional(stamp);
+}
+
 }  // namespace
 
 auto TextResponse(int status, std::string text) -> HttpResponse {
@@ -60,32 +69,25 @@
   return TextResponse(kOk, "ready\n");
 }
 
-auto StatusResponse(const ServeSettings& settings, const ControlView& view)
-    -> HttpResponse {
-  auto status = Json{{"name", settings.name},
-                     {"data_centre", settings.data_centre},
-                     {"leaving", view.leaving},
-                     {"last_refusal", view.last_refusal},
-                     {"members", ToJson(view.members)}};
-  if (view.config != nullptr) {
-    status["version"] = view.config->version.value();
-    status["in_force_since_ms"] = ToUnixMillis(view.in_force_since);
-  }
-  return JsonResponse(status);
+auto MembersResponse(const ControlView& view) -> HttpResponse {
+  return JsonResponse(ToJson(view.members).dump());
 }
 
-auto EventsResponse(const EventLog& events, const std::string& /*path*/)
+auto EventsResponse(const EventLog& events, const std::string& path)
     -> HttpResponse {
-  auto list = Json::array();
-  for (const auto& event : events.Since({})) {
-    list.push_back({{"millis", event.stamp.unix_millis},
-                    {"counter", event.stamp.counter},
-                    {"instance", event.instance},
-                    {"kind", std::string(ToString(event.kind))},
-                    {"subject", event.subject},
-                    {"detail", event.detail}});
+  const auto after =
+      TryOr([&path] { return ParseAfter(path); },
+            [](const Error&) { return std::optional<HlcStamp>(); });
+  if (!after) {
+    return TextResponse(kBadRequest, "after is not a stamp MILLIS.COUNTER\n");
   }
-  return JsonResponse(list);
+  return {kOk,
+          {{"Content-Type", "application/x-ndjson"}},
+          EncodeEvents(events.Since(*after))};
+}
+
+auto JsonResponse(std::string text) -> HttpResponse {
+  return {kOk, {{"Content-Type", "application/json"}}, std::move(text) + "\n"};
 }
 
 }  // namespace hemlockwick
--- a/Utilities/StandIn/demo.cc
+++ b/Utilities/StandIn/demo.cc
@@ -141,11 +141,7 @@
   gone_.insert(kKilled);
   fleet_->process(kKilled).Signal(SIGKILL);
   const auto noticed = Await(
-      [this] {
-        auto status = fleet_->Status(0);
-        return status && status->members[fleet_->name(kKilled)] == "dead";
-      },
-      kAwaitBound);
+      [this] { return fleet_->StateOf(kKilled, 0) == "dead"; }, kAwaitBound);
   Say(noticed ? "the others count it as dead"
               : "the others do NOT count it as dead");
   failed_ = failed_ || !noticed;
@@ -219,7 +215,8 @@
   for (auto index = std::size_t{0}; index < fleet_->size(); ++index) {
     const auto status = fleet_->Status(index);
     std::cout << "  version in force on " << fleet_->name(index) << "      "
-              << (status ? std::to_string(status->version) : "gone") << "\n";
+              << (status ? std::to_string(status->version.value()) : "gone")
+              << "\n";
   }
   std::cout << "  calls at the platform               "
             << fleet_->platform().calls() << "\n";
--- a/Utilities/StandIn/local_fleet.cc
+++ b/Utilities/StandIn/local_fleet.cc
@@ -5,12 +5,14 @@
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <sstream>
+#include <string_view>
 #include <utility>
 
 #include "Config/published_value.h"
 #include "Fleet/fleet_node.h"
 #include "Runtime/http_client.h"
 #include "Runtime/socket.h"
+#include "Timeline/event_codec.h"
 
 namespace hemlockwick {
 
@@ -34,18 +36,18 @@
       [](const Error&) { return Port(0); });
 }
 
-auto ParseStatus(const std::string& text) -> std::optional<InstanceStatus> {
-  const auto json = nlohmann::json::parse(text, nullptr, false);
-  if (!json.is_object()) {
-    return std::nullopt;
-  }
-  auto status = InstanceStatus();
-  status.version = json.value("version", std::uint64_t{0});
-  status.leaving = json.value("leaving", false);
-  for (const auto& member : json.value("members", nlohmann::json::array())) {
-    status.members[member.value("name", "")] = member.value("state", "");
-  }
-  return status;
+// Returns what `decode` makes of a page, or the default when the page is
+// missing or malformed.
+template <typename Decoded>
+auto DecodeOr(const std::optional<std::string>& text,
+              Result<Decoded> (*decode)(std::string_view))
+    -> std::optional<Decoded> {
+  return TryOr(
+      [&]() -> Result<std::optional<Decoded>> {
+        BOOST_LEAF_AUTO(decoded, decode(text.value_or("")));
+        return std::optional(std::move(decoded));
+      },
+      [](const Error&) { return std::optional<Decoded>(); });
 }
 
 }  // namespace
@@ -151,9 +153,27 @@
 }
 
 auto LocalFleet::Status(std::size_t index) const
-    -> std::optional<InstanceStatus> {
-  const auto text = Get(index, "/status");
-  return text ? ParseStatus(*text) : std::nullopt;
+    -> std::optional<StatusReport> {
+  return DecodeOr(Get(index, "/status"), &DecodeStatus);
+}
+
+auto LocalFleet::StateOf(std::size_t member, std::size_t index) const
+    -> std::string {
+  const auto text = Get(index, "/members").value_or("[]");
+  for (const auto& known : nlohmann::json::parse(text)) {
+    if (known.at("name") == name(member)) {
+      return known.at("state");
+    }
+  }
+  return {};
+}
+
+auto LocalFleet::HasEvent(std::size_t index, EventKind kind,
+                          const std::string& subject) const -> bool {
+  const auto events = DecodeOr(Get(index, "/events"), &DecodeEvents);
+  return events && std::ranges::any_of(*events, [&](const Event& event) {
+           return event.kind == kind && event.subject == subject;
+         });
 }
 
 auto LocalFleet::InForce(std::uint64_t version,
@@ -161,7 +181,7 @@
     -> bool {
   return std::ranges::all_of(instances, [&](std::size_t index) {
     const auto status = Status(index);
-    return status && status->version >= version;
+    return status && status->version >= Version(version);
   });
 }
 
--- a/Utilities/StandIn/local_fleet.h
+++ b/Utilities/StandIn/local_fleet.h
@@ -3,7 +3,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -13,11 +12,13 @@
 #include "Config/fleet_config.h"
 #include "Core/error.h"
 #include "Fleet/instance_list.h"
+#include "Fleet/status_report.h"
 #include "Runtime/system_clock.h"
 #include "StandIn/fabric.h"
 #include "StandIn/instance_process.h"
 #include "StandIn/local_config.h"
 #include "StandIn/platform.h"
+#include "Timeline/event.h"
 
 namespace hemlockwick {
 
@@ -35,14 +36,6 @@
   std::string path_;
 };
 
-// What an instance says about itself at /status.
-struct InstanceStatus {
-  std::uint64_t version = 0;  // 0 before the first.
-  bool leaving = false;
-  // State of each member by its name, for example "alive".
-  std::map<std::string, std::string> members;
-};
-
 // A platform stand-in and real processes of the program on loopback.
 class LocalFleet {
  public:
@@ -68,7 +61,17 @@
 
   // Asks an instance; empty when it does not answer.
   [[nodiscard]] auto Status(std::size_t index) const
-      -> std::optional<InstanceStatus>;
+      -> std::optional<StatusReport>;
+
+  // State of a member as an instance sees it, for example "alive"; empty when
+  // the instance does not answer or does not know the member.
+  [[nodiscard]] auto StateOf(std::size_t member, std::size_t index) const
+      -> std::string;
+
+  // Whether the time line of an instance has an event of this kind about
+  // `subject`.
+  [[nodiscard]] auto HasEvent(std::size_t index, EventKind kind,
+                              const std::string& subject) const -> bool;
 
   // Reads one of an instance's pages; empty when it does not answer.
   [[nodiscard]] auto Get(std::size_t index, const std::string& path) const
