Flow: Distinguish unknown flows during a partition

A home could not tell a flow of its own side without a record from one that had opened beyond the cut, and sent both to the earliest owner. Unknown flows now wait until a healed partition would have been noticed. New instances go by the homes until they have been told of past partitions. Adds the measuring command, schedules and tests.

--- a/Source/Flow/flow_router_impl.cc
+++ b/Source/Flow/flow_router_impl.cc
@@ -60,6 +60,7 @@
                        EventLog& events, TimePoint now)
     : settings_(settings),
       self_(self),
+      started_(now),
       events_(events),
       hand_overs_(settings.hand_over_bytes_per_second, now),
       next_expiry_(now + kExpiryInterval),
@@ -90,10 +91,15 @@
   }
 }
 
-auto FlowRouter::Impl::IsFresh(TimePoint now) const -> bool {
-  return now - last_tick_.load(std::memory_order_relaxed) <= kControlLease &&
-         now - refreshed_.load(std::memory_order_relaxed) <= kViewLease &&
-         now >= trusted_from_.load(std::memory_order_relaxed);
+auto FlowRouter::Impl::TrustAt(TimePoint now) const -> SnapshotTrust {
+  const auto relaxed = std::memory_order_relaxed;
+  auto trust = SnapshotTrust();
+  trust.view = now - last_tick_.load(relaxed) <= kControlLease &&
+               now - refreshed_.load(relaxed) <= kViewLease &&
+               now >= trusted_from_.load(relaxed);
+  // A new instance waits until it has been told of past partitions.
+  trust.table = trust.view && now >= started_ + kConfigSpread;
+  return trust;
 }
 
 void FlowRouter::Impl::Update(std::shared_ptr<const FleetConfig> config,
@@ -153,6 +159,9 @@
 // Queues every record for the members that have become its homes.
 void FlowRouter::Impl::QueueRecords(const HomeTable& before, TimePoint now) {
   records_.ForEach([this, &before](const FlowRecord& record) {
+    if (record.endpoint == EndpointId()) {
+      return;  // Its owner is not known yet.
+    }
     const auto old_homes = before.HomesOf(record.flow);
     const auto homes = homes_->HomesOf(record.flow);
     for (const auto* home : {homes.first, homes.second, homes.third}) {
@@ -178,15 +187,20 @@
     return;
   }
   if (view_.unreachable.empty()) {
+    changed_ = changed_ || unreachable_since_.has_value();
     unreachable_since_.reset();
-    changed_ = changed_ || !avoided_.empty();
     avoided_.clear();
-  } else if (!unreachable_since_) {
+    return;
+  }
+  if (!unreachable_since_) {
     unreachable_since_ = now;
-  } else if (now >= *unreachable_since_ + kPartitionDelay) {
-    changed_ = changed_ || avoided_ != view_.unreachable;
+    changed_ = true;
+  }
+  partition_effect_until_ = now + LongestLifetime(*config_);
+  const auto avoids = now >= *unreachable_since_ + kPartitionDelay;
+  if (avoids && avoided_ != view_.unreachable) {
     avoided_ = view_.unreachable;
-    partition_effect_until_ = now + LongestLifetime(*config_);
+    changed_ = true;
   }
 }
 
@@ -205,6 +219,7 @@
     next->former_homes.push_back(former.table);
   }
   next->unreachable = avoided_;
+  next->partitioned_since = unreachable_since_;
   next->after_partition = now < partition_effect_until_;
   cell_.Publish(std::move(next));
   changed_ = false;
@@ -221,7 +236,7 @@
     return DropPacket{DropReason::kUnknownService};
   }
   auto decision = PacketDecision(snapshot, *found->second, packet, records_,
-                                 counters_, IsFresh(now), now);
+                                 counters_, TrustAt(now), now);
   const auto action = decision.Decide();
   if (decision.conflicting()) {
     const std::lock_guard lock(conflicts_mutex_);
@@ -330,7 +345,8 @@
 void FlowRouter::Impl::TakeRecord(const HandedRecord& handed) {
   const auto present = records_.Find(handed.flow);
   const auto opened = ToUnixSeconds(handed.opened);
-  if (present && present->opened_seconds <= opened) {
+  const auto known = present && present->endpoint != EndpointId();
+  if (known && present->opened_seconds <= opened) {
     return;
   }
   auto record = FlowRecord();
--- a/Source/Flow/flow_router_impl.h
+++ b/Source/Flow/flow_router_impl.h
@@ -14,6 +14,7 @@
 #include "Flow/flow_router.h"
 #include "Flow/flow_snapshot.h"
 #include "Flow/hand_over_queue.h"
+#include "Flow/packet_decision.h"
 #include "Flow/record_table.h"
 #include "Flow/table_set.h"
 
@@ -46,7 +47,7 @@
     TimePoint until;
   };
 
-  auto IsFresh(TimePoint now) const -> bool;
+  auto TrustAt(TimePoint now) const -> SnapshotTrust;
   void NoteAbsence(TimePoint now);
   void UpdateHomes(TimePoint now);
   void RememberHomes(std::shared_ptr<const HomeTable> table, TimePoint now);
@@ -60,6 +61,7 @@
 
   const FlowRouterSettings settings_;
   const InstanceId self_;
+  const TimePoint started_;
   EventLog& events_;
 
   std::shared_ptr<const FleetConfig> config_;
--- a/Source/Flow/flow_snapshot.h
+++ b/Source/Flow/flow_snapshot.h
@@ -2,11 +2,13 @@
 #define HEMLOCKWICK_FLOW_FLOW_SNAPSHOT_H_
 
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
 #include "Core/ids.h"
 #include "Core/net_address.h"
+#include "Core/time.h"
 #include "Flow/address_ledger.h"
 #include "Flow/home_table.h"
 #include "Flow/service_table.h"
@@ -29,6 +31,8 @@
   std::vector<HomeMember> running;
   // Data centres whose endpoints take no new flows now.
   std::vector<DataCentreId> unreachable;
+  // Since when data centres have been out of reach.
+  std::optional<TimePoint> partitioned_since;
   // Whether flows may live that opened on both sides of a partition, so that
   // no bucket is settled.
   bool after_partition = false;
--- a/Source/Flow/flow_timing.h
+++ b/Source/Flow/flow_timing.h
@@ -33,6 +33,12 @@
 // its endpoints.
 inline constexpr Duration kPartitionDelay = std::chrono::seconds(10);
 
+// Flows seen this soon after a data centre went out of reach cannot have opened
+// on its side; later ones wait for kHealTime, within which an instance notices
+// that the partition has healed.
+inline constexpr Duration kLearningTime = std::chrono::seconds(8);
+inline constexpr Duration kHealTime = std::chrono::seconds(3);
+
 // Former homes are still asked for this long after a change of members.
 inline constexpr Duration kFormerHomeTime = std::chrono::minutes(10);
 
--- a/Source/Flow/packet_decision.cc
+++ b/Source/Flow/packet_decision.cc
@@ -10,29 +10,34 @@
 
 constexpr auto kUnknownOwner = EndpointId();
 
+constexpr auto ToWholeSeconds(Duration duration) -> std::uint32_t {
+  return static_cast<std::uint32_t>(
+      std::chrono::duration_cast<std::chrono::seconds>(duration).count());
+}
+
 }  // namespace
 
 PacketDecision::PacketDecision(const FlowSnapshot& snapshot,
                                const ServiceTable& table,
                                const FlowPacket& packet, RecordTable& records,
-                               FlowCounters& counters, bool fresh,
+                               FlowCounters& counters, SnapshotTrust trust,
                                TimePoint now)
     : snapshot_(snapshot),
       table_(table),
       packet_(packet),
       records_(records),
       counters_(counters),
-      fresh_(fresh),
+      trust_(trust),
       now_(now),
       bucket_(table.BucketOf(packet.flow)),
       homes_(snapshot.homes->HomesOf(packet.flow)) {}
 
 auto PacketDecision::Decide() -> FlowAction {
   const auto settled = table_.IsSettled(bucket_) && !snapshot_.after_partition;
-  if (settled && fresh_) {
+  if (settled && trust_.table) {
     return Forward(table_.OwnerOf(bucket_));
   }
-  if (packet_.opens && !fresh_) {
+  if (packet_.opens && !trust_.view) {
     // The caller has sent the SYN again meanwhile.
     return Refuse(DropReason::kNoEndpoint);
   }
@@ -54,8 +59,7 @@
     return AtFirstHome();
   }
   if (IsSelf(homes_.first) && !packet_.opens) {
-    if (const auto record =
-            records_.Touch(packet_.flow, packet_.closes, now_)) {
+    if (const auto record = TouchRecord()) {
       return ForwardAndRefresh(*record);
     }
   }
@@ -74,7 +78,7 @@
   if (homes_.first == nullptr || IsSelf(homes_.first)) {
     return AtFirstHome();
   }
-  const auto record = records_.Touch(packet_.flow, packet_.closes, now_);
+  const auto record = TouchRecord();
   const auto is_second = homes_.second == nullptr || IsSelf(homes_.second);
   if (!is_second && (packet_.opens || !record)) {
     // The sender has an older view of the members.
@@ -112,7 +116,7 @@
 }
 
 auto PacketDecision::AtFirstHome() -> FlowAction {
-  const auto record = records_.Touch(packet_.flow, packet_.closes, now_);
+  const auto record = TouchRecord();
   if (packet_.opens) {
     return OpenAtFirstHome(record);
   }
@@ -162,7 +166,7 @@
 
 auto PacketDecision::UnknownAtFirstHome() -> FlowAction {
   const auto from_second = packet_.relay.stage == RelayStage::kFirstHome;
-  if (fresh_ && from_second) {
+  if (trust_.view && from_second) {
     return AskFormerHome();
   }
   // The second home has not been asked yet, or this home was away and lets the
@@ -170,7 +174,7 @@
   if (homes_.second != nullptr && !IsSelf(homes_.second)) {
     return Relay(*homes_.second, RelayStage::kAskPeer, kUnknownOwner);
   }
-  return fresh_ ? AskFormerHome() : Refuse(DropReason::kNoEndpoint);
+  return trust_.view ? AskFormerHome() : Refuse(DropReason::kNoEndpoint);
 }
 
 auto PacketDecision::AskFormerHome() -> FlowAction {
@@ -178,11 +182,11 @@
   if (former != nullptr && packet_.relay.hops < kMaxRelayHops) {
     return Relay(*former, RelayStage::kAskPeer, kUnknownOwner);
   }
-  return Forward(table_.EarliestOwnerOf(bucket_));
+  return ForwardUnknown();
 }
 
 auto PacketDecision::AnswerPeer() -> FlowAction {
-  const auto record = records_.Touch(packet_.flow, packet_.closes, now_);
+  const auto record = TouchRecord();
   const auto told = packet_.relay.known_owner;
   if (told != kUnknownOwner) {
     const auto is_new = !record || packet_.opens;
@@ -195,12 +199,54 @@
   if (record) {
     return ForwardTo(record->endpoint);
   }
-  if (!fresh_) {
+  if (!trust_.view) {
     return Refuse(DropReason::kNoEndpoint);
   }
   // The first home does not know the flow.
   const auto is_home = IsSelf(homes_.second) || IsSelf(homes_.third);
-  return is_home ? AskFormerHome() : Forward(table_.EarliestOwnerOf(bucket_));
+  return is_home ? AskFormerHome() : ForwardUnknown();
+}
+
+// A flow without a record belongs to the earliest owner of its bucket.
+auto PacketDecision::ForwardUnknown() -> FlowAction {
+  const auto owner = table_.EarliestOwnerOf(bucket_);
+  if (owner != kNoOwner && snapshot_.partitioned_since) {
+    return ForwardUnknownInPartition(owner);
+  }
+  return Forward(owner);
+}
+
+// Until this instance notices that a partition has healed, an unknown flow may
+// have opened on the other side. Flows seen early in the partition cannot.
+// Others wait until a healed partition would have been noticed.
+auto PacketDecision::ForwardUnknownInPartition(OwnerIndex owner) -> FlowAction {
+  const auto id = table_.endpoint(owner).id;
+  const auto waiting = records_.Find(packet_.flow);
+  const auto learning = now_ < *snapshot_.partitioned_since + kLearningTime;
+  const auto waited =
+      waiting &&
+      ToUnixSeconds(now_) > waiting->opened_seconds + ToWholeSeconds(kHealTime);
+  if (records_.NearlyFull(packet_.flow)) {
+    ++counters_.unrecorded;
+    return Forward(owner);
+  }
+  if (learning || waited) {
+    records_.Put(MakeRecord(id));
+    return ForwardTo(id);
+  }
+  if (!waiting) {
+    records_.Put(MakeRecord(kUnknownOwner));
+  }
+  return Refuse(DropReason::kNoEndpoint);
+}
+
+// Returns the record of the flow; none while its owner is not known yet.
+auto PacketDecision::TouchRecord() -> std::optional<FlowRecord> {
+  const auto record = records_.Touch(packet_.flow, packet_.closes, now_);
+  if (record && record->endpoint == kUnknownOwner) {
+    return std::nullopt;
+  }
+  return record;
 }
 
 auto PacketDecision::ChooseOwner() const -> OwnerIndex {
@@ -266,6 +312,14 @@
     ++counters_.unrecorded;
     return true;
   }
+  if (records_.Put(MakeRecord(owner))) {
+    return true;
+  }
+  ++counters_.lost_records;
+  return false;
+}
+
+auto PacketDecision::MakeRecord(EndpointId owner) const -> FlowRecord {
   auto record = FlowRecord();
   record.flow = packet_.flow;
   record.service = table_.service().id;
@@ -273,11 +327,7 @@
   record.opened_seconds = ToUnixSeconds(now_);
   record.last_seen_seconds = record.opened_seconds;
   record.closed_seconds = packet_.closes ? record.opened_seconds : 0;
-  if (records_.Put(record)) {
-    return true;
-  }
-  ++counters_.lost_records;
-  return false;
+  return record;
 }
 
 // A living instance that was a home of the flow not long ago.
@@ -302,11 +352,11 @@
 }
 
 auto PacketDecision::IsRunning(const HomeMember& member) const -> bool {
-  return std::any_of(
-      snapshot_.running.begin(), snapshot_.running.end(),
-      [&member](const HomeMember& running) {
-        return running.id == member.id && running.started == member.started;
-      });
+  return std::any_of(snapshot_.running.begin(), snapshot_.running.end(),
+                     [&member](const HomeMember& running) {
+                       return running.id == member.id &&
+                              running.started == member.started;
+                     });
 }
 
 auto PacketDecision::Forward(OwnerIndex owner) const -> FlowAction {
@@ -348,13 +398,12 @@
 
 // Visits the third home once in each kRefreshInterval, so that its record does
 // not expire.
-auto PacketDecision::ForwardAndRefresh(const FlowRecord& record)
-    -> FlowAction {
+auto PacketDecision::ForwardAndRefresh(const FlowRecord& record) -> FlowAction {
   constexpr auto kPeriod =
       std::chrono::duration_cast<std::chrono::seconds>(kRefreshInterval)
           .count();
-  const auto due = record.last_seen_seconds / kPeriod !=
-                   ToUnixSeconds(now_) / kPeriod;
+  const auto due =
+      record.last_seen_seconds / kPeriod != ToUnixSeconds(now_) / kPeriod;
   return due || packet_.closes ? ForwardByThirdHome(record.endpoint)
                                : ForwardTo(record.endpoint);
 }
--- a/Source/Flow/packet_decision.h
+++ b/Source/Flow/packet_decision.h
@@ -12,15 +12,22 @@
 
 namespace hemlockwick {
 
+// How far an instance may rely on what it knows.
+struct SnapshotTrust {
+  // Settled buckets may be forwarded by the table alone.
+  bool table = false;
+  // It was not suspended or cut off a moment ago.
+  bool view = false;
+};
+
 // Decides one packet. Settled buckets are forwarded by the table alone; the
-// others go by way of the second and the first home, which keep the records. A copy goes
-// to a third home in another data centre.
+// others go by way of the second and the first home, which keep the records. A
+// copy goes to a third home in another data centre.
 class PacketDecision {
  public:
-  // `fresh` tells whether the snapshot may be trusted for settled buckets.
   PacketDecision(const FlowSnapshot& snapshot, const ServiceTable& table,
                  const FlowPacket& packet, RecordTable& records,
-                 FlowCounters& counters, bool fresh, TimePoint now);
+                 FlowCounters& counters, SnapshotTrust trust, TimePoint now);
 
   auto Decide() -> FlowAction;
 
@@ -39,6 +46,11 @@
   auto UnknownAtFirstHome() -> FlowAction;
   auto AskFormerHome() -> FlowAction;
   auto AnswerPeer() -> FlowAction;
+  auto ForwardUnknown() -> FlowAction;
+  auto ForwardUnknownInPartition(OwnerIndex owner) -> FlowAction;
+
+  auto TouchRecord() -> std::optional<FlowRecord>;
+  auto MakeRecord(EndpointId owner) const -> FlowRecord;
 
   auto ChooseOwner() const -> OwnerIndex;
   auto IsUnreachable(OwnerIndex owner) const -> bool;
@@ -67,7 +79,7 @@
   const FlowPacket& packet_;
   RecordTable& records_;
   FlowCounters& counters_;
-  const bool fresh_;
+  const SnapshotTrust trust_;
   const TimePoint now_;
   const std::uint32_t bucket_;
   const Homes homes_;
--- a/Source/Measure/flow_fleet.cc
+++ b/Source/Measure/flow_fleet.cc
@@ -90,6 +90,7 @@
   instance.next_view = now;
   instance.config = world_.config();
   instance.pending.clear();
+  instance.counted_bytes = 0;
 }
 
 template <FlowNode Node>
@@ -479,10 +480,12 @@
 }
 
 template <FlowNode Node>
-auto FlowFleet<Node>::most_control_bytes() const -> std::size_t {
+auto FlowFleet<Node>::TakeMostControlBytes() -> std::size_t {
   auto most = std::size_t{0};
-  for (const auto& instance : instances_) {
-    most = std::max(most, instance.node->stats().hand_over_bytes);
+  for (auto& instance : instances_) {
+    const auto bytes = instance.node->stats().hand_over_bytes;
+    most = std::max(most, bytes - instance.counted_bytes);
+    instance.counted_bytes = bytes;
   }
   return most;
 }
--- a/Source/Measure/flow_fleet.h
+++ b/Source/Measure/flow_fleet.h
@@ -46,7 +46,9 @@
   [[nodiscard]] auto IsPartitioned(TimePoint now) const -> bool;
   [[nodiscard]] auto IsRolling() const -> bool { return !rollings_.empty(); }
   [[nodiscard]] auto stats() const -> FlowStats;
-  [[nodiscard]] auto most_control_bytes() const -> std::size_t;
+
+  // Control bytes of the instance that sent most since the last call.
+  auto TakeMostControlBytes() -> std::size_t;
 
  private:
   struct PendingConfig {
@@ -68,6 +70,7 @@
     std::shared_ptr<const FleetConfig> config;
     std::vector<PendingConfig> pending;
     std::vector<FlowPacket> held;
+    std::size_t counted_bytes = 0;
   };
   struct Message {
     std::size_t from = 0;
--- a/Source/Measure/flow_run.cc
+++ b/Source/Measure/flow_run.cc
@@ -25,6 +25,7 @@
 constexpr std::uint32_t kMaxBackoff = 3;
 constexpr Duration kStallLimit = minutes(1);
 constexpr Duration kDrainBound = seconds(3);
+constexpr Duration kControlWindow = seconds(10);
 
 constexpr std::size_t kShortPercent = 20;
 constexpr std::size_t kBusyPercent = 10;
@@ -74,7 +75,7 @@
 
 template <FlowNode Node>
 void FlowRun<Node>::Reopen(Flow& flow, TimePoint now) {
-  flow.key = FlowKey(MixWords(next_key_++, 1));
+  flow.key = FlowKey(MixWords(1, next_key_++));
   flow.owner = EndpointId();
   flow.retries = 0;
   flow.ends = flow.life == Life::kShort ? now + random_.Exponential(kShortLife)
@@ -229,6 +230,18 @@
                           static_cast<double>(total);
 }
 
+template <FlowNode Node>
+void FlowRun<Node>::MeasureControl(TimePoint now) {
+  if ((now - kStart) % kControlWindow != Duration(0)) {
+    return;
+  }
+  const auto bytes = static_cast<double>(fleet_.TakeMostControlBytes());
+  const auto rate =
+      bytes / std::chrono::duration<double>(kControlWindow).count();
+  result_.control_bytes_per_second =
+      std::max(result_.control_bytes_per_second, rate);
+}
+
 template <FlowNode Node>
 auto FlowRun<Node>::Run() -> FlowRunResult {
   CreateFlows();
@@ -244,6 +257,7 @@
       ++next_event;
     }
     fleet_.Tick(now);
+    MeasureControl(now);
     while (!due_.empty() && due_.top().at < now + kTick) {
       const auto due = due_.top();
       due_.pop();
@@ -254,8 +268,8 @@
     result_.imbalance = Imbalance();
   }
   result_.stats = fleet_.stats();
-  result_.control_bytes_per_second =
-      static_cast<double>(fleet_.most_control_bytes()) /
+  result_.openings_per_second =
+      static_cast<double>(result_.opened) /
       std::chrono::duration<double>(schedule_.duration).count();
   return result_;
 }
--- a/Source/Measure/flow_run.h
+++ b/Source/Measure/flow_run.h
@@ -29,7 +29,9 @@
   std::size_t delayed_syns = 0;  // SYNs that had to be sent again.
   std::size_t extra_hops = 0;
   double imbalance = 0;  // Flows per endpoint before the first event, max/mean.
-  double control_bytes_per_second = 0;  // Of the instance that sent most.
+  // Of the instance that sent most, in the worst kControlWindow.
+  double control_bytes_per_second = 0;
+  double openings_per_second = 0;
   FlowStats stats;
 };
 
@@ -74,6 +76,7 @@
   void Break(Flow& flow, TimePoint now);
   auto NextPacket(const Flow& flow, TimePoint now) -> TimePoint;
   auto Imbalance() const -> double;
+  void MeasureControl(TimePoint now);
 
   FlowSchedule schedule_;
   Random random_;
--- a/Source/Measure/flow_schedule.cc
+++ b/Source/Measure/flow_schedule.cc
@@ -28,8 +28,10 @@
     KindName{FlowEventKind::kPartition, "partition"},
 };
 
+constexpr Duration kStandingChange = std::chrono::seconds(30);
 constexpr Duration kFirstEvent = std::chrono::seconds(90);
-constexpr Duration kSecondEvent = std::chrono::milliseconds(90'700);
+constexpr Duration kAtOnce = std::chrono::milliseconds(700);
+constexpr Duration kLater = std::chrono::seconds(45);
 constexpr Duration kPauseLength = std::chrono::seconds(30);
 constexpr Duration kPartitionLength = std::chrono::seconds(60);
 
@@ -47,11 +49,21 @@
       std::chrono::duration<double>(seconds));
 }
 
+// A change of endpoints that leaves unsettled buckets to every other event.
+auto StandingChange() -> FlowEvent {
+  auto event = FlowEvent();
+  event.kind = FlowEventKind::kReplace;
+  event.at = kStandingChange;
+  event.target = 5;
+  return event;
+}
+
 // `order` tells the first event of a pair from the second.
-auto MakeEvent(FlowEventKind kind, std::size_t order) -> FlowEvent {
+auto MakeEvent(FlowEventKind kind, std::size_t order, Duration gap)
+    -> FlowEvent {
   auto event = FlowEvent();
   event.kind = kind;
-  event.at = order == 0 ? kFirstEvent : kSecondEvent;
+  event.at = kFirstEvent + gap;
   event.target = order * 3 + 1;
   if (kind == FlowEventKind::kPause) {
     event.length = kPauseLength;
@@ -63,6 +75,17 @@
   return event;
 }
 
+auto MakePair(const KindName& first, const KindName& second,
+              std::string_view separator, Duration gap) -> FlowSchedule {
+  auto pair = FlowSchedule();
+  pair.name = first.name;
+  pair.name += separator;
+  pair.name += second.name;
+  pair.events = {StandingChange(), MakeEvent(first.kind, 0, Duration(0)),
+                 MakeEvent(second.kind, 1, gap)};
+  return pair;
+}
+
 auto ReadEvent(const YAML::Node& node) -> std::optional<FlowEvent> {
   const auto kind = FindKind(node["do"].as<std::string>());
   if (!kind) {
@@ -129,17 +152,16 @@
   for (const auto& first : kKindNames) {
     auto alone = FlowSchedule();
     alone.name = std::string(first.name);
-    alone.events = {MakeEvent(first.kind, 0)};
+    alone.events = {StandingChange(), MakeEvent(first.kind, 0, Duration(0))};
     schedules.push_back(alone);
   }
-  for (std::size_t i = 0; i < kKindNames.size(); ++i) {
-    for (std::size_t j = i; j < kKindNames.size(); ++j) {
-      auto pair = FlowSchedule();
-      pair.name = std::string(kKindNames[i].name) + "+" +
-                  std::string(kKindNames[j].name);
-      pair.events = {MakeEvent(kKindNames[i].kind, 0),
-                     MakeEvent(kKindNames[j].kind, 1)};
-      schedules.push_back(pair);
+  for (const auto& first : kKindNames) {
+    for (const auto& second : kKindNames) {
+      // Both orders when one event comes later.
+      if (first.kind <= second.kind) {
+        schedules.push_back(MakePair(first, second, "+", kAtOnce));
+      }
+      schedules.push_back(MakePair(first, second, ",", kLater));
     }
   }
   return schedules;
@@ -153,7 +175,7 @@
   schedule.duration = std::chrono::hours(kHours);
   schedule.flows_per_endpoint = 200;
   for (std::size_t hour = 1; hour < kHours; ++hour) {
-    auto event = MakeEvent(kKindNames[hour % kChanges].kind, 0);
+    auto event = MakeEvent(kKindNames[hour % kChanges].kind, 0, Duration(0));
     event.at = std::chrono::hours(hour);
     event.target = hour;
     schedule.events.push_back(event);
--- a/Source/Measure/flow_schedule.h
+++ b/Source/Measure/flow_schedule.h
@@ -46,7 +46,9 @@
 [[nodiscard]] auto ReadFlowSchedule(const std::string& path)
     -> Result<FlowSchedule>;
 
-// Every kind of event alone, every pair at once and every kind twice.
+// Every kind of event alone, every pair at once ("a+b"), and every pair with
+// the second event 45 s after the first ("a,b"); pairs of one kind included.
+// A change of endpoints precedes them, so that there are records to lose.
 [[nodiscard]] auto StandardFlowSchedules() -> std::vector<FlowSchedule>;
 
 // A day of idle flows under one change an hour.
--- a/Source/Measure/main.cc
+++ b/Source/Measure/main.cc
@@ -4,9 +4,11 @@
 #include <vector>
 
 #include "Command/command_line.h"
+#include "Measure/flow_measure.h"
 
 auto main(int argc, char** argv) -> int {
   auto commands = std::vector<std::unique_ptr<hemlockwick::Command>>();
+  commands.push_back(std::make_unique<hemlockwick::FlowMeasure>());
   const auto program = hemlockwick::CommandLine(
       "hemlockwick-measure", HEMLOCKWICK_VERSION, std::move(commands));
   const auto arguments = std::vector<std::string>(argv + 1, argv + argc);
--- /dev/null
+++ b/Tests/Flow/home_table_test.cc
@@ -0,0 +1,64 @@
+#include "Flow/home_table.h"
+
+#include <criterion/criterion.h>
+
+#include <string>
+
+namespace hemlockwick {
+namespace {
+
+auto MakeMembers(std::size_t count) -> std::vector<HomeMember> {
+  auto members = std::vector<HomeMember>(count);
+  for (std::size_t i = 0; i < count; ++i) {
+    members[i].id = IdFromName<InstanceId>("i" + std::to_string(i));
+    members[i].data_centre = DataCentreId(1 + i % 3);
+  }
+  return members;
+}
+
+auto IsHome(const Homes& homes, InstanceId id) -> bool {
+  return homes.first->id == id || homes.second->id == id;
+}
+
+Test(home_table, homes_are_in_different_data_centres) {
+  const auto table = HomeTable(MakeMembers(7));
+  for (std::uint64_t flow = 0; flow < 5000; ++flow) {
+    const auto homes = table.HomesOf(FlowKey(flow));
+    cr_assert(homes.first->data_centre != homes.second->data_centre);
+    cr_assert(homes.third->data_centre != homes.first->data_centre);
+    cr_assert(homes.third->data_centre != homes.second->data_centre);
+  }
+}
+
+Test(home_table, one_home_stays_when_the_other_goes) {
+  const auto members = MakeMembers(7);
+  const auto table = HomeTable(members);
+  for (const auto& gone : members) {
+    auto left = members;
+    std::erase(left, gone);
+    const auto after = HomeTable(left);
+    for (std::uint64_t flow = 0; flow < 2000; ++flow) {
+      const auto old_homes = table.HomesOf(FlowKey(flow));
+      const auto homes = after.HomesOf(FlowKey(flow));
+      const auto stays = old_homes.first->id == gone.id ? old_homes.second->id
+                                                        : old_homes.first->id;
+      cr_assert(IsHome(homes, stays));
+    }
+  }
+}
+
+Test(home_table, few_members_leave_homes_out) {
+  const auto flow = FlowKey(5);
+  cr_assert_null(HomeTable({}).HomesOf(flow).first);
+  const auto one = HomeTable(MakeMembers(1));
+  cr_assert_not_null(one.HomesOf(flow).first);
+  cr_assert_null(one.HomesOf(flow).second);
+  auto neighbours = MakeMembers(2);
+  neighbours[1].data_centre = neighbours[0].data_centre;
+  const auto two = HomeTable(neighbours);
+  cr_assert_not_null(two.HomesOf(flow).second);
+  cr_assert(two.HomesOf(flow).first != two.HomesOf(flow).second);
+}
+
+}  // namespace
+}  // namespace hemlockwick
