--- a/Source/Flow/flow_router_impl.cc
+++ b/Source/Flow/flow_router_impl.cc
@@ -235,8 +235,16 @@
   if (found == snapshot.tables->end()) {
     return DropPacket{DropReason::kUnknownService};
   }
-  auto decision = PacketDecision(snapshot, *found->second, packet, records_,
-                                 counters_, TrustAt(now), now);
+  const auto& table = *found->second;
+  const auto trust = TrustAt(now);
+  if (trust.table && !snapshot.after_partition) {
+    const auto bucket = table.BucketOf(packet.flow);
+    if (table.IsSettled(bucket)) {
+      return ForwardToOwner(snapshot, table, table.OwnerOf(bucket));
+    }
+  }
+  auto decision =
+      PacketDecision(snapshot, table, packet, records_, counters_, trust, now);
   const auto action = decision.Decide();
   if (decision.conflicting()) {
     const std::lock_guard lock(conflicts_mutex_);
--- a/Source/Flow/flow_snapshot.h
+++ b/Source/Flow/flow_snapshot.h
@@ -1,9 +1,10 @@
 #ifndef HEMLOCKWICK_FLOW_FLOW_SNAPSHOT_H_
 #define HEMLOCKWICK_FLOW_FLOW_SNAPSHOT_H_
 
+#include <boost/unordered/unordered_flat_map.hpp>
+#include <functional>
 #include <memory>
 #include <optional>
-#include <unordered_map>
 #include <vector>
 
 #include "Core/ids.h"
@@ -16,7 +17,9 @@
 namespace hemlockwick {
 
 using TablesByAddress =
-    std::unordered_map<SocketAddress, std::shared_ptr<const ServiceTable>>;
+    boost::unordered_flat_map<SocketAddress,
+                              std::shared_ptr<const ServiceTable>,
+                              std::hash<SocketAddress>>;
 
 // What traffic threads need to decide packets. Immutable.
 struct FlowSnapshot {
--- a/Source/Flow/packet_decision.cc
+++ b/Source/Flow/packet_decision.cc
@@ -17,6 +17,19 @@
 
 }  // namespace
 
+auto ForwardToOwner(const FlowSnapshot& snapshot, const ServiceTable& table,
+                    OwnerIndex owner) -> FlowAction {
+  if (owner == kNoOwner) {
+    return DropPacket{DropReason::kNoEndpoint};
+  }
+  const auto& endpoint = table.endpoint(owner);
+  const auto& quarantined = *snapshot.quarantined;
+  if (!quarantined.empty() && quarantined.contains(endpoint.address)) {
+    return DropPacket{DropReason::kQuarantined};
+  }
+  return ForwardToEndpoint{endpoint.id, endpoint.address};
+}
+
 PacketDecision::PacketDecision(const FlowSnapshot& snapshot,
                                const ServiceTable& table,
                                const FlowPacket& packet, RecordTable& records,
@@ -33,10 +46,6 @@
       homes_(snapshot.homes->HomesOf(packet.flow)) {}
 
 auto PacketDecision::Decide() -> FlowAction {
-  const auto settled = table_.IsSettled(bucket_) && !snapshot_.after_partition;
-  if (settled && trust_.table) {
-    return Forward(table_.OwnerOf(bucket_));
-  }
   if (packet_.opens && !trust_.view) {
     // The caller has sent the SYN again meanwhile.
     return Refuse(DropReason::kNoEndpoint);
@@ -202,9 +211,14 @@
   if (!trust_.view) {
     return Refuse(DropReason::kNoEndpoint);
   }
-  // The first home does not know the flow.
-  const auto is_home = IsSelf(homes_.second) || IsSelf(homes_.third);
-  return is_home ? AskFormerHome() : ForwardUnknown();
+  const auto is_home =
+      IsSelf(homes_.first) || IsSelf(homes_.second) || IsSelf(homes_.third);
+  const auto has_hops = packet_.relay.hops < kMaxRelayHops;
+  if (!is_home && homes_.first != nullptr && has_hops) {
+    // The sender has an older view of the members.
+    return Relay(*homes_.first, RelayStage::kAskPeer, kUnknownOwner);
+  }
+  return AskFormerHome();
 }
 
 // A flow without a record belongs to the earliest owner of its bucket.
@@ -360,14 +374,7 @@
 }
 
 auto PacketDecision::Forward(OwnerIndex owner) const -> FlowAction {
-  if (owner == kNoOwner) {
-    return DropPacket{DropReason::kNoEndpoint};
-  }
-  const auto& endpoint = table_.endpoint(owner);
-  if (snapshot_.quarantined->contains(endpoint.address)) {
-    return DropPacket{DropReason::kQuarantined};
-  }
-  return ForwardToEndpoint{endpoint.id, endpoint.address};
+  return ForwardToOwner(snapshot_, table_, owner);
 }
 
 auto PacketDecision::ForwardTo(EndpointId owner) -> FlowAction {
--- a/Source/Flow/packet_decision.h
+++ b/Source/Flow/packet_decision.h
@@ -20,9 +20,15 @@
   bool view = false;
 };
 
-// Decides one packet. Settled buckets are forwarded by the table alone; the
-// others go by way of the second and the first home, which keep the records. A
-// copy goes to a third home in another data centre.
+// Forwards to an endpoint of the table, unless there is none or its address is
+// quarantined.
+[[nodiscard]] auto ForwardToOwner(const FlowSnapshot& snapshot,
+                                  const ServiceTable& table, OwnerIndex owner)
+    -> FlowAction;
+
+// Decides one packet that the table alone cannot decide. It goes by way of the
+// second and the first home, which keep the records; a copy goes to a third
+// home in another data centre.
 class PacketDecision {
  public:
   PacketDecision(const FlowSnapshot& snapshot, const ServiceTable& table,
--- a/Source/Measure/flow_bench.cc
+++ b/Source/Measure/flow_bench.cc
@@ -22,6 +22,10 @@
 constexpr std::size_t kTupleBytes = 13;
 constexpr std::size_t kRounds = 100;
 constexpr int kRepeats = 7;
+
+// A new instance does not forward by the table alone at first.
+constexpr Duration kWarmUp = std::chrono::seconds(10);
+constexpr Duration kTick = std::chrono::milliseconds(200);
 constexpr TimePoint kNow{std::chrono::hours(24 * 365 * 56)};
 
 auto MakeTuples(std::uint64_t seed) -> std::vector<std::string> {
@@ -35,13 +39,13 @@
   return tuples;
 }
 
-auto OneMemberView(InstanceId self) -> MemberView {
+auto OneMemberView(InstanceId self, TimePoint now) -> MemberView {
   auto view = MemberView();
   auto member = Member();
   member.id = self;
   view.self = self;
   view.members = {member};
-  view.refreshed = kNow;
+  view.refreshed = now;
   return view;
 }
 
@@ -92,8 +96,11 @@
 auto MeasureDecision(std::uint64_t seed) -> DecisionCost {
   const auto world = FlowWorld({14, 4}, kNow);
   const auto self = InstanceId(1);
-  auto node = RouterNode(self, kNow);
-  node.Update(world.config(), OneMemberView(self), kNow);
+  auto node = RouterNode(self, kNow - kWarmUp);
+  for (auto now = kNow - kWarmUp; now <= kNow; now += kTick) {
+    node.OnTick(now);
+    node.Update(world.config(), OneMemberView(self, now), now);
+  }
   const auto& service = *world.config()->services.front();
   const auto table =
       ServiceTable(world.config()->services.front(), {}, kNow, kNow);
--- a/Source/Measure/flow_fleet.cc
+++ b/Source/Measure/flow_fleet.cc
@@ -18,6 +18,7 @@
 constexpr std::uint16_t kPacketPort = 6080;
 
 constexpr Duration kConfigLag = seconds(3);
+constexpr Duration kTickLag = std::chrono::milliseconds(200);
 constexpr Duration kWakeLag = seconds(1);
 constexpr Duration kViewInterval = seconds(1);
 constexpr Duration kSuspectAfter = seconds(1);
@@ -185,9 +186,7 @@
         outcome.reached = Connected(instance.data_centre, i, now);
       }
     }
-    const auto was_paused = now < instance.paused_until + kConfigLag;
-    const auto was_cut = now < cut_until_[instance.data_centre] + kConfigLag;
-    outcome.current = !was_paused && !was_cut;
+    outcome.current = IsCurrent(instance, now);
     return outcome;
   }
   const auto* relay = std::get_if<RelayToInstance>(&action);
@@ -201,7 +200,18 @@
   }
   auto relayed = packet;
   relayed.relay = relay->mark;
-  return Route(*next, relayed, now);
+  auto outcome = Route(*next, relayed, now);
+  outcome.current = outcome.current && IsCurrent(instance, now);
+  return outcome;
+}
+
+template <FlowNode Node>
+auto FlowFleet<Node>::IsCurrent(const Instance& instance, TimePoint now) const
+    -> bool {
+  const auto paused = now < instance.paused_until + kConfigLag + kTickLag;
+  const auto cut =
+      now < cut_until_[instance.data_centre] + kConfigLag + kTickLag;
+  return !paused && !cut;
 }
 
 template <FlowNode Node>
--- a/Source/Measure/flow_fleet.h
+++ b/Source/Measure/flow_fleet.h
@@ -19,7 +19,8 @@
 struct PacketOutcome {
   std::optional<ForwardToEndpoint> forward;
   bool reached = false;  // The endpoint's data centre was within reach.
-  bool current = false;  // The last instance was neither cut off nor paused.
+  // No instance on the way was suspended or cut off a moment ago.
+  bool current = false;
   std::size_t hops = 0;
 };
 
@@ -98,6 +99,7 @@
       -> PacketOutcome;
   auto StateSeen(std::size_t observer, std::size_t index, TimePoint now) const
       -> MemberState;
+  auto IsCurrent(const Instance& instance, TimePoint now) const -> bool;
   auto IsPaused(const Instance& instance, TimePoint now) const -> bool;
   auto SideOf(std::size_t data_centre, TimePoint now) const -> std::size_t;
   auto IsCutLongEnough(std::size_t observer, std::size_t data_centre,
