--- a/Source/Flow/flow_snapshot.h
+++ b/Source/Flow/flow_snapshot.h
@@ -1,12 +1,15 @@
 #ifndef HEMLOCKWICK_FLOW_FLOW_SNAPSHOT_H_
 #define HEMLOCKWICK_FLOW_FLOW_SNAPSHOT_H_
 
+#include <boost/unordered/unordered_flat_map.hpp>
+#include <functional>
 #include <memory>
-#include <unordered_map>
+#include <optional>
 #include <vector>
 
 #include "Core/ids.h"
 #include "Core/net_address.h"
+#include "Core/time.h"
 #include "Flow/address_ledger.h"
 #include "Flow/home_table.h"
 #include "Flow/service_table.h"
@@ -14,7 +17,9 @@
 namespace hemlockwick {
 
 using TablesByAddress =
-    std::unordered_map<SocketAddress, std::shared_ptr<const ServiceTable>>;
+    boost::unordered_flat_map<SocketAddress,
+                              std::shared_ptr<const ServiceTable>,
+                              std::hash<SocketAddress>>;
 
 // What traffic threads need to decide packets. Immutable.
 struct FlowSnapshot {
@@ -29,6 +34,8 @@
   std::vector<HomeMember> running;
   // Data centres whose endpoints take no new flows now.
   std::vector<DataCentreId> unreachable;
+  // Since when data centres have been out of reach.
+  std::optional<TimePoint> partitioned_since;
   // Whether flows may live that opened on both sides of a partition, so that
   // no bucket is settled.
   bool after_partition = false;
--- a/Source/Measure/main.cc
+++ b/Source/Measure/main.cc
@@ -11,6 +11,11 @@
   auto commands = std::vector<std::unique_ptr<hemlockwick::Command>>();
   commands.push_back(std::make_unique<hemlockwick::CheckMeasure>());
   commands.push_back(std::make_unique<hemlockwick::UdpCommand>());
+#include "Measure/flow_measure.h"
+
+auto main(int argc, char** argv) -> int {
+  auto commands = std::vector<std::unique_ptr<hemlockwick::Command>>();
+  commands.push_back(std::make_unique<hemlockwick::FlowMeasure>());
   const auto program = hemlockwick::CommandLine(
       "hemlockwick-measure", HEMLOCKWICK_VERSION, std::move(commands));
   const auto arguments = std::vector<std::string>(argv + 1, argv + argc);
