Measure: Add the requests and make-trace commands

Cause: short work waited behind instances whose own long work held their slots, and unlikely endpoints were tried too early. Change: long work goes to the slots that the instance owns for it and leaves 1.3 times the demand of short work free; the hold before unlikely endpoints are tried stays near 0 until the allowance runs low. The command replays every policy side by side with the limit.

--- a/Source/Measure/main.cc
+++ b/Source/Measure/main.cc
@@ -4,9 +4,13 @@
 #include <vector>
 
 #include "Command/command_line.h"
+#include "Measure/make_trace_command.h"
+#include "Measure/requests_command.h"
 
 auto main(int argc, char** argv) -> int {
   auto commands = std::vector<std::unique_ptr<hemlockwick::Command>>();
+  commands.push_back(std::make_unique<hemlockwick::RequestsCommand>());
+  commands.push_back(std::make_unique<hemlockwick::MakeTraceCommand>());
   const auto program = hemlockwick::CommandLine(
       "hemlockwick-measure", HEMLOCKWICK_VERSION, std::move(commands));
   const auto arguments = std::vector<std::string>(argv + 1, argv + argc);
--- /dev/null
+++ b/Source/Measure/make_trace_command.cc
@@ -0,0 +1,51 @@
+#include "Measure/make_trace_command.h"
+
+#include <cstdint>
+#include <cxxopts.hpp>
+#include <iostream>
+
+#include "Measure/trace_generator.h"
+
+namespace hemlockwick {
+
+auto MakeTraceCommand::Run(const std::vector<std::string>& arguments)
+    -> ExitCode {
+  auto options = cxxopts::Options("hemlockwick-measure make-trace",
+                                  std::string(summary()));
+  options.positional_help("NAME");
+  options.add_options()("name", "trace to make", cxxopts::value<std::string>())(
+      "seed", "seed of the random numbers",
+      cxxopts::value<std::uint64_t>()->default_value("1"))("h,help",
+                                                           "show this help");
+  options.parse_positional({"name"});
+  auto words = std::vector<const char*>{"make-trace"};
+  for (const auto& argument : arguments) {
+    words.push_back(argument.c_str());
+  }
+  const auto parsed =
+      options.parse(static_cast<int>(words.size()), words.data());
+  if (parsed.count("help") > 0 || parsed.count("name") == 0) {
+    auto& out = parsed.count("help") > 0 ? std::cout : std::cerr;
+    out << options.help() << "\nNames:";
+    for (const auto& known : PeakTraceNames()) {
+      out << " " << known;
+    }
+    out << "\n";
+    return parsed.count("help") > 0 ? ExitCode::kSuccess : ExitCode::kUsage;
+  }
+  return TryOr(
+      [&parsed]() -> Result<ExitCode> {
+        BOOST_LEAF_AUTO(trace,
+                        MakePeakTrace(parsed["name"].as<std::string>(),
+                                      parsed["seed"].as<std::uint64_t>()));
+        std::cout << EncodeTrace(trace);
+        return ExitCode::kSuccess;
+      },
+      [](const Error& error) {
+        std::cerr << "hemlockwick-measure make-trace: " << error.message << "; "
+                  << error.remedy << "\n";
+        return ExitCode::kUsage;
+      });
+}
+
+}  // namespace hemlockwick
--- a/Source/Measure/request_replay.h
+++ b/Source/Measure/request_replay.h
@@ -39,7 +39,7 @@
   std::size_t endpoint_queue = 0;
   std::uint32_t max_requests_per_second = 0;
   std::uint64_t seed = 1;
-  ReplayFaultRates rates;
+  ReplayFaultRates rates{};
 };
 
 // Replays a trace in virtual time through the decision code of several
--- a/Source/Measure/request_trace.cc
+++ b/Source/Measure/request_trace.cc
@@ -168,7 +168,23 @@
                   "write the trace with 'hemlockwick-measure make-trace'");
     }
   }
-  return reader.Take();
+  auto trace = reader.Take();
+  BOOST_LEAF_CHECK(SetFaults(trace, trace.faults));
+  return trace;
+}
+
+auto SetFaults(RequestTrace& trace, std::vector<EndpointFault> faults)
+    -> Result<void> {
+  for (const auto& fault : faults) {
+    if (fault.endpoint >= trace.endpoints) {
+      return Fail(ErrorCode::kInvalidArgument,
+                  "a fault names endpoint " + std::to_string(fault.endpoint) +
+                      " of " + std::to_string(trace.endpoints),
+                  "count endpoints from 0");
+    }
+  }
+  trace.faults = std::move(faults);
+  return {};
 }
 
 auto DecodeFaults(std::string_view text) -> Result<std::vector<EndpointFault>> {
--- a/Source/Measure/request_trace.h
+++ b/Source/Measure/request_trace.h
@@ -66,6 +66,11 @@
 [[nodiscard]] auto DecodeFaults(std::string_view text)
     -> Result<std::vector<EndpointFault>>;
 
+// Replaces the faults of a trace. Fails with kInvalidArgument when one names
+// an endpoint that the trace does not have.
+[[nodiscard]] auto SetFaults(RequestTrace& trace,
+                             std::vector<EndpointFault> faults) -> Result<void>;
+
 }  // namespace hemlockwick
 
 #endif  // HEMLOCKWICK_MEASURE_REQUEST_TRACE_H_
--- a/Source/Measure/trace_generator.cc
+++ b/Source/Measure/trace_generator.cc
@@ -16,7 +16,7 @@
 
 constexpr std::uint32_t kCallers = 40;
 // Share of requests from caller 0.
-constexpr double kHeavyCallerShare = 0.025;
+constexpr double kHeavyCallerShare = 0.2;
 constexpr double kLongShare = 0.03;
 constexpr double kNonIdempotentShare = 0.5;
 constexpr Duration kShortFloor = milliseconds(10);
@@ -59,14 +59,18 @@
 // Draws requests one after another.
 class RequestSource {
  public:
-  RequestSource(double long_share, bool heavy_tail, std::uint64_t seed)
-      : long_share_(long_share), heavy_tail_(heavy_tail), random_(seed) {}
+  RequestSource(double long_share, bool heavy_tail, double heavy_caller_share,
+                std::uint64_t seed)
+      : long_share_(long_share),
+        heavy_tail_(heavy_tail),
+        heavy_caller_share_(heavy_caller_share),
+        random_(seed) {}
 
   auto Draw(Duration at) -> TracedRequest {
     auto request = TracedRequest();
     request.at = at;
     request.caller =
-        random_.Chance(kHeavyCallerShare)
+        random_.Chance(heavy_caller_share_)
             ? 0
             : static_cast<std::uint32_t>(1 + random_.Below(kCallers - 1));
     request.is_long = random_.Chance(long_share_);
@@ -100,6 +104,7 @@
 
   double long_share_;
   bool heavy_tail_;
+  double heavy_caller_share_;
   Random random_;
 };
 
@@ -137,7 +142,8 @@
   trace.peak_from = swing.peak_from;
   trace.peak_to = swing.peak_to;
   AddFaults(trace);
-  auto source = RequestSource(swing.long_share, swing.heavy_tail, seed);
+  auto source = RequestSource(swing.long_share, swing.heavy_tail,
+                              kHeavyCallerShare, seed);
   const auto slots = trace.endpoints * trace.slots;
   auto at = source.NextGap(swing.base_load, slots);
   while (at < swing.length) {
@@ -147,6 +153,21 @@
   return trace;
 }
 
+auto MakeConstant(std::string_view name, double load, double heavy_caller_share,
+                  Duration length, std::uint64_t seed) -> RequestTrace {
+  auto trace = RequestTrace();
+  trace.name = name;
+  trace.peak_to = length;
+  auto source = RequestSource(kLongShare, false, heavy_caller_share, seed);
+  const auto slots = trace.endpoints * trace.slots;
+  auto at = source.NextGap(load, slots);
+  while (at < length) {
+    trace.requests.push_back(source.Draw(at));
+    at += source.NextGap(load, slots);
+  }
+  return trace;
+}
+
 }  // namespace
 
 auto PeakTraceNames() -> std::vector<std::string> {
@@ -175,18 +196,12 @@
 
 auto MakeSteadyTrace(double load, Duration length, std::uint64_t seed)
     -> RequestTrace {
-  auto trace = RequestTrace();
-  trace.name = "steady";
-  trace.peak_from = Duration(0);
-  trace.peak_to = length;
-  auto source = RequestSource(kLongShare, false, seed);
-  const auto slots = trace.endpoints * trace.slots;
-  auto at = source.NextGap(load, slots);
-  while (at < length) {
-    trace.requests.push_back(source.Draw(at));
-    at += source.NextGap(load, slots);
-  }
-  return trace;
+  return MakeConstant("steady", load, 1.0 / kCallers, length, seed);
+}
+
+auto MakeOverloadTrace(double load, Duration length, std::uint64_t seed)
+    -> RequestTrace {
+  return MakeConstant("overload", load, kHeavyCallerShare, length, seed);
 }
 
 }  // namespace hemlockwick
--- a/Source/Measure/trace_generator.h
+++ b/Source/Measure/trace_generator.h
@@ -19,10 +19,14 @@
     -> Result<RequestTrace>;
 
 // Makes a trace of constant demand; `load` is the share of all slot time that
-// it asks for. One caller asks for far more than its share.
+// it asks for. All callers ask for the same.
 [[nodiscard]] auto MakeSteadyTrace(double load, Duration length,
                                    std::uint64_t seed) -> RequestTrace;
 
+// Likewise, but one caller asks for eight times as much as any other.
+[[nodiscard]] auto MakeOverloadTrace(double load, Duration length,
+                                     std::uint64_t seed) -> RequestTrace;
+
 }  // namespace hemlockwick
 
 #endif  // HEMLOCKWICK_MEASURE_TRACE_GENERATOR_H_
--- a/Source/Request/dispatch_policy.h
+++ b/Source/Request/dispatch_policy.h
@@ -19,6 +19,8 @@
   Duration waited{0};
   // Requests declared long that this instance has at endpoints.
   std::size_t long_in_flight = 0;
+  // Slots that short work of this instance kept busy lately, on average.
+  double short_demand = 0;
 };
 
 // Chooses the endpoint of the next attempt, or none when the request had
--- a/Source/Request/endpoint_pool.h
+++ b/Source/Request/endpoint_pool.h
@@ -43,7 +43,9 @@
     return !candidates_.empty();
   }
 
-  // Slots for long work that this instance owns on all endpoints.
+  // Slots that this instance owns on all endpoints, and how many of them are
+  // for long work.
+  [[nodiscard]] auto owned_slots() const -> std::size_t { return owned_slots_; }
   [[nodiscard]] auto owned_long_slots() const -> std::size_t {
     return owned_long_slots_;
   }
@@ -70,6 +72,7 @@
   std::unordered_map<EndpointId, std::size_t> index_;
   std::vector<std::size_t> candidates_;
   mutable std::vector<std::size_t> usable_;
+  std::size_t owned_slots_ = 0;
   std::size_t owned_long_slots_ = 0;
   double prior_ = 0.7;
 };
--- a/Source/Request/endpoint_track.cc
+++ b/Source/Request/endpoint_track.cc
@@ -9,8 +9,8 @@
 namespace {
 
 // Age at which an observation of an endpoint weighs half.
-constexpr Duration kFreeHalfLife = std::chrono::milliseconds(40);
-constexpr Duration kFullHalfLife = std::chrono::milliseconds(10);
+constexpr Duration kFreeHalfLife = std::chrono::milliseconds(100);
+constexpr Duration kFullHalfLife = std::chrono::milliseconds(4);
 // A report counts only when nothing was observed for this long.
 constexpr Duration kObservationLife = std::chrono::seconds(1);
 constexpr Duration kSlowStart = std::chrono::seconds(10);
--- a/Source/Request/likely_free_policy.cc
+++ b/Source/Request/likely_free_policy.cc
@@ -2,17 +2,22 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 
 namespace hemlockwick {
 
 namespace {
 
 // Shed attempts that each request may cause on average.
-constexpr double kShedsPerRequest = 0.27;
+constexpr double kShedsPerRequest = 0.25;
 
 // With nothing saved up, a request waits this long for an endpoint that was
-// seen free before it tries others; with more saved up, proportionally less.
+// seen free before it tries others; with more saved up, far less.
 constexpr Duration kMaxHold = std::chrono::milliseconds(60);
+constexpr int kHoldExponent = 5;
+
+// Slots that short work keeps free of long work, as a multiple of its demand.
+constexpr double kShortHeadroom = 1.3;
 
 // Least probability of a free slot at which an attempt is worth its cost.
 constexpr double kSureThreshold = 0.7;
@@ -23,21 +28,34 @@
 constexpr double kRandomWeight = 0.005;
 constexpr double kOtherDataCentreWeight = 0.98;
 
-auto Probability(const EndpointTrack& track, const DispatchNeed& need,
-                 double prior, TimePoint now) -> double {
+// Probability that `track` may run the request at once. An instance without
+// a slot for long work of its own sends it where another slot stays free.
+auto Probability(const EndpointPool& pool, const EndpointTrack& track,
+                 WorkClass work, TimePoint now) -> double {
+  const auto prior = pool.prior();
   if (track.in_flight() >= track.slots()) {
     return 0;
   }
-  if (need.work == WorkClass::kShort) {
-    return track.FreeProbability(1, prior, now);
-  }
-  if (track.long_in_flight() < track.owned_long_slots()) {
+  if (work == WorkClass::kShort ||
+      track.long_in_flight() < track.owned_long_slots()) {
     return track.FreeProbability(1, prior, now);
   }
-  if (track.slots() > 1 && track.long_in_flight() + 1 >= track.slots()) {
+  if (pool.owned_long_slots() > 0) {
     return 0;
   }
-  return track.FreeProbability(track.slots() > 1 ? 2 : 1, prior, now);
+  const auto needed = std::min(track.slots(), 2U);
+  return track.FreeProbability(needed, prior, now);
+}
+
+// Most requests declared long that this instance may have in flight: its part
+// of the slots for long work, less where its short work needs them.
+auto LongLimit(const EndpointPool& pool, const DispatchNeed& need)
+    -> std::size_t {
+  const auto owned = std::max<std::size_t>(pool.owned_long_slots(), 1);
+  const auto spare = static_cast<double>(pool.owned_slots()) -
+                     kShortHeadroom * need.short_demand;
+  const auto allowed = static_cast<std::size_t>(std::max(spare, 1.0));
+  return std::min(allowed, owned);
 }
 
 }  // namespace
@@ -49,16 +67,16 @@
 auto LikelyFreePolicy::Choose(const EndpointPool& pool,
                               const DispatchNeed& need, Random& random,
                               TimePoint now) -> std::optional<std::size_t> {
-  const auto long_limit = std::max<std::size_t>(pool.owned_long_slots(), 1);
-  if (need.work == WorkClass::kLong && need.long_in_flight >= long_limit) {
+  if (need.work == WorkClass::kLong &&
+      need.long_in_flight >= LongLimit(pool, need)) {
     return std::nullopt;
   }
-  const auto threshold = Threshold(need);
+  const auto threshold = MayProbe(need) ? kProbeThreshold : kSureThreshold;
   auto best = std::optional<std::size_t>();
   auto best_score = 0.0;
   for (const auto index : pool.Usable(now)) {
     const auto& track = pool.at(index);
-    const auto probability = Probability(track, need, pool.prior(), now);
+    const auto probability = Probability(pool, track, need.work, now);
     if (probability < threshold) {
       continue;
     }
@@ -76,12 +94,12 @@
   return best;
 }
 
-auto LikelyFreePolicy::Threshold(const DispatchNeed& need) const -> double {
-  const auto spent = 1 - allowance_ / kMaxAllowance;
-  const auto hold = static_cast<double>(kMaxHold.count()) * spent;
-  const auto waited = static_cast<double>(need.waited.count());
-  const auto may_probe = need.work == WorkClass::kShort && waited >= hold;
-  return may_probe ? kProbeThreshold : kSureThreshold;
+auto LikelyFreePolicy::MayProbe(const DispatchNeed& need) const -> bool {
+  const auto spent = std::max(1 - allowance_ / kMaxAllowance, 0.0);
+  const auto hold =
+      static_cast<double>(kMaxHold.count()) * std::pow(spent, kHoldExponent);
+  return need.work == WorkClass::kShort &&
+         static_cast<double>(need.waited.count()) >= hold;
 }
 
 }  // namespace hemlockwick
--- a/Source/Request/likely_free_policy.h
+++ b/Source/Request/likely_free_policy.h
@@ -24,9 +24,9 @@
   void OnShed() { allowance_ -= 1; }
 
  private:
-  static constexpr double kMaxAllowance = 20;
+  static constexpr double kMaxAllowance = 150;
 
-  [[nodiscard]] auto Threshold(const DispatchNeed& need) const -> double;
+  [[nodiscard]] auto MayProbe(const DispatchNeed& need) const -> bool;
 
   // Shed attempts that may still be caused.
   double allowance_ = kMaxAllowance;
--- a/Source/Request/request_core.cc
+++ b/Source/Request/request_core.cc
@@ -188,8 +188,8 @@
   const auto was_cancelled =
       record.caller_done && result.outcome == AttemptOutcome::kLost;
   ReleaseSlot(record, lane,
-              was_cancelled ? AttemptOutcome::kCancelled : result.outcome,
-              load, now);
+              was_cancelled ? AttemptOutcome::kCancelled : result.outcome, load,
+              now);
   switch (record.state.Settle(result.attempt, result.outcome)) {
     case Settlement::kDeliver:
       if (record.caller_done) {
--- a/Source/Request/request_core_dispatch.h
+++ b/Source/Request/request_core_dispatch.h
@@ -61,7 +61,8 @@
     return true;
   }
   const auto need =
-      DispatchNeed{work, now - next->since, lane.declared_long_in_flight};
+      DispatchNeed{work, now - next->since, lane.declared_long_in_flight,
+                   lane.SlotTimeOf(WorkClass::kShort).PerSecond(now)};
   const auto choice = lane.policy.Choose(lane.pool, need, random_, now);
   if (!choice.has_value()) {
     return false;
--- a/Source/Request/service_lane.h
+++ b/Source/Request/service_lane.h
@@ -57,7 +57,7 @@
   std::array<DecayedRate, 2> slot_times = {DecayedRate(kSlotTimeWindow),
                                            DecayedRate(kSlotTimeWindow)};
   std::size_t in_flight = 0;
-  std::size_t long_in_flight = 0;      // Declared or grown long.
+  std::size_t long_in_flight = 0;  // Declared or grown long.
   std::size_t declared_long_in_flight = 0;
   RetryBudget retries = RetryBudget(0, kMaxSavedRetries);
   RateShare rate;
