Fleet: Measure the bounds and test faults under a virtual clock

Cause: Nothing measured the fleet, and a starting process took a rolled-back platform's version when the index arrived before the instance list. Change: 'hemlockwick-measure fleet' prints the bounds, random and written schedules of faults run on the real decision code, and a starting process waits for the list and a peer before it trusts the platform's age.

--- a/Source/Command/timeline_command.cc
+++ b/Source/Command/timeline_command.cc
@@ -73,11 +73,17 @@
                 "check the name");
   }
   const auto text = std::string(std::istreambuf_iterator<char>(file), {});
-  return boost::leaf::try_handle_some(
+  auto failure = Error();
+  auto events = TryOr(
       [&text]() -> Result<std::vector<Event>> { return DecodeEvents(text); },
-      [&path](const Error& error) -> Result<std::vector<Event>> {
-        return Fail(error.code, path + ": " + error.message, error.remedy);
+      [&failure](const Error& error) {
+        failure = error;
+        return std::vector<Event>();
       });
+  if (!failure.message.empty()) {
+    return Fail(failure.code, path + ": " + failure.message, failure.remedy);
+  }
+  return events;
 }
 
 auto Fetch(Source& source) -> Result<std::vector<Event>> {
--- a/Source/Fleet/config_sync.cc
+++ b/Source/Fleet/config_sync.cc
@@ -255,7 +255,8 @@
   if (state_.store.candidate()->version < advertised_.version) {
     return age >= kOlderVersionGrace;
   }
-  const auto has_peers = has_seeds_ || !state_.members.peers().empty();
+  const auto has_peers =
+      has_seeds_ || !state_.has_list || !state_.members.peers().empty();
   return state_.answers > 0 || !has_peers || age >= kStartGrace;
 }
 
--- a/Source/Fleet/failure_detector.cc
+++ b/Source/Fleet/failure_detector.cc
@@ -372,6 +372,12 @@
   }
 }
 
+void FailureDetector::OnInstanceList(TimePoint now) {
+  if (state_.answers == 0) {
+    next_introduction_ = std::min(next_introduction_, now);
+  }
+}
+
 void FailureDetector::OnProbe(InstanceId from, const Probe& probe,
                               TimePoint now) {
   const auto* sender = state_.members.Find(from);
--- a/Source/Fleet/failure_detector.h
+++ b/Source/Fleet/failure_detector.h
@@ -40,6 +40,9 @@
   void OnTick(TimePoint now);
   [[nodiscard]] auto NextTick() const -> TimePoint;
 
+  // Peers to ask have become known.
+  void OnInstanceList(TimePoint now);
+
   void OnProbe(InstanceId from, const Probe& probe, TimePoint now);
   void OnProbeAck(InstanceId from, const ProbeAck& ack, TimePoint now);
   void OnGossip(InstanceId from, const Gossip& gossip, TimePoint now);
--- a/Source/Fleet/fleet_node.cc
+++ b/Source/Fleet/fleet_node.cc
@@ -224,6 +224,8 @@
           BOOST_LEAF_AUTO(list, DecodeInstanceList(body));
           state_.view_changed =
               state_.members.ApplyList(list, now) || state_.view_changed;
+          state_.has_list = true;
+          detector_.OnInstanceList(now);
           return std::string();
         },
         [](const Error& error) { return error.message; });
--- a/Source/Fleet/node_state.h
+++ b/Source/Fleet/node_state.h
@@ -38,6 +38,9 @@
   // When an instance of this data centre last had an answer of the platform.
   TimePoint platform_heard;
 
+  // Whether the instance list has been read since the process started.
+  bool has_list = false;
+
   // Peers that have answered since the process started.
   std::size_t answers = 0;
 
--- a/Source/Measure/fleet_simulation.cc
+++ b/Source/Measure/fleet_simulation.cc
@@ -70,8 +70,7 @@
   platform_.Write(std::string(kInstanceListKey), EncodeInstanceList(list));
 }
 
-void FleetSimulation::Publish(const std::vector<PublishedValue>& values,
-                              Version /*version*/) {
+void FleetSimulation::Publish(const std::vector<PublishedValue>& values) {
   platform_.Write(values);
   WakeWatches();
 }
--- a/Source/Measure/fleet_simulation.h
+++ b/Source/Measure/fleet_simulation.h
@@ -41,7 +41,7 @@
   auto platform() -> FakePlatform& { return platform_; }
 
   // Writes a configuration to the platform and wakes the watches.
-  void Publish(const std::vector<PublishedValue>& values, Version version);
+  void Publish(const std::vector<PublishedValue>& values);
 
   // Ends a process without notice.
   void Kill(std::size_t instance);
@@ -94,8 +94,7 @@
   [[nodiscard]] auto false_deaths() const -> std::size_t {
     return false_deaths_;
   }
-  // Highest and mean control traffic of the running instances since `since`
-  // was taken, in bytes per second.
+  // Control traffic sent by each instance's present process.
   [[nodiscard]] auto SentBytes() const -> std::vector<std::uint64_t>;
 
   // Whether every running instance that can reach `instance` no longer counts
--- a/Source/Measure/main.cc
+++ b/Source/Measure/main.cc
@@ -4,10 +4,12 @@
 #include <vector>
 
 #include "Command/command_line.h"
+#include "Measure/fleet_command.h"
 #include "Measure/udp_command.h"
 
 auto main(int argc, char** argv) -> int {
   auto commands = std::vector<std::unique_ptr<hemlockwick::Command>>();
+  commands.push_back(std::make_unique<hemlockwick::FleetCommand>());
   commands.push_back(std::make_unique<hemlockwick::UdpCommand>());
   const auto program = hemlockwick::CommandLine(
       "hemlockwick-measure", HEMLOCKWICK_VERSION, std::move(commands));
--- a/Source/Timeline/event_codec.cc
+++ b/Source/Timeline/event_codec.cc
@@ -51,14 +51,19 @@
 
 // Adds the line's number to a decoding error.
 auto ToEvent(std::string_view line, int number) -> Result<Event> {
-  return boost::leaf::try_handle_some(
-      [line]() -> Result<Event> { return ToEvent(line); },
-      [number](const Error& error) -> Result<Event> {
-        return Fail(error.code,
-                    "line " + std::to_string(number) +
-                        " is not an event: " + error.message,
-                    "give files as 'timeline --format json' writes them");
-      });
+  auto problem = std::string();
+  auto event = TryOr([line]() -> Result<Event> { return ToEvent(line); },
+                     [&problem](const Error& error) {
+                       problem = error.message;
+                       return Event();
+                     });
+  if (!problem.empty()) {
+    return Fail(
+        ErrorCode::kInvalidArgument,
+        "line " + std::to_string(number) + " is not an event: " + problem,
+        "give files as 'timeline --format json' writes them");
+  }
+  return event;
 }
 
 }  // namespace
