--- a/Source/Measure/main.cc
+++ b/Source/Measure/main.cc
@@ -5,11 +5,13 @@
 
 #include "Command/command_line.h"
 #include "Measure/check_measure.h"
+#include "Measure/fleet_command.h"
 #include "Measure/udp_command.h"
 
 auto main(int argc, char** argv) -> int {
   auto commands = std::vector<std::unique_ptr<hemlockwick::Command>>();
   commands.push_back(std::make_unique<hemlockwick::CheckMeasure>());
+  commands.push_back(std::make_unique<hemlockwick::FleetCommand>());
   commands.push_back(std::make_unique<hemlockwick::UdpCommand>());
 #include "Measure/flow_measure.h"
 
