Flow: Let homes with an older view ask the first home

After a partition healed, a third home passed an unknown flow back to a second home that had not noticed yet, and the first home was never asked.

--- a/Source/Flow/packet_decision.cc
+++ b/Source/Flow/packet_decision.cc
@@ -90,8 +90,10 @@
   const auto record = TouchRecord();
   const auto is_second = homes_.second == nullptr || IsSelf(homes_.second);
   if (!is_second && (packet_.opens || !record)) {
-    // The sender has an older view of the members.
-    return Relay(*homes_.second, RelayStage::kSecondHome, kUnknownOwner);
+    // The sender has an older view of the members. The first home asks the
+    // second one when it does not know the flow.
+    const auto* next = packet_.opens ? homes_.second : homes_.first;
+    return Relay(*next, RelayStage::kSecondHome, kUnknownOwner);
   }
   if (packet_.opens) {
     return OpenAtSecondHome(record);
