Request: Count owned slots when long work is limited

Cause: the number of owned slots was never filled, so that each instance ran one long request at a time. Change: fill it.

--- a/Source/Request/endpoint_pool.cc
+++ b/Source/Request/endpoint_pool.cc
@@ -154,6 +154,8 @@
     total += endpoint->slots;
     long_total += endpoint->slots - std::min(endpoint->slots, 1U);
   }
+  owned_slots_ =
+      total * (rank + 1) / member_count - total * rank / member_count;
   owned_long_slots_ =
       long_total * (rank + 1) / member_count - long_total * rank / member_count;
   auto first = std::size_t{0};
