Request: Build the key messages in place

Cause: under the sanitizers g++ 12 reports members of the other alternatives of a temporary message as uninitialized, and the build ends. Change: messages are assigned in the list.

--- a/Source/Request/at_most_once.cc
+++ b/Source/Request/at_most_once.cc
@@ -134,8 +134,7 @@
                         TimePoint now, KeyActions& work) {
   if (const auto* claim = std::get_if<KeyClaim>(&message)) {
     if (const auto state = AnswerClaim(from, *claim, now)) {
-      work.messages.push_back(
-          KeyMessage{from, KeyVerdict{claim->key, claim->request, *state}});
+      work.Send(from, KeyVerdict{claim->key, claim->request, *state});
     }
   } else if (const auto* verdict = std::get_if<KeyVerdict>(&message)) {
     claims_.OnVerdict(from, *verdict, now, work);
--- a/Source/Request/key_claims.cc
+++ b/Source/Request/key_claims.cc
@@ -109,9 +109,8 @@
         continue;
       }
       AddOnce(home.instance, claim.contacted);
-      actions.messages.push_back(KeyMessage{
-          home.instance, KeyClaim{request.key, request.request,
-                                  request.deadline, request.memory}});
+      actions.Send(home.instance, KeyClaim{request.key, request.request,
+                                           request.deadline, request.memory});
     }
   }
   claim.next_send = now + kClaimResend;
@@ -227,7 +226,7 @@
 void KeyClaims::SendSettlement(Settlement& settlement, TimePoint now,
                                KeyActions& actions) {
   for (const auto home : settlement.homes) {
-    actions.messages.push_back(KeyMessage{home, settlement.message});
+    actions.Send(home, settlement.message);
   }
   --settlement.sends_left;
   settlement.next_send = now + kSettlementResend;
--- a/Source/Request/key_claims.h
+++ b/Source/Request/key_claims.h
@@ -34,6 +34,13 @@
 
 // What a call of KeyClaims results in.
 struct KeyActions {
+  template <typename Message>
+  void Send(InstanceId to, const Message& message) {
+    auto& added = messages.emplace_back();
+    added.to = to;
+    added.message = message;
+  }
+
   std::vector<KeyMessage> messages;
   // Claims that are decided: kFree to proceed, kRefused for not run, kRunning
   // for in progress, kUnknown for an unknown outcome.
--- a/Tests/Fuzz/object_input.h
+++ b/Tests/Fuzz/object_input.h
@@ -35,8 +35,9 @@
           BOOST_LEAF_AUTO(shard, DecodeShard(values[at].body));
           shards.push_back(shard);
         }
-        BOOST_LEAF_CHECK(AssembleFleetConfig(index, shards));
-        return ObjectInputResult::kPublished;
+        BOOST_LEAF_AUTO(config, AssembleFleetConfig(index, shards));
+        return config == nullptr ? ObjectInputResult::kBroken
+                                 : ObjectInputResult::kPublished;
       },
       [](const Error&) { return ObjectInputResult::kBroken; });
 }
