--- a/Source/Runtime/http_client.cc
+++ b/Source/Runtime/http_client.cc
@@ -3,10 +3,10 @@
 #include <ulfius.h>
 
 #include <algorithm>
-#include <cctype>
 #include <memory>
 #include <utility>
 
+#include "Runtime/ulfius_headers.h"
 #include "Runtime/ulfius_scope.h"
 
 namespace hemlockwick {
@@ -39,13 +39,6 @@
   return std::max<std::int64_t>(seconds.count(), 1);
 }
 
-auto LowerCase(std::string text) -> std::string {
-  std::ranges::transform(text, text.begin(), [](unsigned char letter) {
-    return static_cast<char>(std::tolower(letter));
-  });
-  return text;
-}
-
 void Fill(_u_request& target, const SocketAddress& address,
           const HttpRequest& request) {
   const auto url = "http://" + ToString(address) + request.path;
@@ -66,10 +59,7 @@
 auto Read(const _u_response& source) -> HttpResponse {
   auto response = HttpResponse();
   response.status = static_cast<int>(source.status);
-  const auto* const headers = source.map_header;
-  for (auto index = 0; index < headers->nb_values; ++index) {
-    response.headers[LowerCase(headers->keys[index])] = headers->values[index];
-  }
+  response.headers = ReadHeaders(*source.map_header);
   if (source.binary_body_length > 0) {
     response.body.assign(static_cast<const char*>(source.binary_body),
                          source.binary_body_length);
--- a/Source/Runtime/http_server.cc
+++ b/Source/Runtime/http_server.cc
@@ -3,9 +3,7 @@
 #include <poll.h>
 #include <ulfius.h>
 
-#include <algorithm>
 #include <array>
-#include <cctype>
 #include <condition_variable>
 #include <map>
 #include <mutex>
@@ -14,6 +12,7 @@
 #include <utility>
 
 #include "Runtime/socket.h"
+#include "Runtime/ulfius_headers.h"
 #include "Runtime/ulfius_scope.h"
 
 namespace hemlockwick {
@@ -28,13 +27,6 @@
 
 constexpr int kPayloadTooLarge = 413;
 
-auto LowerCase(std::string text) -> std::string {
-  std::ranges::transform(text, text.begin(), [](unsigned char letter) {
-    return static_cast<char>(std::tolower(letter));
-  });
-  return text;
-}
-
 // Open connections by the caller's address.
 class ConnectionTable {
  public:
@@ -121,10 +113,7 @@
   auto request = HttpRequest();
   request.method = source.http_verb;
   request.path = source.http_url;
-  const auto* const headers = source.map_header;
-  for (auto index = 0; index < headers->nb_values; ++index) {
-    request.headers[LowerCase(headers->keys[index])] = headers->values[index];
-  }
+  request.headers = ReadHeaders(*source.map_header);
   if (source.binary_body_length > 0) {
     request.body.assign(static_cast<const char*>(source.binary_body),
                         source.binary_body_length);
--- a/Source/Runtime/request_gateway.cc
+++ b/Source/Runtime/request_gateway.cc
@@ -24,7 +24,7 @@
 constexpr Duration kCancelTimeout = std::chrono::seconds(1);
 
 // How often a waiting request looks whether its caller is still there.
-constexpr Duration kCallerCheckInterval = std::chrono::milliseconds(50);
+constexpr Duration kCallerCheckInterval = std::chrono::milliseconds(200);
 // Time after the deadline in which the plane must have ended a request.
 constexpr Duration kDeadlineGrace = std::chrono::seconds(5);
 
--- a/Tests/Runtime/processes_test.cc
+++ b/Tests/Runtime/processes_test.cc
@@ -7,13 +7,18 @@
 #include <csignal>
 #include <memory>
 #include <string>
+#include <thread>
+#include <utility>
 #include <vector>
 
 #include "Config/published_value.h"
+#include "Runtime/http_client.h"
+#include "Runtime/request_headers.h"
 #include "StandIn/await.h"
 #include "StandIn/flow_caller.h"
 #include "StandIn/flow_endpoint.h"
 #include "StandIn/local_fleet.h"
+#include "StandIn/request_endpoint.h"
 
 namespace hemlockwick {
 
@@ -180,6 +185,46 @@
   cr_assert_eq(world.flows().totals().open, kFlows);
 }
 
+// A request in progress of one process that is stopped twice.
+Test(processes, end_at_once_on_a_second_signal, .timeout = 600) {
+  auto ledger = RunLedger();
+  const auto endpoint =
+      Require(RequestEndpoint::Start(EndpointName(kRequestService, 0), ledger));
+  const auto fleet = Require(LocalFleet::Start(HEMLOCKWICK_PROGRAM, 1));
+  auto objects = LocalObjects();
+  objects.request_endpoints = {endpoint->address()};
+  const auto version = fleet->Publish(objects);
+  cr_assert(Await([&] { return fleet->InForce(version, {0}); }, kAwaitBound));
+
+  auto request = HttpRequest();
+  request.method = "POST";
+  request.headers = {{"Host", kRequestService},
+                     {kKeyHeader, "long"},
+                     {kDeadlineHeader, "60000"},
+                     {kWorkHeader, "8000"}};
+  request.timeout = kAwaitBound;
+  auto response = HttpResponse();
+  {
+    const auto caller = std::jthread([&] {
+      response = Require(SendHttp(fleet->targets()[0].http, request));
+    });
+    cr_assert(Await([&] { return ledger.RunsOf("long") == 1; }, kAwaitBound));
+    auto& process = fleet->process(0);
+    process.Signal(SIGTERM);
+    cr_assert(Await(
+        [&] {
+          const auto status = fleet->Status(0);
+          return status && status->leaving;
+        },
+        kAwaitBound));
+    process.Signal(SIGTERM);
+    cr_assert(Await([&] { return process.Ended(); }, kAwaitBound));
+    cr_assert_eq(process.exit_code().value_or(-1), 1);
+  }
+  cr_assert_eq(response.status, 504);
+  cr_assert_neq(response.body.find("unknown"), std::string::npos);
+}
+
 }  // namespace
 
 }  // namespace hemlockwick
