--- /dev/null
+++ b/Source/Fleet/outbox.cc
@@ -0,0 +1,37 @@
+#include "Fleet/outbox.h"
+
+#include <algorithm>
+
+namespace hemlockwick {
+
+auto Outbox::Send(const Member& to, FleetMessage message, TrafficClass traffic,
+                  TimePoint now) -> bool {
+  const auto text = Encode(message);
+  const auto escaped = std::count_if(
+      text.begin(), text.end(), [](char c) { return c == '"' || c == '\\'; });
+  const auto bytes =
+      text.size() + static_cast<std::size_t>(escaped) + kEnvelopeBytes;
+  if (!budget_.TryTake(bytes, traffic, now)) {
+    return false;
+  }
+  Add(SendFleetMessage{to.id, to.http_address, std::move(message)});
+  return true;
+}
+
+auto Outbox::Send(const SocketAddress& to, FleetMessage message,
+                  TrafficClass traffic, TimePoint now) -> bool {
+  auto unknown = Member();
+  unknown.http_address = to;
+  return Send(unknown, std::move(message), traffic, now);
+}
+
+void Outbox::Add(FleetAction action) { actions_.push_back(std::move(action)); }
+
+void Outbox::Read(PlatformRead read, TimePoint now) {
+  // A read is never held back here: the reader's own schedule bounds them.
+  (void)budget_.TryTake(read.key.size() + kReadBytes, TrafficClass::kProbe,
+                        now);
+  Add(std::move(read));
+}
+
+}  // namespace hemlockwick
