Request: Leave slots to short work by its demand and test the decisions

Change: long work leaves 1.15 times the slots that arriving short work needs, and tries endpoints that were not seen free after a longer hold. In the replay an overlapping pause no longer ends the longer one.

--- a/Source/Measure/request_replay.cc
+++ b/Source/Measure/request_replay.cc
@@ -244,7 +244,7 @@
       auto& instance = instances_[random_.Below(instances_.size())];
       const auto length = Duration(
           static_cast<Duration::rep>(random_.Below(kMaxPause.count())));
-      instance.paused_until = now_ + length;
+      instance.paused_until = std::max(instance.paused_until, now_ + length);
       ScheduleRandom(Kind::kPause, settings_.rates.mean_between_pauses);
       break;
     }
--- a/Source/Request/admission.h
+++ b/Source/Request/admission.h
@@ -23,6 +23,11 @@
   // A request ran for this long at an endpoint.
   void OnServed(Duration service_time);
 
+  // Mean time that requests run at endpoints.
+  [[nodiscard]] auto typical_service() const -> Duration {
+    return typical_service_;
+  }
+
   // Tells how long the queue is after a change.
   void OnQueueLength(std::size_t length, TimePoint now);
 
--- a/Source/Request/dispatch_policy.h
+++ b/Source/Request/dispatch_policy.h
@@ -19,8 +19,10 @@
   Duration waited{0};
   // Requests declared long that this instance has at endpoints.
   std::size_t long_in_flight = 0;
-  // Slots that short work of this instance kept busy lately, on average.
+  // Slots that the short work arriving here would keep busy.
   double short_demand = 0;
+  // Long work has had less than its least share of slot time.
+  bool is_due = false;
 };
 
 // Chooses the endpoint of the next attempt, or none when the request had
--- a/Source/Request/endpoint_pool.h
+++ b/Source/Request/endpoint_pool.h
@@ -74,7 +74,7 @@
   mutable std::vector<std::size_t> usable_;
   std::size_t owned_slots_ = 0;
   std::size_t owned_long_slots_ = 0;
-  double prior_ = 0.7;
+  double prior_ = 0.8;
 };
 
 }  // namespace hemlockwick
--- a/Source/Request/likely_free_policy.cc
+++ b/Source/Request/likely_free_policy.cc
@@ -17,11 +17,16 @@
 constexpr int kHoldExponent = 5;
 
 // Slots that short work keeps free of long work, as a multiple of its demand.
-constexpr double kShortHeadroom = 1.3;
+constexpr double kShortHeadroom = 1.15;
 
 // Least probability of a free slot at which an attempt is worth its cost.
 constexpr double kSureThreshold = 0.7;
 constexpr double kProbeThreshold = 0.05;
+constexpr double kLongProbeThreshold = 0.3;
+
+// Long work waits longer before it tries endpoints that were not seen free.
+constexpr Duration kMinLongHold = std::chrono::milliseconds(500);
+constexpr double kLongHoldFactor = 20;
 
 // Weight of a second free slot when endpoints are equally likely.
 constexpr double kSpareSlotWeight = 0.01;
@@ -54,7 +59,7 @@
   const auto owned = std::max<std::size_t>(pool.owned_long_slots(), 1);
   const auto spare = static_cast<double>(pool.owned_slots()) -
                      kShortHeadroom * need.short_demand;
-  const auto allowed = static_cast<std::size_t>(std::max(spare, 1.0));
+  const auto allowed = static_cast<std::size_t>(std::max(spare, 0.0));
   return std::min(allowed, owned);
 }
 
@@ -67,11 +72,11 @@
 auto LikelyFreePolicy::Choose(const EndpointPool& pool,
                               const DispatchNeed& need, Random& random,
                               TimePoint now) -> std::optional<std::size_t> {
-  if (need.work == WorkClass::kLong &&
+  if (need.work == WorkClass::kLong && !need.is_due &&
       need.long_in_flight >= LongLimit(pool, need)) {
     return std::nullopt;
   }
-  const auto threshold = MayProbe(need) ? kProbeThreshold : kSureThreshold;
+  const auto threshold = Threshold(need);
   auto best = std::optional<std::size_t>();
   auto best_score = 0.0;
   for (const auto index : pool.Usable(now)) {
@@ -94,12 +99,17 @@
   return best;
 }
 
-auto LikelyFreePolicy::MayProbe(const DispatchNeed& need) const -> bool {
+auto LikelyFreePolicy::Threshold(const DispatchNeed& need) const -> double {
   const auto spent = std::max(1 - allowance_ / kMaxAllowance, 0.0);
   const auto hold =
       static_cast<double>(kMaxHold.count()) * std::pow(spent, kHoldExponent);
-  return need.work == WorkClass::kShort &&
-         static_cast<double>(need.waited.count()) >= hold;
+  const auto waited = static_cast<double>(need.waited.count());
+  if (need.work == WorkClass::kLong) {
+    const auto long_hold = std::max(hold * kLongHoldFactor,
+                                    static_cast<double>(kMinLongHold.count()));
+    return waited >= long_hold ? kLongProbeThreshold : kSureThreshold;
+  }
+  return waited >= hold ? kProbeThreshold : kSureThreshold;
 }
 
 }  // namespace hemlockwick
--- a/Source/Request/likely_free_policy.h
+++ b/Source/Request/likely_free_policy.h
@@ -26,7 +26,7 @@
  private:
   static constexpr double kMaxAllowance = 150;
 
-  [[nodiscard]] auto MayProbe(const DispatchNeed& need) const -> bool;
+  [[nodiscard]] auto Threshold(const DispatchNeed& need) const -> double;
 
   // Shed attempts that may still be caused.
   double allowance_ = kMaxAllowance;
--- a/Source/Request/request_core_admission.h
+++ b/Source/Request/request_core_admission.h
@@ -102,6 +102,9 @@
                                         TimePoint now) {
   const auto service = record.arrival.service;
   const auto work = record.work;
+  if (work == WorkClass::kShort) {
+    lane.short_arrivals.Add(1, now);
+  }
   const auto& admission = lane.AdmissionOf(work);
   const auto length = lane.QueueOf(work).size();
   if (!admission.CanMeet(length, record.arrival.deadline, now)) {
--- a/Source/Request/request_core_dispatch.h
+++ b/Source/Request/request_core_dispatch.h
@@ -60,9 +60,9 @@
            actions, now);
     return true;
   }
-  const auto need =
-      DispatchNeed{work, now - next->since, lane.declared_long_in_flight,
-                   lane.SlotTimeOf(WorkClass::kShort).PerSecond(now)};
+  const auto need = DispatchNeed{
+      work, now - next->since, lane.declared_long_in_flight,
+      lane.ShortDemand(now), work == WorkClass::kLong && lane.IsLongDue(now)};
   const auto choice = lane.policy.Choose(lane.pool, need, random_, now);
   if (!choice.has_value()) {
     return false;
--- a/Source/Request/service_lane.h
+++ b/Source/Request/service_lane.h
@@ -43,6 +43,13 @@
     return long_time < kLeastLongShare * (long_time + short_time);
   }
 
+  // Slots that short work would keep busy at its present rate of arrival.
+  [[nodiscard]] auto ShortDemand(TimePoint now) const -> double {
+    const auto service = admissions[Index(WorkClass::kShort)].typical_service();
+    return short_arrivals.PerSecond(now) *
+           std::chrono::duration<double>(service).count();
+  }
+
   [[nodiscard]] auto HasWaiting() const -> bool {
     return !queues[0].empty() || !queues[1].empty();
   }
@@ -56,6 +63,7 @@
                                          Admission(kLongRateWindow, false)};
   std::array<DecayedRate, 2> slot_times = {DecayedRate(kSlotTimeWindow),
                                            DecayedRate(kSlotTimeWindow)};
+  DecayedRate short_arrivals = DecayedRate(kArrivalWindow);
   std::size_t in_flight = 0;
   std::size_t long_in_flight = 0;  // Declared or grown long.
   std::size_t declared_long_in_flight = 0;
@@ -66,9 +74,10 @@
   TimePoint next_pump = TimePoint::max();
 
  private:
-  static constexpr double kLeastLongShare = 0.1;
+  static constexpr double kLeastLongShare = 0.05;
   static constexpr double kMaxSavedRetries = 20;
   static constexpr Duration kShortRateWindow = std::chrono::milliseconds(500);
+  static constexpr Duration kArrivalWindow = std::chrono::seconds(1);
   static constexpr Duration kLongRateWindow = std::chrono::seconds(10);
   static constexpr Duration kSlotTimeWindow = std::chrono::seconds(5);
 
--- /dev/null
+++ b/Tests/Request/rate_share_test.cc
@@ -0,0 +1,144 @@
+#include "Request/rate_share.h"
+
+#include <criterion/criterion.h>
+
+#include <chrono>
+#include <deque>
+#include <vector>
+
+#include "Core/random.h"
+
+namespace hemlockwick {
+namespace {
+
+constexpr TimePoint kStart = TimePoint(std::chrono::hours(1));
+constexpr std::size_t kMembers = 7;
+
+auto MakeView(std::size_t self, std::size_t members) -> MemberView {
+  auto view = MemberView();
+  view.self = InstanceId(1 + self);
+  for (auto number = std::size_t{0}; number < members; ++number) {
+    auto member = Member();
+    member.id = InstanceId(1 + number);
+    member.data_centre = DataCentreId(1 + number % 3);
+    view.members.push_back(member);
+  }
+  return view;
+}
+
+// Seven instances that share one limit and may lose each other's reports.
+class SharingFleet {
+ public:
+  SharingFleet() {
+    for (auto number = std::size_t{0}; number < kMembers; ++number) {
+      shares_.emplace_back(InstanceId(1 + number), kStart);
+      views_.push_back(MakeView(number, kMembers));
+      shares_.back().OnMembers(views_.back(), kStart);
+    }
+  }
+
+  // One second: arrivals, reports with the given loss, views.
+  void Step(double loss, Random& random) {
+    now_ += std::chrono::seconds(1);
+    for (auto from = std::size_t{0}; from < kMembers; ++from) {
+      const auto arrivals = random.Below(200);
+      for (auto count = std::uint64_t{0}; count < arrivals; ++count) {
+        shares_[from].OnArrival(now_);
+      }
+      const auto demand = shares_[from].TakeReport(now_);
+      for (auto to = std::size_t{0}; to < kMembers; ++to) {
+        if (to != from && !random.Chance(loss)) {
+          shares_[to].OnReport(InstanceId(1 + from), demand, now_);
+        }
+      }
+    }
+  }
+
+  void Apply(std::size_t number) {
+    shares_[number].OnMembers(views_[number], now_);
+  }
+
+  [[nodiscard]] auto Sum() const -> double {
+    auto sum = 0.0;
+    for (const auto& share : shares_) {
+      sum += share.Share(now_);
+    }
+    return sum;
+  }
+
+  std::deque<RateShare> shares_;
+  std::vector<MemberView> views_;
+  TimePoint now_ = kStart;
+};
+
+Test(rate_share, uses_the_whole_limit_when_all_see_each_other) {
+  auto fleet = SharingFleet();
+  auto random = Random(1);
+  for (auto second = 0; second < 30; ++second) {
+    fleet.Step(0, random);
+  }
+  cr_assert_leq(fleet.Sum(), 1.0 + 1e-9);
+  cr_assert_geq(fleet.Sum(), 0.95);
+}
+
+Test(rate_share, stays_within_its_bound_however_reports_are_lost) {
+  for (auto seed = std::uint64_t{1}; seed <= 20; ++seed) {
+    auto fleet = SharingFleet();
+    auto random = Random(seed);
+    for (auto second = 0; second < 60; ++second) {
+      fleet.Step(0.7, random);
+      cr_assert_leq(fleet.Sum(), kMaxShareSum);
+    }
+  }
+}
+
+Test(rate_share, a_partition_does_not_raise_the_sum) {
+  auto fleet = SharingFleet();
+  auto random = Random(3);
+  for (auto second = 0; second < 20; ++second) {
+    fleet.Step(0, random);
+  }
+  for (auto number = std::size_t{0}; number < kMembers; ++number) {
+    for (auto& member : fleet.views_[number].members) {
+      const auto home = DataCentreId(1 + number % 3);
+      if (member.data_centre != home) {
+        member.state = MemberState::kDead;
+        fleet.views_[number].unreachable.push_back(member.data_centre);
+      }
+    }
+    fleet.Apply(number);
+  }
+  for (auto second = 0; second < 300; ++second) {
+    fleet.Step(1, random);
+    cr_assert_leq(fleet.Sum(), kMaxShareSum);
+  }
+}
+
+Test(rate_share, a_member_that_others_wrongly_hold_for_dead_stays_in_bound) {
+  auto fleet = SharingFleet();
+  auto random = Random(4);
+  for (auto second = 0; second < 20; ++second) {
+    fleet.Step(0, random);
+  }
+  for (auto number = std::size_t{1}; number < kMembers; ++number) {
+    fleet.views_[number].members[0].state = MemberState::kDead;
+    fleet.Apply(number);
+  }
+  for (auto second = 0; second < 120; ++second) {
+    fleet.Step(0, random);
+    cr_assert_leq(fleet.Sum(), kMaxShareSum);
+  }
+}
+
+Test(rate_share, admits_no_more_than_its_part) {
+  auto share = RateShare(InstanceId(1), kStart);
+  auto admitted = 0;
+  for (auto millis = 0; millis < 10'000; ++millis) {
+    admitted += share.Admit(50, kStart + std::chrono::milliseconds(millis));
+  }
+  cr_assert_leq(admitted, 50 * 10 + 5);
+  cr_assert_geq(admitted, 50 * 10 - 5);
+}
+
+}  // namespace
+}  // namespace hemlockwick
--- /dev/null
+++ b/Tests/Request/request_core_test.cc
@@ -0,0 +1,251 @@
+#include <criterion/criterion.h>
+
+#include <chrono>
+#include <memory>
+#include <variant>
+
+#include "Request/request_plane.h"
+#include "Timeline/event_log.h"
+
+namespace hemlockwick {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart = TimePoint(std::chrono::hours(1));
+constexpr ServiceId kService = ServiceId(7);
+
+// One instance in front of a service with `endpoints` endpoints.
+class Bench {
+ public:
+  explicit Bench(std::size_t endpoints = 2, std::uint32_t slots = 3)
+      : events_("test"),
+        plane_({.random_seed = 1}, InstanceId(1), events_, now_) {
+    auto view = MemberView();
+    view.self = InstanceId(1);
+    auto member = Member();
+    member.id = InstanceId(1);
+    view.members.push_back(member);
+    plane_.OnMembers(view, now_);
+    service_.id = kService;
+    service_.kind = ServiceKind::kRequest;
+    for (auto index = std::size_t{0}; index < endpoints; ++index) {
+      auto endpoint = Endpoint();
+      endpoint.id = EndpointId(1 + index);
+      endpoint.slots = slots;
+      service_.endpoints.push_back(endpoint);
+    }
+    Publish();
+  }
+
+  auto Publish() -> RequestActions {
+    ++version_;
+    return plane_.OnConfig(
+        BuildFleetConfig(Version(version_), Digest(), now_, {},
+                         {std::make_shared<Service>(service_)}),
+        now_);
+  }
+
+  auto Arrive(std::uint64_t id, bool idempotent = false,
+              std::uint64_t bytes = 100) -> RequestActions {
+    auto arrival = RequestArrival();
+    arrival.request = RequestId(id);
+    arrival.service = kService;
+    arrival.caller = CallerId(id);
+    arrival.idempotent = idempotent;
+    arrival.body_bytes = bytes;
+    arrival.arrived = now_;
+    arrival.deadline = now_ + seconds(5);
+    return plane_.OnArrival(arrival, now_);
+  }
+
+  auto Result(const DispatchRequest& dispatch, AttemptOutcome outcome)
+      -> RequestActions {
+    return plane_.OnAttemptResult({dispatch.request, dispatch.attempt,
+                                   dispatch.endpoint, outcome, std::nullopt},
+                                  now_);
+  }
+
+  // Advances the time tick by tick and returns all actions.
+  auto Advance(Duration duration) -> RequestActions {
+    auto all = RequestActions();
+    const auto end = now_ + duration;
+    while (plane_.NextTick() <= end) {
+      now_ = std::max(now_, plane_.NextTick());
+      const auto actions = plane_.OnTick(now_);
+      all.insert(all.end(), actions.begin(), actions.end());
+    }
+    now_ = end;
+    return all;
+  }
+
+  TimePoint now_ = kStart;
+  EventLog events_;
+  RequestPlane plane_;
+  Service service_;
+  std::uint64_t version_ = 0;
+};
+
+template <typename Action>
+auto Find(const RequestActions& actions) -> const Action* {
+  for (const auto& action : actions) {
+    if (const auto* const found = std::get_if<Action>(&action)) {
+      return found;
+    }
+  }
+  return nullptr;
+}
+
+Test(request_core, delivers_an_answer_once) {
+  auto bench = Bench();
+  const auto arrived = bench.Arrive(1);
+  const auto dispatch = *Find<DispatchRequest>(arrived);
+  cr_assert(bench.plane_.ConfirmSend(dispatch, bench.now_));
+  cr_assert_not(bench.plane_.ConfirmSend(dispatch, bench.now_));
+  cr_assert_not_null(
+      Find<DeliverAnswer>(bench.Result(dispatch, AttemptOutcome::kAnswered)));
+  cr_assert(bench.Result(dispatch, AttemptOutcome::kAnswered).empty());
+  cr_assert_eq(bench.plane_.stats().late_answers, 1);
+}
+
+Test(request_core, never_sends_a_lost_non_idempotent_request_again) {
+  auto bench = Bench();
+  const auto dispatch = *Find<DispatchRequest>(bench.Arrive(1));
+  cr_assert(bench.plane_.ConfirmSend(dispatch, bench.now_));
+  const auto actions = bench.Result(dispatch, AttemptOutcome::kLost);
+  cr_assert_null(Find<DispatchRequest>(actions));
+  cr_assert(Find<RefuseRequest>(actions)->reason ==
+            RefusalReason::kOutcomeUnknown);
+  cr_assert_null(Find<DispatchRequest>(bench.Advance(seconds(10))));
+}
+
+Test(request_core, retries_what_was_not_run_within_the_budget) {
+  auto bench = Bench(4);
+  auto refused = 0;
+  auto retried = 0;
+  for (auto id = std::uint64_t{1}; id <= 100; ++id) {
+    const auto dispatch = *Find<DispatchRequest>(bench.Arrive(id));
+    cr_assert(bench.plane_.ConfirmSend(dispatch, bench.now_));
+    const auto actions = bench.Result(dispatch, AttemptOutcome::kNotSent);
+    const auto* const refusal = Find<RefuseRequest>(actions);
+    refused += refusal != nullptr ? 1 : 0;
+    if (refusal != nullptr) {
+      cr_assert(IsNotRun(refusal->reason));
+      continue;
+    }
+    ++retried;
+    auto second = Find<DispatchRequest>(actions) != nullptr
+                      ? actions
+                      : bench.Advance(milliseconds(500));
+    bench.Result(*Find<DispatchRequest>(second), AttemptOutcome::kAnswered);
+  }
+  cr_assert_leq(retried, 10);
+  cr_assert_geq(retried, 8);
+  cr_assert_eq(refused + retried, 100);
+}
+
+Test(request_core, a_late_wake_sends_nothing_on_an_old_view) {
+  auto bench = Bench();
+  const auto dispatch = *Find<DispatchRequest>(bench.Arrive(1));
+  bench.now_ += seconds(3);
+  cr_assert_not(bench.plane_.ConfirmSend(dispatch, bench.now_));
+  cr_assert_null(Find<DispatchRequest>(bench.plane_.OnTick(bench.now_)));
+  for (auto& endpoint : bench.service_.endpoints) {
+    endpoint.state = EndpointState::kDraining;
+  }
+  const auto actions = bench.Publish();
+  cr_assert_null(Find<DispatchRequest>(actions));
+  cr_assert(Find<RefuseRequest>(actions)->reason == RefusalReason::kNoEndpoint);
+}
+
+Test(request_core, a_dispatch_past_its_deadline_is_not_sent) {
+  auto bench = Bench();
+  const auto dispatch = *Find<DispatchRequest>(bench.Arrive(1));
+  bench.now_ += seconds(1);
+  bench.plane_.OnTick(bench.now_);
+  cr_assert_not(bench.plane_.ConfirmSend(dispatch, bench.now_));
+  const auto actions = bench.Advance(seconds(6));
+  cr_assert(IsNotRun(Find<RefuseRequest>(actions)->reason));
+}
+
+Test(request_core, a_drained_endpoint_gets_no_new_work_and_ends_its_own) {
+  auto bench = Bench(2);
+  const auto dispatch = *Find<DispatchRequest>(bench.Arrive(1));
+  cr_assert(bench.plane_.ConfirmSend(dispatch, bench.now_));
+  for (auto& endpoint : bench.service_.endpoints) {
+    if (endpoint.id == dispatch.endpoint) {
+      endpoint.state = EndpointState::kDraining;
+    }
+  }
+  bench.Publish();
+  for (auto id = std::uint64_t{2}; id <= 20; ++id) {
+    const auto actions = bench.Arrive(id);
+    if (const auto* const next = Find<DispatchRequest>(actions)) {
+      cr_assert(next->endpoint != dispatch.endpoint);
+    }
+  }
+  cr_assert_not_null(
+      Find<DeliverAnswer>(bench.Result(dispatch, AttemptOutcome::kAnswered)));
+}
+
+Test(request_core, long_work_leaves_the_last_slot_to_short_work) {
+  auto bench = Bench(1);
+  constexpr std::uint64_t kLong = 1 << 20;
+  auto dispatched = 0;
+  for (auto id = std::uint64_t{1}; id <= 5; ++id) {
+    dispatched += Find<DispatchRequest>(bench.Arrive(id, true, kLong)) ? 1 : 0;
+  }
+  cr_assert_eq(dispatched, 2);
+  cr_assert_not_null(Find<DispatchRequest>(bench.Arrive(10)));
+}
+
+Test(request_core, runs_long_work_where_endpoints_have_one_slot) {
+  auto bench = Bench(1, 1);
+  cr_assert_not_null(Find<DispatchRequest>(bench.Arrive(1, true, 1 << 20)));
+}
+
+Test(request_core, cancels_at_the_endpoint_when_the_caller_leaves) {
+  auto bench = Bench();
+  const auto dispatch = *Find<DispatchRequest>(bench.Arrive(1));
+  cr_assert(bench.plane_.ConfirmSend(dispatch, bench.now_));
+  const auto actions = bench.plane_.OnCallerGone(RequestId(1), bench.now_);
+  cr_assert_not_null(Find<CancelAttempt>(actions));
+  cr_assert_null(
+      Find<DeliverAnswer>(bench.Result(dispatch, AttemptOutcome::kAnswered)));
+  cr_assert_eq(bench.plane_.stats().in_flight, 0);
+}
+
+Test(request_core, a_leaving_instance_ends_its_work_and_refuses_more) {
+  auto bench = Bench();
+  const auto dispatch = *Find<DispatchRequest>(bench.Arrive(1));
+  cr_assert(bench.plane_.ConfirmSend(dispatch, bench.now_));
+  bench.plane_.BeginLeave(bench.now_);
+  cr_assert(Find<RefuseRequest>(bench.Arrive(2))->reason ==
+            RefusalReason::kStopping);
+  cr_assert_not(bench.plane_.LeaveDone());
+  bench.Result(dispatch, AttemptOutcome::kAnswered);
+  cr_assert(bench.plane_.LeaveDone());
+}
+
+Test(request_core, bounds_its_queue_and_says_when_to_return) {
+  auto bench = Bench(1);
+  auto refused = 0;
+  for (auto id = std::uint64_t{1}; id <= 400; ++id) {
+    const auto actions = bench.Arrive(id);
+    if (const auto* const refusal = Find<RefuseRequest>(actions)) {
+      ++refused;
+      cr_assert(IsNotRun(refusal->reason));
+      cr_assert_geq(refusal->retry_after.count(), Duration(seconds(1)).count());
+    }
+  }
+  // Three of the first requests run; those that remain waiting are as many as
+  // six a second can serve within five seconds.
+  const auto queued = bench.plane_.stats().queued;
+  cr_assert_eq(refused + queued + 3, 400);
+  cr_assert_leq(queued, 6 * 5 + 3);
+  cr_assert_geq(queued, 10);
+}
+
+}  // namespace
+}  // namespace hemlockwick
