--- a/Source/Config/fleet_config.h
+++ b/Source/Config/fleet_config.h
@@ -64,7 +64,8 @@
   std::uint32_t weight = 0;
 };
 
-// The endpoints that took new flows in an earlier version of a service.
+// The endpoints that take new flows since a version of a service, until the
+// next set replaces them.
 struct PastEndpointSet {
   Version version;
   TimePoint published;
@@ -89,7 +90,8 @@
   Duration flow_lifetime = std::chrono::hours(24);
   Contract contract;
   std::vector<Endpoint> endpoints;  // Sorted by id.
-  // Earlier endpoint sets whose flows may still live, oldest first.
+  // Endpoint sets whose flows may still live, oldest first; the last is the
+  // present one.
   std::vector<PastEndpointSet> lineage;
 };
 
--- /dev/null
+++ b/Source/Runtime/ulfius_scope.cc
@@ -0,0 +1,14 @@
+#include "Runtime/ulfius_scope.h"
+
+#include <ulfius.h>
+
+namespace hemlockwick {
+
+// Ulfius is not closed again: reads of the platform may still wait when the
+// process ends.
+void StartUlfiusOnce() {
+  static const auto status = ulfius_global_init();
+  static_cast<void>(status);
+}
+
+}  // namespace hemlockwick
