Fleet: Give the watcher of a member its incarnation

The watcher knew the member from the list alone, without its incarnation, and the others did not believe an older one's death. Change: The first heartbeats to a receiver carry the sender's record, and a repair page begins with what changed last. Contacts are found by data centre.

--- a/Source/Fleet/failure_detector.cc
+++ b/Source/Fleet/failure_detector.cc
@@ -36,6 +36,9 @@
 // How often a heartbeat carries the sender's own record in full.
 constexpr std::uint64_t kSelfUpdatePeriods = 16;
 
+// And in how many heartbeats to a new receiver.
+constexpr int kFirstSelfUpdates = 2;
+
 // Members of a repair page in an answer to a peer that knows others.
 constexpr std::size_t kPageMembers = 6;
 
@@ -151,8 +154,15 @@
   if (next == nullptr) {
     return;
   }
+  if (next->member.id != heartbeat_target_) {
+    heartbeat_target_ = next->member.id;
+    self_updates_left_ = kFirstSelfUpdates;
+  }
   auto heartbeat = state_.Compose<Gossip>(next->member.id, now);
-  if (periods_ % kSelfUpdatePeriods == 0) {
+  if (self_updates_left_ > 0 || periods_ % kSelfUpdatePeriods == 0) {
+    // The watcher has to know the incarnation, or others would not believe it
+    // when it declares this instance dead.
+    self_updates_left_ = std::max(self_updates_left_ - 1, 0);
     heartbeat.updates.push_back(state_.members.UpdateOf(state_.members.self()));
   }
   state_.outbox.Send(next->member, std::move(heartbeat), TrafficClass::kProbe,
@@ -403,7 +413,7 @@
   }
   if (sender->member.data_centre == self.member.data_centre &&
       probe.member_digest != state_.members.RingDigest()) {
-    const auto page = state_.members.NextPage(kPageMembers);
+    const auto page = state_.members.RepairPage(kPageMembers);
     ack.updates.insert(ack.updates.end(), page.begin(), page.end());
   }
   state_.outbox.Send(sender->member, std::move(ack), TrafficClass::kProbe, now);
@@ -445,7 +455,7 @@
   }
   differing_.erase(from);
   auto repair = state_.Compose<Gossip>(from, now);
-  const auto page = state_.members.NextPage(kPageMembers);
+  const auto page = state_.members.RepairPage(kPageMembers);
   repair.updates.insert(repair.updates.end(), page.begin(), page.end());
   state_.outbox.Send(sender->member, std::move(repair), TrafficClass::kNews,
                      now);
--- a/Source/Fleet/failure_detector.h
+++ b/Source/Fleet/failure_detector.h
@@ -97,6 +97,8 @@
   TimePoint next_period_;
   TimePoint next_introduction_;
   std::uint64_t periods_ = 0;
+  InstanceId heartbeat_target_;
+  int self_updates_left_ = 0;
   // The member whose heartbeats are awaited, and since when.
   InstanceId watched_;
   TimePoint watched_since_;
--- a/Source/Fleet/member_table.cc
+++ b/Source/Fleet/member_table.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <iterator>
 #include <utility>
 
 namespace hemlockwick {
@@ -91,6 +92,9 @@
   }
   auto record = MemberRecord{member, update.listed, TimePoint(), now, 0};
   auto& inserted = records_.emplace(member.id, std::move(record)).first->second;
+  if (member.data_centre != data_centre_) {
+    contacts_[member.data_centre].insert(member.id);
+  }
   selected_ = false;
   list_known_ = list_known_ || update.listed;
   // What a starting instance learns before it has read the list is no news.
@@ -111,12 +115,10 @@
   if (member.data_centre == data_centre_) {
     return true;
   }
+  auto& known = contacts_[member.data_centre];
   auto kept = std::vector<InstanceId>();
-  for (const auto& [id, record] : records_) {
-    if (record.member.data_centre == member.data_centre && !IsGone(record)) {
-      kept.push_back(id);
-    }
-  }
+  std::copy_if(known.begin(), known.end(), std::back_inserter(kept),
+               [this](InstanceId id) { return !IsGone(records_.at(id)); });
   if (kept.size() < kContactsPerDataCentre) {
     return true;
   }
@@ -130,6 +132,7 @@
   }
   records_.erase(last);
   spreading_.erase(last);
+  known.erase(last);
   return true;
 }
 
@@ -343,8 +346,29 @@
   return updates;
 }
 
-auto MemberTable::NextPage(std::size_t count) -> std::vector<MemberUpdate> {
+auto MemberTable::RepairPage(std::size_t count) -> std::vector<MemberUpdate> {
+  auto recent = std::vector<const MemberRecord*>();
+  for (const auto& [id, record] : records_) {
+    if (IsSingleRing() || record.member.data_centre == data_centre_) {
+      recent.push_back(&record);
+    }
+  }
+  const auto latest = std::min(count / 2, recent.size());
+  std::partial_sort(
+      recent.begin(), recent.begin() + static_cast<std::ptrdiff_t>(latest),
+      recent.end(), [](const MemberRecord* left, const MemberRecord* right) {
+        return left->state_since > right->state_since;
+      });
   auto updates = std::vector<MemberUpdate>();
+  for (std::size_t at = 0; at < latest; ++at) {
+    updates.push_back(UpdateOf(*recent[at]));
+  }
+  AddInRotation(count, updates);
+  return updates;
+}
+
+void MemberTable::AddInRotation(std::size_t count,
+                                std::vector<MemberUpdate>& updates) {
   auto position = records_.upper_bound(page_position_);
   for (std::size_t seen = 0; seen < records_.size(); ++seen) {
     if (position == records_.end()) {
@@ -355,12 +379,11 @@
     if (IsSingleRing() || record.member.data_centre == data_centre_) {
       updates.push_back(UpdateOf(record));
     }
-    if (updates.size() == count) {
-      break;
+    if (updates.size() >= count) {
+      return;
     }
     ++position;
   }
-  return updates;
 }
 
 auto MemberTable::Find(InstanceId id) const -> const MemberRecord* {
--- a/Source/Fleet/member_table.h
+++ b/Source/Fleet/member_table.h
@@ -69,9 +69,9 @@
   auto TakeUpdates(InstanceId to, std::size_t limit)
       -> std::vector<MemberUpdate>;
 
-  // `count` records of the ring's members and its dead in rotation, to repair a
-  // peer that lacks some.
-  auto NextPage(std::size_t count) -> std::vector<MemberUpdate>;
+  // `count` records to repair a peer that lacks some: those that changed last,
+  // and the others in rotation.
+  auto RepairPage(std::size_t count) -> std::vector<MemberUpdate>;
 
   [[nodiscard]] auto UpdateOf(const MemberRecord& record) const -> MemberUpdate;
   [[nodiscard]] auto Find(InstanceId id) const -> const MemberRecord*;
@@ -120,6 +120,7 @@
   auto HasRoom(const Member& member) -> bool;
   void RecordChange(const Member& member, MemberState before, TimePoint now);
   void Touch(MemberRecord& record);
+  void AddInRotation(std::size_t count, std::vector<MemberUpdate>& updates);
   [[nodiscard]] auto IsPublished(const MemberRecord& record) const -> bool;
   [[nodiscard]] auto IsContact(const MemberRecord& record) const -> bool;
   void Select() const;
@@ -135,6 +136,8 @@
   bool list_applied_ = false;  // This instance has read the list itself.
   bool urgent_ = false;
   InstanceId page_position_;
+  // Known members of other data centres, the dead ones included.
+  std::map<DataCentreId, std::set<InstanceId>> contacts_;
   // Members whose state still has to be carried in messages.
   std::set<InstanceId> spreading_;
 
