--- a/Source/Flow/packet_decision.cc
+++ b/Source/Flow/packet_decision.cc
@@ -10,29 +10,43 @@
 
 constexpr auto kUnknownOwner = EndpointId();
 
+constexpr auto ToWholeSeconds(Duration duration) -> std::uint32_t {
+  return static_cast<std::uint32_t>(
+      std::chrono::duration_cast<std::chrono::seconds>(duration).count());
+}
+
 }  // namespace
 
+auto ForwardToOwner(const FlowSnapshot& snapshot, const ServiceTable& table,
+                    OwnerIndex owner) -> FlowAction {
+  if (owner == kNoOwner) {
+    return DropPacket{DropReason::kNoEndpoint};
+  }
+  const auto& endpoint = table.endpoint(owner);
+  const auto& quarantined = *snapshot.quarantined;
+  if (!quarantined.empty() && quarantined.contains(endpoint.address)) {
+    return DropPacket{DropReason::kQuarantined};
+  }
+  return ForwardToEndpoint{endpoint.id, endpoint.address};
+}
+
 PacketDecision::PacketDecision(const FlowSnapshot& snapshot,
                                const ServiceTable& table,
                                const FlowPacket& packet, RecordTable& records,
-                               FlowCounters& counters, bool fresh,
+                               FlowCounters& counters, SnapshotTrust trust,
                                TimePoint now)
     : snapshot_(snapshot),
       table_(table),
       packet_(packet),
       records_(records),
       counters_(counters),
-      fresh_(fresh),
+      trust_(trust),
       now_(now),
       bucket_(table.BucketOf(packet.flow)),
       homes_(snapshot.homes->HomesOf(packet.flow)) {}
 
 auto PacketDecision::Decide() -> FlowAction {
-  const auto settled = table_.IsSettled(bucket_) && !snapshot_.after_partition;
-  if (settled && fresh_) {
-    return Forward(table_.OwnerOf(bucket_));
-  }
-  if (packet_.opens && !fresh_) {
+  if (packet_.opens && !trust_.view) {
     // The caller has sent the SYN again meanwhile.
     return Refuse(DropReason::kNoEndpoint);
   }
@@ -54,9 +68,8 @@
     return AtFirstHome();
   }
   if (IsSelf(homes_.first) && !packet_.opens) {
-    if (const auto record =
-            records_.Touch(packet_.flow, packet_.closes, now_)) {
-      return ForwardTo(record->endpoint);
+    if (const auto record = TouchRecord()) {
+      return ForwardAndRefresh(*record);
     }
   }
   if (homes_.second == nullptr) {
@@ -74,7 +87,14 @@
   if (homes_.first == nullptr || IsSelf(homes_.first)) {
     return AtFirstHome();
   }
-  const auto record = records_.Touch(packet_.flow, packet_.closes, now_);
+  const auto record = TouchRecord();
+  const auto is_second = homes_.second == nullptr || IsSelf(homes_.second);
+  if (!is_second && (packet_.opens || !record)) {
+    // The sender has an older view of the members. The first home asks the
+    // second one when it does not know the flow.
+    const auto* next = packet_.opens ? homes_.second : homes_.first;
+    return Relay(*next, RelayStage::kSecondHome, kUnknownOwner);
+  }
   if (packet_.opens) {
     return OpenAtSecondHome(record);
   }
@@ -107,7 +127,7 @@
 }
 
 auto PacketDecision::AtFirstHome() -> FlowAction {
-  const auto record = records_.Touch(packet_.flow, packet_.closes, now_);
+  const auto record = TouchRecord();
   if (packet_.opens) {
     return OpenAtFirstHome(record);
   }
@@ -118,7 +138,7 @@
     return UnknownAtFirstHome();
   }
   Record(packet_.relay.known_owner);
-  return ForwardTo(packet_.relay.known_owner);
+  return ForwardByThirdHome(packet_.relay.known_owner);
 }
 
 auto PacketDecision::OpenAtFirstHome(const std::optional<FlowRecord>& record)
@@ -130,7 +150,7 @@
     if (!Record(packet_.relay.known_owner)) {
       return Refuse(DropReason::kOverLimit);
     }
-    return ForwardTo(packet_.relay.known_owner);
+    return ForwardByThirdHome(packet_.relay.known_owner);
   }
   const auto owner = ChooseOwner();
   if (owner == kNoOwner) {
@@ -152,19 +172,20 @@
     ++counters_.conflicts;
     conflicting_ = record;
   }
-  return ForwardTo(record.endpoint);
+  return ForwardAndRefresh(record);
 }
 
 auto PacketDecision::UnknownAtFirstHome() -> FlowAction {
-  if (fresh_) {
+  const auto from_second = packet_.relay.stage == RelayStage::kFirstHome;
+  if (trust_.view && from_second) {
     return AskFormerHome();
   }
-  // A home that was away lets the other one decide.
-  const auto from_second = packet_.relay.stage == RelayStage::kFirstHome;
-  if (from_second && homes_.second != nullptr && !IsSelf(homes_.second)) {
+  // The second home has not been asked yet, or this home was away and lets the
+  // second one decide.
+  if (homes_.second != nullptr && !IsSelf(homes_.second)) {
     return Relay(*homes_.second, RelayStage::kAskPeer, kUnknownOwner);
   }
-  return Refuse(DropReason::kNoEndpoint);
+  return trust_.view ? AskFormerHome() : Refuse(DropReason::kNoEndpoint);
 }
 
 auto PacketDecision::AskFormerHome() -> FlowAction {
@@ -172,27 +193,76 @@
   if (former != nullptr && packet_.relay.hops < kMaxRelayHops) {
     return Relay(*former, RelayStage::kAskPeer, kUnknownOwner);
   }
-  return Forward(table_.EarliestOwnerOf(bucket_));
+  return ForwardUnknown();
 }
 
 auto PacketDecision::AnswerPeer() -> FlowAction {
-  const auto record = records_.Touch(packet_.flow, packet_.closes, now_);
+  const auto record = TouchRecord();
   const auto told = packet_.relay.known_owner;
   if (told != kUnknownOwner) {
-    if (!record || packet_.opens) {
+    const auto is_new = !record || packet_.opens;
+    if (is_new) {
       Record(told);
     }
-    return ForwardTo(told);
+    const auto from_first = IsSelf(homes_.second);
+    return is_new && from_first ? ForwardByThirdHome(told) : ForwardTo(told);
   }
   if (record) {
     return ForwardTo(record->endpoint);
   }
-  if (!fresh_) {
+  if (!trust_.view) {
     return Refuse(DropReason::kNoEndpoint);
   }
-  // The other home was away and sent the packet back.
-  const auto returned = IsSelf(homes_.second);
-  return returned ? AskFormerHome() : Forward(table_.EarliestOwnerOf(bucket_));
+  const auto is_home =
+      IsSelf(homes_.first) || IsSelf(homes_.second) || IsSelf(homes_.third);
+  const auto has_hops = packet_.relay.hops < kMaxRelayHops;
+  if (!is_home && homes_.first != nullptr && has_hops) {
+    // The sender has an older view of the members.
+    return Relay(*homes_.first, RelayStage::kAskPeer, kUnknownOwner);
+  }
+  return AskFormerHome();
+}
+
+// A flow without a record belongs to the earliest owner of its bucket.
+auto PacketDecision::ForwardUnknown() -> FlowAction {
+  const auto owner = table_.EarliestOwnerOf(bucket_);
+  if (owner != kNoOwner && snapshot_.partitioned_since) {
+    return ForwardUnknownInPartition(owner);
+  }
+  return Forward(owner);
+}
+
+// Until this instance notices that a partition has healed, an unknown flow may
+// have opened on the other side. Flows seen early in the partition cannot.
+// Others wait until a healed partition would have been noticed.
+auto PacketDecision::ForwardUnknownInPartition(OwnerIndex owner) -> FlowAction {
+  const auto id = table_.endpoint(owner).id;
+  const auto waiting = records_.Find(packet_.flow);
+  const auto learning = now_ < *snapshot_.partitioned_since + kLearningTime;
+  const auto waited =
+      waiting &&
+      ToUnixSeconds(now_) > waiting->opened_seconds + ToWholeSeconds(kHealTime);
+  if (records_.NearlyFull(packet_.flow)) {
+    ++counters_.unrecorded;
+    return Forward(owner);
+  }
+  if (learning || waited) {
+    records_.Put(MakeRecord(id));
+    return ForwardTo(id);
+  }
+  if (!waiting) {
+    records_.Put(MakeRecord(kUnknownOwner));
+  }
+  return Refuse(DropReason::kNoEndpoint);
+}
+
+// Returns the record of the flow; none while its owner is not known yet.
+auto PacketDecision::TouchRecord() -> std::optional<FlowRecord> {
+  const auto record = records_.Touch(packet_.flow, packet_.closes, now_);
+  if (record && record->endpoint == kUnknownOwner) {
+    return std::nullopt;
+  }
+  return record;
 }
 
 auto PacketDecision::ChooseOwner() const -> OwnerIndex {
@@ -250,6 +320,7 @@
 // Returns false when the flow needs a record and there is no room for it.
 auto PacketDecision::Record(EndpointId owner) -> bool {
   if (!NeedsRecord(owner)) {
+    records_.Remove(packet_.flow);
     return true;
   }
   const auto nearly_full = records_.NearlyFull(packet_.flow);
@@ -257,6 +328,14 @@
     ++counters_.unrecorded;
     return true;
   }
+  if (records_.Put(MakeRecord(owner))) {
+    return true;
+  }
+  ++counters_.lost_records;
+  return false;
+}
+
+auto PacketDecision::MakeRecord(EndpointId owner) const -> FlowRecord {
   auto record = FlowRecord();
   record.flow = packet_.flow;
   record.service = table_.service().id;
@@ -264,11 +343,7 @@
   record.opened_seconds = ToUnixSeconds(now_);
   record.last_seen_seconds = record.opened_seconds;
   record.closed_seconds = packet_.closes ? record.opened_seconds : 0;
-  if (records_.Put(record)) {
-    return true;
-  }
-  ++counters_.lost_records;
-  return false;
+  return record;
 }
 
 // A living instance that was a home of the flow not long ago.
@@ -278,13 +353,13 @@
            (homes_.first == nullptr || member->id != homes_.first->id) &&
            (homes_.second == nullptr || member->id != homes_.second->id);
   };
-  if (snapshot_.after_partition && usable(homes_.third)) {
+  if (!snapshot_.former_homes.empty() && usable(homes_.third)) {
     return homes_.third;
   }
   for (const auto& table : snapshot_.former_homes) {
     const auto former = table->HomesOf(packet_.flow);
     for (const auto* member : {former.first, former.second}) {
-      if (usable(member) && snapshot_.homes->Find(*member) != nullptr) {
+      if (usable(member) && IsRunning(*member)) {
         return member;
       }
     }
@@ -292,15 +367,16 @@
   return nullptr;
 }
 
+auto PacketDecision::IsRunning(const HomeMember& member) const -> bool {
+  return std::any_of(snapshot_.running.begin(), snapshot_.running.end(),
+                     [&member](const HomeMember& running) {
+                       return running.id == member.id &&
+                              running.started == member.started;
+                     });
+}
+
 auto PacketDecision::Forward(OwnerIndex owner) const -> FlowAction {
-  if (owner == kNoOwner) {
-    return DropPacket{DropReason::kNoEndpoint};
-  }
-  const auto& endpoint = table_.endpoint(owner);
-  if (snapshot_.quarantined->contains(endpoint.address)) {
-    return DropPacket{DropReason::kQuarantined};
-  }
-  return ForwardToEndpoint{endpoint.id, endpoint.address};
+  return ForwardToOwner(snapshot_, table_, owner);
 }
 
 auto PacketDecision::ForwardTo(EndpointId owner) -> FlowAction {
@@ -317,13 +393,37 @@
   return Refuse(DropReason::kNoEndpoint);
 }
 
+// Forwards by way of the third home, which records the flow too, so that every
+// data centre knows it.
+auto PacketDecision::ForwardByThirdHome(EndpointId owner) -> FlowAction {
+  const auto has_third = homes_.third != nullptr && !IsSelf(homes_.third) &&
+                         !homes_.third->suspect;
+  const auto has_hops = packet_.relay.hops < kMaxRelayHops;
+  if (has_third && has_hops && NeedsRecord(owner)) {
+    return Relay(*homes_.third, RelayStage::kAskPeer, owner);
+  }
+  return ForwardTo(owner);
+}
+
+// Visits the third home once in each kRefreshInterval, so that its record does
+// not expire.
+auto PacketDecision::ForwardAndRefresh(const FlowRecord& record) -> FlowAction {
+  constexpr auto kPeriod =
+      std::chrono::duration_cast<std::chrono::seconds>(kRefreshInterval)
+          .count();
+  const auto due =
+      record.last_seen_seconds / kPeriod != ToUnixSeconds(now_) / kPeriod;
+  return due || packet_.closes ? ForwardByThirdHome(record.endpoint)
+                               : ForwardTo(record.endpoint);
+}
+
 // Forwards by way of the second home when that does not know the flow.
 auto PacketDecision::ForwardAndTeach(EndpointId owner) -> FlowAction {
-  const auto from_second = packet_.relay.stage == RelayStage::kFirstHome;
+  const auto asked = packet_.relay.stage == RelayStage::kAskPeer;
   const auto has_second = homes_.second != nullptr && !IsSelf(homes_.second) &&
                           !homes_.second->suspect;
   const auto has_hops = packet_.relay.hops < kMaxRelayHops;
-  if (from_second && has_second && has_hops && NeedsRecord(owner)) {
+  if (!asked && has_second && has_hops && NeedsRecord(owner)) {
     return Relay(*homes_.second, RelayStage::kAskPeer, owner);
   }
   return ForwardTo(owner);
--- a/Source/Runtime/instance.cc
+++ b/Source/Runtime/instance.cc
@@ -4,9 +4,11 @@
 #include <utility>
 
 #include "Core/hash.h"
+#include "Fleet/status_report.h"
 #include "Runtime/control_loop.h"
 #include "Runtime/http_server.h"
 #include "Runtime/json_rpc.h"
+#include "Runtime/log.h"
 #include "Runtime/metrics.h"
 #include "Runtime/operations.h"
 #include "Runtime/request_headers.h"
@@ -50,8 +52,7 @@
         }) {}
 
   ~Impl() {
-    gateway_.Abort();
-    http_.reset();
+    Abort();
     traffic_.reset();
     control_.reset();
   }
@@ -75,6 +76,11 @@
     return {};
   }
 
+  void Abort() {
+    gateway_.Abort();
+    http_.reset();
+  }
+
   void BeginLeave() {
     leave_begun_ = clock_.Now();
     events_.Record(EventKind::kProcessStopping, settings_.name, {},
@@ -114,7 +120,10 @@
       return ReadyResponse(view);
     }
     if (path == "/status") {
-      return StatusResponse(settings_, view);
+      return JsonResponse(EncodeStatus(Report(view)));
+    }
+    if (path == "/members") {
+      return MembersResponse(view);
     }
     if (path == "/events") {
       return EventsResponse(events_, request.path);
@@ -134,12 +143,34 @@
             events_.dropped()};
   }
 
+  [[nodiscard]] auto Report(const ControlView& view) const -> StatusReport {
+    auto report = StatusReport();
+    report.instance = settings_.name;
+    report.data_centre = settings_.data_centre;
+    report.leaving = view.leaving;
+    if (view.config != nullptr) {
+      report.version = view.config->version;
+      report.digest = view.config->digest;
+      report.in_force_since = view.in_force_since;
+    }
+    report.last_refusal = view.last_refusal;
+    report.members = CountMembers(view.members);
+    report.unreachable_data_centres =
+        static_cast<std::uint32_t>(view.members.unreachable.size());
+    report.flows = control_->flow_stats().records;
+    report.requests = gateway_.stats().arrived;
+    report.control_bytes = view.sent_bytes;
+    return report;
+  }
+
   void Send(const SendRequestMessage& message) {
     peers_.Send(
         {message.to, message.address, "request", Encode(message.message)});
   }
 
   void OnSendFailed(const PeerMessage& message) {
+    Log(LogLevel::kDebug, "message not taken",
+        {{"to", ToString(message.address)}, {"plane", message.plane}});
     inbox_.Push(SendFailure{message.to});
   }
 
@@ -164,7 +195,11 @@
           }
           return true;
         },
-        [](const Error&) { return false; });
+        [&envelope](const Error& error) {
+          Log(LogLevel::kWarning, "message refused",
+              {{"plane", envelope.plane}, {"error", error.message}});
+          return false;
+        });
   }
 
   const ServeSettings settings_;
@@ -197,6 +232,8 @@
 
 void Instance::BeginLeave() { impl_->BeginLeave(); }
 
+void Instance::Abort() { impl_->Abort(); }
+
 auto Instance::LeaveDone() const -> bool { return impl_->LeaveDone(); }
 
 }  // namespace hemlockwick
