Measure: Work out the capacity at the target size from slopes

Change: 'hemlockwick-measure capacity' measures every module's slopes, fits them, and adds up what each role costs an instance at the stated size. Two flow slopes had one name; they are told apart now.

--- a/Source/Measure/flow_slopes.cc
+++ b/Source/Measure/flow_slopes.cc
@@ -66,7 +66,7 @@
 auto BuildByEndpoints() -> Slope {
   constexpr auto kBucketsPerEndpoint = std::size_t{128};
   return Measure(
-      {"flow.table_build", "endpoint of one service", "s", {}},
+      {"flow.table_build_endpoints", "endpoint of one service", "s", {}},
       {1000, 8000, 61'000}, [](std::size_t endpoints) {
         const auto buckets =
             static_cast<std::uint32_t>(endpoints * kBucketsPerEndpoint);
@@ -77,7 +77,7 @@
 
 auto BuildByBuckets() -> Slope {
   return Measure(
-      {"flow.table_build", "bucket of 14 endpoints", "s", {}},
+      {"flow.table_build_buckets", "bucket of 14 endpoints", "s", {}},
       {2048, 16'384, 131'072}, [](std::size_t buckets) {
         const auto service =
             MakeService(0, 14, static_cast<std::uint32_t>(buckets));
--- a/Source/Measure/main.cc
+++ b/Source/Measure/main.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "Command/command_line.h"
+#include "Measure/capacity_command.h"
 #include "Measure/check_measure.h"
 #include "Measure/fleet_command.h"
 #include "Measure/flow_measure.h"
@@ -13,6 +14,7 @@
 
 auto main(int argc, char** argv) -> int {
   auto commands = std::vector<std::unique_ptr<hemlockwick::Command>>();
+  commands.push_back(std::make_unique<hemlockwick::CapacityCommand>());
   commands.push_back(std::make_unique<hemlockwick::CheckMeasure>());
   commands.push_back(std::make_unique<hemlockwick::FleetCommand>());
   commands.push_back(std::make_unique<hemlockwick::FlowMeasure>());
