Flow: Keep unknown flows waiting until every instance sees the healing

An instance that had noticed the end of a partition sent flows it did not know to the earliest owner while the homes it asked still saw the cut.

--- a/Source/Flow/flow_router_impl.cc
+++ b/Source/Flow/flow_router_impl.cc
@@ -184,11 +184,10 @@
     return;
   }
   if (view_.unreachable.empty()) {
-    changed_ = changed_ || unreachable_since_.has_value();
-    unreachable_since_.reset();
-    avoided_.clear();
+    EndPartition(now);
     return;
   }
+  last_unreachable_ = now;
   if (!unreachable_since_) {
     unreachable_since_ = now;
     changed_ = true;
@@ -201,6 +200,17 @@
   }
 }
 
+// New flows use all endpoints at once; unknown flows still wait until every
+// instance has noticed the end.
+void FlowRouter::Impl::EndPartition(TimePoint now) {
+  changed_ = changed_ || !avoided_.empty();
+  avoided_.clear();
+  if (unreachable_since_ && now >= last_unreachable_ + kHealTime) {
+    unreachable_since_.reset();
+    changed_ = true;
+  }
+}
+
 void FlowRouter::Impl::Publish(TimePoint now) {
   if (!changed_ || config_ == nullptr || homes_ == nullptr) {
     return;
--- a/Source/Flow/flow_router_impl.h
+++ b/Source/Flow/flow_router_impl.h
@@ -68,6 +68,7 @@
   void RememberHomes(std::shared_ptr<const HomeTable> table, TimePoint now);
   void QueueRecords(const HomeTable& before, TimePoint now);
   void UpdatePartition(TimePoint now);
+  void EndPartition(TimePoint now);
   void TakeConflicts();
   void ExpireRecords(TimePoint now);
   auto IsHome(FlowKey flow) const -> bool;
@@ -93,6 +94,7 @@
   bool changed_ = false;
   std::optional<TimePoint> leaving_since_;
   std::optional<TimePoint> unreachable_since_;
+  TimePoint last_unreachable_;
   std::vector<DataCentreId> avoided_;
   TimePoint partition_effect_until_;
 
