Request: Claim Idempotency-Keys before dispatch

Cause: the request plane granted every key. Change: RequestPlane uses the claimant and home of keys; a claim given up before its verdict is settled as not run, and ConfirmSend asks once more whether the key is held. RequestPlaneSettings::is_first_start tells that no earlier instance can remember a key. Conclusion: request_test passes, with a repeat during and after the run.

--- a/Source/Measure/request_replay.cc
+++ b/Source/Measure/request_replay.cc
@@ -380,6 +380,7 @@
     } else if (const auto* const message =
                    std::get_if<SendRequestMessage>(&action)) {
       const auto to = static_cast<std::size_t>(message->to.value() - 1);
+      outcome_.control_bytes += Encode(message->message).size();
       messages_.push_back(message->message);
       senders_.push_back(InstanceId(1 + number));
       Push({.at = now_ + kHop,
--- a/Source/Request/key_guard.h
+++ b/Source/Request/key_guard.h
@@ -20,7 +20,9 @@
 // instance's own part of the key memory.
 //   Claim      verdict if known at once; otherwise it comes from OnMessage or
 //              OnTick
-//   Settle     tells how the holder of a key ended
+//   MaySend    whether the request still holds its key
+//   Settle     tells how the holder of a key ended, or that it gave up before
+//              its verdict
 template <typename K>
 concept KeyGuard = requires(K keys, const K& const_keys,
                             const RequestArrival& arrival,
@@ -31,6 +33,7 @@
   {
     keys.Claim(arrival, actions, now)
     } -> std::same_as<std::optional<KeyState>>;
+  { const_keys.MaySend(arrival.request, now) } -> std::same_as<bool>;
   keys.Settle(ending, actions, now);
   {
     keys.OnMessage(from, message, actions, now)
@@ -50,6 +53,10 @@
              TimePoint /*now*/) -> std::optional<KeyState> {
     return KeyState::kFree;
   }
+  [[nodiscard]] auto MaySend(RequestId /*request*/, TimePoint /*now*/) const
+      -> bool {
+    return true;
+  }
   void Settle(const KeyVerdict& /*ending*/, RequestActions& /*actions*/,
               TimePoint /*now*/) {}
   auto OnMessage(InstanceId /*from*/, const RequestMessage& /*message*/,
--- a/Source/Request/request_action.h
+++ b/Source/Request/request_action.h
@@ -28,6 +28,10 @@
   std::uint64_t random_seed = 0;
   // Idempotency keys remembered at most.
   std::size_t max_keys = 200'000;
+  // Whether no instance can have run a request before this process started:
+  // the first start of a deployment. Otherwise keys that an earlier instance
+  // may remember are not vouched for until their memory has ended.
+  bool is_first_start = false;
 };
 
 struct RequestStats {
--- a/Source/Request/request_core.cc
+++ b/Source/Request/request_core.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 
+#include "Request/at_most_once.h"
 #include "Request/likely_free_policy.h"
 #include "Request/request_core_admission.h"
 #include "Request/request_core_dispatch.h"
@@ -108,6 +109,7 @@
     Enqueue(entry->second, *lane, actions, now);
     return actions;
   }
+  entry->second.holds_key = true;
   const auto state = keys_.Claim(entry->second.arrival, actions, now);
   if (state.has_value()) {
     OnVerdict({*arrival.key, arrival.request, *state}, actions, now);
@@ -153,10 +155,11 @@
   }
   auto& lane = *LaneOf(record.arrival.service, now);
   const auto* const track = lane.pool.Find(record.endpoint);
-  const auto is_current = now < record.arrival.deadline &&
-                          now - record.dispatched <= kMaxSendDelay &&
-                          now >= hold_until_ && lane.service != nullptr &&
-                          track != nullptr && track->IsCandidate();
+  const auto is_current =
+      now < record.arrival.deadline &&
+      now - record.dispatched <= kMaxSendDelay && now >= hold_until_ &&
+      lane.service != nullptr && track != nullptr && track->IsCandidate() &&
+      (!record.holds_key || keys_.MaySend(dispatch.request, now));
   if (is_current) {
     return record.state.ConfirmSend(dispatch.attempt);
   }
@@ -350,5 +353,6 @@
 template class RequestCore<ShedFeedbackPolicy, GrantAllKeys>;
 template class RequestCore<SharedSlotsPolicy, GrantAllKeys>;
 template class RequestCore<LikelyFreePolicy, GrantAllKeys>;
+template class RequestCore<LikelyFreePolicy, AtMostOnce>;
 
 }  // namespace hemlockwick
--- a/Source/Request/request_core_admission.h
+++ b/Source/Request/request_core_admission.h
@@ -16,6 +16,18 @@
   return state == KeyState::kFree || state == KeyState::kNotRun;
 }
 
+// Why a request with this verdict is refused.
+[[nodiscard]] constexpr auto ReasonOf(KeyState state) -> RefusalReason {
+  switch (state) {
+    case KeyState::kRunning:
+      return RefusalReason::kInProgress;
+    case KeyState::kRefused:
+      return RefusalReason::kAttemptsSpent;
+    default:
+      return RefusalReason::kOutcomeUnknown;
+  }
+}
+
 template <DispatchPolicy Policy, KeyGuard Keys>
 auto RequestCore<Policy, Keys>::LaneOf(ServiceId id, TimePoint now) -> Lane* {
   const auto found = lanes_.find(id);
@@ -84,12 +96,9 @@
   }
   auto& record = found->second;
   auto* const lane = LaneOf(record.arrival.service, now);
-  record.holds_key = MayProceed(verdict.state);
-  if (!record.holds_key) {
-    const auto reason = verdict.state == KeyState::kRunning
-                            ? RefusalReason::kInProgress
-                            : RefusalReason::kOutcomeUnknown;
-    Refuse(record, lane, reason, actions, now);
+  if (!MayProceed(verdict.state)) {
+    record.holds_key = false;
+    Refuse(record, lane, ReasonOf(verdict.state), actions, now);
     return;
   }
   static_cast<void>(record.state.Claimed());
--- a/Source/Request/request_plane.cc
+++ b/Source/Request/request_plane.cc
@@ -2,19 +2,24 @@
 
 #include <utility>
 
+#include "Request/at_most_once.h"
 #include "Request/likely_free_policy.h"
 #include "Request/request_core.h"
 
 namespace hemlockwick {
 
-class RequestPlane::Impl : public RequestCore<LikelyFreePolicy, GrantAllKeys> {
+class RequestPlane::Impl : public RequestCore<LikelyFreePolicy, AtMostOnce> {
  public:
   using RequestCore::RequestCore;
 };
 
 RequestPlane::RequestPlane(const RequestPlaneSettings& settings,
                            InstanceId self, EventLog& /*events*/, TimePoint now)
-    : impl_(std::make_unique<Impl>(settings, self, GrantAllKeys(), now)) {}
+    : impl_(std::make_unique<Impl>(
+          settings, self,
+          AtMostOnce(self, settings.max_keys,
+                     settings.is_first_start ? TimePoint() : now),
+          now)) {}
 
 RequestPlane::~RequestPlane() = default;
 
--- a/Tests/Request/request_core_test.cc
+++ b/Tests/Request/request_core_test.cc
@@ -21,11 +21,15 @@
  public:
   explicit Bench(std::size_t endpoints = 2, std::uint32_t slots = 3)
       : events_("test"),
-        plane_({.random_seed = 1}, InstanceId(1), events_, now_) {
+        plane_({.random_seed = 1, .is_first_start = true}, InstanceId(1),
+               events_, now_) {
     auto view = MemberView();
     view.self = InstanceId(1);
+    view.data_centre = DataCentreId(1);
+    view.refreshed = now_;
     auto member = Member();
     member.id = InstanceId(1);
+    member.data_centre = DataCentreId(1);
     view.members.push_back(member);
     plane_.OnMembers(view, now_);
     service_.id = kService;
@@ -33,6 +37,7 @@
     for (auto index = std::size_t{0}; index < endpoints; ++index) {
       auto endpoint = Endpoint();
       endpoint.id = EndpointId(1 + index);
+      endpoint.data_centre = DataCentreId(1);
       endpoint.slots = slots;
       service_.endpoints.push_back(endpoint);
     }
@@ -42,7 +47,8 @@
   auto Publish() -> RequestActions {
     ++version_;
     return plane_.OnConfig(
-        BuildFleetConfig(Version(version_), Digest(), now_, {},
+        BuildFleetConfig(Version(version_), Digest(), now_,
+                         {{DataCentreId(1), "dc", RegionId(1)}},
                          {std::make_shared<Service>(service_)}),
         now_);
   }
@@ -60,6 +66,16 @@
     return plane_.OnArrival(arrival, now_);
   }
 
+  auto ArriveWithKey(std::uint64_t id, IdempotencyKey key) -> RequestActions {
+    auto arrival = RequestArrival();
+    arrival.request = RequestId(id);
+    arrival.service = kService;
+    arrival.key = key;
+    arrival.arrived = now_;
+    arrival.deadline = now_ + seconds(5);
+    return plane_.OnArrival(arrival, now_);
+  }
+
   auto Result(const DispatchRequest& dispatch, AttemptOutcome outcome)
       -> RequestActions {
     return plane_.OnAttemptResult({dispatch.request, dispatch.attempt,
@@ -216,6 +232,29 @@
   cr_assert_eq(bench.plane_.stats().in_flight, 0);
 }
 
+Test(request_core, runs_a_key_once) {
+  auto bench = Bench();
+  const auto key = IdempotencyKey(99);
+  const auto dispatch = *Find<DispatchRequest>(bench.ArriveWithKey(1, key));
+  cr_assert(Find<RefuseRequest>(bench.ArriveWithKey(2, key))->reason ==
+            RefusalReason::kInProgress);
+  cr_assert(bench.plane_.ConfirmSend(dispatch, bench.now_));
+  cr_assert_not_null(
+      Find<DeliverAnswer>(bench.Result(dispatch, AttemptOutcome::kAnswered)));
+  const auto repeat = bench.ArriveWithKey(3, key);
+  cr_assert_null(Find<DispatchRequest>(repeat));
+  cr_assert_not(IsNotRun(Find<RefuseRequest>(repeat)->reason));
+}
+
+Test(request_core, lets_a_key_run_after_an_attempt_that_did_not) {
+  auto bench = Bench();
+  const auto key = IdempotencyKey(99);
+  const auto dispatch = *Find<DispatchRequest>(bench.ArriveWithKey(1, key));
+  cr_assert(bench.plane_.ConfirmSend(dispatch, bench.now_));
+  bench.Result(dispatch, AttemptOutcome::kNotSent);
+  cr_assert_not_null(Find<DispatchRequest>(bench.ArriveWithKey(2, key)));
+}
+
 Test(request_core, a_leaving_instance_ends_its_work_and_refuses_more) {
   auto bench = Bench();
   const auto dispatch = *Find<DispatchRequest>(bench.Arrive(1));
