--- a/Source/Measure/request_replay.cc
+++ b/Source/Measure/request_replay.cc
@@ -244,7 +244,7 @@
       auto& instance = instances_[random_.Below(instances_.size())];
       const auto length = Duration(
           static_cast<Duration::rep>(random_.Below(kMaxPause.count())));
-      instance.paused_until = now_ + length;
+      instance.paused_until = std::max(instance.paused_until, now_ + length);
       ScheduleRandom(Kind::kPause, settings_.rates.mean_between_pauses);
       break;
     }
@@ -380,6 +380,7 @@
     } else if (const auto* const message =
                    std::get_if<SendRequestMessage>(&action)) {
       const auto to = static_cast<std::size_t>(message->to.value() - 1);
+      outcome_.control_bytes += Encode(message->message).size();
       messages_.push_back(message->message);
       senders_.push_back(InstanceId(1 + number));
       Push({.at = now_ + kHop,
