Flow: Ask the home that a change of members left in place

It now asks the third or second home that was a home before the change. Also lets the module build under the sanitizers, where the compiler took a moved variant for uninitialized.

--- a/Source/Flow/flow_message.cc
+++ b/Source/Flow/flow_message.cc
@@ -97,8 +97,9 @@
     return DecodeHandOver(document);
   }
   if (kind == "hand_over_ack") {
-    return FlowMessage(
-        HandOverAck{document.at("sequence").get<std::uint64_t>()});
+    auto message = FlowMessage();
+    message = HandOverAck{document.at("sequence").get<std::uint64_t>()};
+    return message;
   }
   return Fail(ErrorCode::kInvalidArgument, "unknown flow message: " + kind);
 }
--- a/Source/Flow/packet_decision.cc
+++ b/Source/Flow/packet_decision.cc
@@ -164,7 +164,7 @@
 
 auto PacketDecision::UnknownAtFirstHome() -> FlowAction {
   const auto from_second = packet_.relay.stage == RelayStage::kFirstHome;
-  if (trust_.view && from_second) {
+  if (trust_.view && (from_second || StableHome() != nullptr)) {
     return AskFormerHome();
   }
   // The second home has not been asked yet, or this home was away and lets the
@@ -333,6 +333,32 @@
   return record;
 }
 
+// The third home, or a second home that has not been asked, if it was a home
+// before the last change of members too. It is most likely to have a record.
+auto PacketDecision::StableHome() const -> const HomeMember* {
+  if (snapshot_.former_homes.empty()) {
+    return nullptr;
+  }
+  const auto former = snapshot_.former_homes.front()->HomesOf(packet_.flow);
+  const auto was_home = [&former](const HomeMember& member) {
+    for (const auto* home : {former.first, former.second, former.third}) {
+      if (home != nullptr && home->id == member.id &&
+          home->started == member.started) {
+        return true;
+      }
+    }
+    return false;
+  };
+  const auto second_asked = packet_.relay.stage == RelayStage::kFirstHome;
+  const auto* second = second_asked ? nullptr : homes_.second;
+  for (const auto* home : {homes_.third, second}) {
+    if (home != nullptr && !IsSelf(home) && !home->suspect && was_home(*home)) {
+      return home;
+    }
+  }
+  return nullptr;
+}
+
 // A living instance that was a home of the flow not long ago.
 auto PacketDecision::FormerHome() const -> const HomeMember* {
   const auto usable = [this](const HomeMember* member) {
@@ -340,6 +366,9 @@
            (homes_.first == nullptr || member->id != homes_.first->id) &&
            (homes_.second == nullptr || member->id != homes_.second->id);
   };
+  if (const auto* stable = StableHome()) {
+    return stable;
+  }
   if (!snapshot_.former_homes.empty() && usable(homes_.third)) {
     return homes_.third;
   }
--- a/Source/Flow/packet_decision.h
+++ b/Source/Flow/packet_decision.h
@@ -74,6 +74,7 @@
   auto NeedsRecord(EndpointId owner) const -> bool;
   auto MayDoWithout(EndpointId owner) const -> bool;
   auto Record(EndpointId owner) -> bool;
+  auto StableHome() const -> const HomeMember*;
   auto FormerHome() const -> const HomeMember*;
   auto IsRunning(const HomeMember& member) const -> bool;
 
