--- a/Source/Fleet/platform_reader.cc
+++ b/Source/Fleet/platform_reader.cc
@@ -155,10 +155,21 @@
   if (is_lost_) {
     is_lost_ = false;
     state_.events.Record(EventKind::kPlatformBack, value.key, "", now);
+    ReadBothSoon(now);
   }
   Schedule(value, now);
 }
 
+// Ends the backoff of the other value when one of them has been answered.
+void PlatformReader::ReadBothSoon(TimePoint now) {
+  for (auto* value : {&index_, &list_}) {
+    if (value->failures > 0) {
+      value->failures = 0;
+      value->next_read = now + Jitter(value->spacing);
+    }
+  }
+}
+
 // Sets the time of the next call.
 void PlatformReader::Schedule(WatchedValue& value, TimePoint now) {
   const auto is_reader = state_.members.IsReader(kReadersPerDataCentre);
--- a/Source/Fleet/platform_reader.h
+++ b/Source/Fleet/platform_reader.h
@@ -49,6 +49,7 @@
   void NoteFailure(WatchedValue& value, TimePoint now);
   void NoteSuccess(WatchedValue& value, const PlatformAnswer& answer,
                    TimePoint now);
+  void ReadBothSoon(TimePoint now);
   void Schedule(WatchedValue& value, TimePoint now);
   [[nodiscard]] auto IsReaderSilent(TimePoint now) const -> bool;
   auto Jitter(Duration mean) -> Duration;
--- a/Tests/Fleet/fleet_faults_test.cc
+++ b/Tests/Fleet/fleet_faults_test.cc
@@ -70,6 +70,14 @@
   cr_assert(outcome.unsettled == 0, "seed %lu", outcome.first_failed_seed);
 }
 
+// In these two the platform lost the instance list, and one value's backoff
+// outlasted the platform's return.
+Test(fleet_faults, a_returned_platform_is_read_soon) {
+  for (const std::uint64_t seed : {496, 697}) {
+    cr_assert(MeasureSchedules(1, seed).unsettled == 0, "seed %lu", seed);
+  }
+}
+
 Test(fleet_faults, a_rolled_back_platform_takes_nobody_back) {
   auto fleet = Fleet();
   fleet.simulation.platform().Save();
