--- a/Source/Measure/flow_bench.cc
+++ b/Source/Measure/flow_bench.cc
@@ -56,7 +56,7 @@
   const auto begin = std::chrono::steady_clock::now();
   for (std::size_t round = 0; round < kRounds; ++round) {
     for (const auto& tuple : tuples) {
-      sink += work(std::string_view(tuple));
+      sink += work(std::string_view{tuple});
     }
   }
   const auto spent = std::chrono::duration<double, std::nano>(
--- a/Source/Measure/flow_fleet.cc
+++ b/Source/Measure/flow_fleet.cc
@@ -72,7 +72,7 @@
   instance.member.id = IdFromName<InstanceId>(instance.member.name);
   instance.member.data_centre = DataCentreAt(data_centre);
   const auto ip =
-      Ipv4Address(kInstanceNetwork + static_cast<std::uint32_t>(number));
+      Ipv4Address{kInstanceNetwork + static_cast<std::uint32_t>(number)};
   instance.member.http_address = {ip, Port(kHttpPort)};
   instance.member.packet_address = {ip, Port(kPacketPort)};
   Start(instance, now);
--- a/Source/Measure/flow_run.cc
+++ b/Source/Measure/flow_run.cc
@@ -63,8 +63,8 @@
                                                         : Life::kIdle;
       const auto opens =
           kStart +
-          Duration(static_cast<Duration::rep>(
-              random_.Unit() * static_cast<double>(kOpeningTime.count())));
+          Duration{static_cast<Duration::rep>(
+              random_.Unit() * static_cast<double>(kOpeningTime.count()))};
       Reopen(flow, opens);
       by_key_[flow.key] = static_cast<std::uint32_t>(flows_.size());
       due_.push({opens, static_cast<std::uint32_t>(flows_.size())});
@@ -75,7 +75,7 @@
 
 template <FlowNode Node>
 void FlowRun<Node>::Reopen(Flow& flow, TimePoint now) {
-  flow.key = FlowKey(MixWords(1, next_key_++));
+  flow.key = FlowKey{MixWords(1, next_key_++)};
   flow.owner = EndpointId();
   flow.retries = 0;
   flow.ends = flow.life == Life::kShort ? now + random_.Exponential(kShortLife)
@@ -270,7 +270,7 @@
   result_.stats = fleet_.stats();
   result_.openings_per_second =
       static_cast<double>(result_.opened) /
-      std::chrono::duration<double>(schedule_.duration).count();
+      std::chrono::duration<double>{schedule_.duration}.count();
   return result_;
 }
 
