--- a/Tests/AtMostOnce/key_world.h
+++ b/Tests/AtMostOnce/key_world.h
@@ -1,6 +1,7 @@
 #ifndef HEMLOCKWICK_TESTS_AT_MOST_ONCE_KEY_WORLD_H_
 #define HEMLOCKWICK_TESTS_AT_MOST_ONCE_KEY_WORLD_H_
 
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
@@ -67,7 +68,8 @@
     // The attempt that a verdict is about.
     std::optional<std::uint64_t> verdict_on;
 
-    friend auto operator<=>(const Packet&, const Packet&) = default;
+    friend auto operator<=>(const Packet&, const Packet&)
+        -> std::strong_ordering = default;
   };
 
   KeyWorld(const std::vector<WorldMember>& members, PlantedFault fault);
