--- a/Source/Measure/config_trial.cc
+++ b/Source/Measure/config_trial.cc
@@ -178,11 +178,13 @@
       }
     }
     const auto name = "service-" + std::to_string(service);
-    files.push_back(ObjectFile{
-        name + ".yaml", ServiceText(service, service % kRequestShare == 0) +
-                            data_centres +
-                            "]\n---\nkind: endpoint_group\nname: " + name +
-                            "\nendpoints:\n" + endpoints});
+    auto text = ServiceText(service, service % kRequestShare == 0);
+    text += data_centres;
+    text += "]\n---\nkind: endpoint_group\nname: ";
+    text += name;
+    text += "\nendpoints:\n";
+    text += endpoints;
+    files.push_back(ObjectFile{name + ".yaml", std::move(text)});
   }
   return files;
 }
