--- a/Source/Measure/fleet_simulation.cc
+++ b/Source/Measure/fleet_simulation.cc
@@ -185,7 +185,8 @@
   });
 }
 
-void FleetSimulation::Perform(std::size_t instance, FleetActions actions) {
+void FleetSimulation::Perform(std::size_t instance,
+                              const FleetActions& actions) {
   for (const auto& action : actions) {
     if (const auto* send = std::get_if<SendFleetMessage>(&action)) {
       Deliver(instance, *send);
--- a/Source/Measure/fleet_simulation.h
+++ b/Source/Measure/fleet_simulation.h
@@ -138,7 +138,7 @@
                 std::function<FleetActions(FleetNode&, TimePoint)> run);
   void ScheduleTick(std::size_t instance);
   void RunTask(Task task);
-  void Perform(std::size_t instance, FleetActions actions);
+  void Perform(std::size_t instance, const FleetActions& actions);
   void Deliver(std::size_t from, const SendFleetMessage& send);
   void Read(std::size_t instance, const PlatformRead& read);
   void AnswerNow(std::size_t instance, const PlatformRead& read);
