Runtime: Let a first start vouch for idempotency keys

Cause: after the at-most-once keys were merged, keyed requests to a fleet that had just started were answered 'outcome unknown' (no instance is old enough to vouch), and worlds of one instance published three data centres, so a majority was never there. runtime_test failed 4 of 33 cases, processes_test 1 of 2. Ruled out: the gateway and the codec; the claims were refused as designed. Change: the setting first_start_until, a UTC time, marks the first start of a deployment; worlds of one instance publish one data centre.

--- a/Source/Runtime/instance.cc
+++ b/Source/Runtime/instance.cc
@@ -28,6 +28,14 @@
           settings.packet, settings.seeds,       random_seed};
 }
 
+auto ToRequestSettings(const ServeSettings& settings, std::uint64_t random_seed,
+                       TimePoint now) -> RequestPlaneSettings {
+  auto result = RequestPlaneSettings();
+  result.random_seed = random_seed;
+  result.is_first_start = now < settings.first_start_until;
+  return result;
+}
+
 }  // namespace
 
 class Instance::Impl {
@@ -45,7 +53,8 @@
         platform_(
             settings.platform,
             [this](PlatformAnswer answer) { inbox_.Push(std::move(answer)); }),
-        gateway_({random_seed_}, self_, events_, clock_,
+        gateway_(ToRequestSettings(settings_, random_seed_, clock_.Now()),
+                 self_, events_, clock_,
                  [this](const SendRequestMessage& message) { Send(message); }),
         rpc_([this](const RpcEnvelope& envelope) {
           return OnEnvelope(envelope);
--- a/Source/Runtime/settings.cc
+++ b/Source/Runtime/settings.cc
@@ -14,6 +14,7 @@
 #include <utility>
 
 #include "Config/nearest_name.h"
+#include "Config/utc_time.h"
 
 namespace hemlockwick {
 
@@ -202,6 +203,18 @@
     target = *duration;
   }
 
+  void Moment(const YAML::Node& node, TimePoint& target) {
+    const auto text = Scalar(node);
+    if (!text) {
+      return;
+    }
+    target = TryOr([&text] { return ParseUtc(*text); },
+                   [this, &node](const Error& error) {
+                     Report(node.Mark(), error.message, error.remedy);
+                     return TimePoint();
+                   });
+  }
+
   void Report(const YAML::Mark& mark, std::string problem, std::string remedy) {
     const auto place = SourcePlace{file_, mark.line + 1, mark.column + 1};
     findings_.push_back({Severity::kError, place, "settings",
@@ -227,6 +240,8 @@
        [this](const auto& node) { Time(node, settings_.leave_grace); }},
       {"drain_deadline",
        [this](const auto& node) { Time(node, settings_.drain_deadline); }},
+      {"first_start_until",
+       [this](const auto& node) { Moment(node, settings_.first_start_until); }},
   };
 };
 
--- a/Source/Runtime/settings.h
+++ b/Source/Runtime/settings.h
@@ -29,6 +29,9 @@
   // so that the fabric notices; and longest time until the process ends.
   Duration leave_grace = std::chrono::seconds(2);
   Duration drain_deadline = std::chrono::seconds(30);
+  // An instance that starts before this time is part of the first start of a
+  // deployment: no Idempotency-Key can have been used before.
+  TimePoint first_start_until;
 };
 
 struct SettingsResult {
--- a/Tests/Runtime/instance_test.cc
+++ b/Tests/Runtime/instance_test.cc
@@ -53,6 +53,8 @@
     settings.packet = settings.http;
     settings.platform = platform->address();
     settings.leave_grace = Duration{0};
+    settings.first_start_until = SystemClock().Now() + std::chrono::hours(1);
+    objects.data_centres = 1;
     objects.request_endpoints = {endpoint->address()};
     instance = Require(Instance::Start(settings));
   }
--- a/Tests/Runtime/processes_test.cc
+++ b/Tests/Runtime/processes_test.cc
@@ -192,6 +192,7 @@
       Require(RequestEndpoint::Start(EndpointName(kRequestService, 0), ledger));
   const auto fleet = Require(LocalFleet::Start(HEMLOCKWICK_PROGRAM, 1));
   auto objects = LocalObjects();
+  objects.data_centres = 1;
   objects.request_endpoints = {endpoint->address()};
   const auto version = fleet->Publish(objects);
   cr_assert(Await([&] { return fleet->InForce(version, {0}); }, kAwaitBound));
--- a/Utilities/StandIn/local_config.cc
+++ b/Utilities/StandIn/local_config.cc
@@ -12,13 +12,13 @@
     SocketAddress{Ipv4Address(0x0A000002), Port(80)};
 
 auto NewEndpoint(const std::string& service, std::size_t number,
-                 const SocketAddress& address) -> Endpoint {
-  const auto& data_centres = LocalDataCentres();
+                 const SocketAddress& address, std::size_t data_centres)
+    -> Endpoint {
+  const auto& names = LocalDataCentres();
   auto endpoint = Endpoint();
   endpoint.name = EndpointName(service, number);
   endpoint.id = IdFromName<EndpointId>(endpoint.name);
-  endpoint.data_centre =
-      IdFromName<DataCentreId>(data_centres[number % data_centres.size()]);
+  endpoint.data_centre = IdFromName<DataCentreId>(names[number % data_centres]);
   endpoint.address = address;
   return endpoint;
 }
@@ -76,7 +76,8 @@
   const auto* const before =
       previous == nullptr ? nullptr : FindService(*previous, service->id);
   for (auto number = std::size_t{0}; number < endpoints.size(); ++number) {
-    auto endpoint = NewEndpoint(name, number, endpoints[number]);
+    auto endpoint =
+        NewEndpoint(name, number, endpoints[number], objects.data_centres);
     if (objects.draining.contains(endpoint.name)) {
       endpoint.state = EndpointState::kDraining;
     }
@@ -111,7 +112,9 @@
   const auto version =
       Version(previous == nullptr ? 1 : previous->version.value() + 1);
   auto data_centres = std::vector<DataCentre>();
-  for (const auto& name : LocalDataCentres()) {
+  const auto& names = LocalDataCentres();
+  for (auto number = std::size_t{0}; number < objects.data_centres; ++number) {
+    const auto& name = names[number];
     data_centres.push_back(
         {IdFromName<DataCentreId>(name), name, IdFromName<RegionId>("nelson")});
   }
--- a/Utilities/StandIn/local_config.h
+++ b/Utilities/StandIn/local_config.h
@@ -10,9 +10,12 @@
 
 namespace hemlockwick {
 
-// The objects of a fleet on loopback: three data centres, one service with
-// flows and one with requests.
+// The objects of a fleet on loopback: its data centres, one service with flows
+// and one with requests.
 struct LocalObjects {
+  // The first ones of LocalDataCentres that have instances. Idempotency keys
+  // need a majority of them.
+  std::size_t data_centres = 3;
   std::vector<SocketAddress> flow_endpoints;
   std::vector<SocketAddress> request_endpoints;
   std::set<std::string> draining;  // Names of endpoints.
--- a/Utilities/StandIn/local_fleet.cc
+++ b/Utilities/StandIn/local_fleet.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "Config/published_value.h"
+#include "Config/utc_time.h"
 #include "Fleet/fleet_node.h"
 #include "Runtime/http_client.h"
 #include "Runtime/socket.h"
@@ -22,6 +23,9 @@
 constexpr std::uint32_t kFirstInstanceIp = 0x7F000101;
 
 constexpr Duration kStatusTimeout = std::chrono::seconds(2);
+
+// An instance that starts within this time takes part in the first start.
+constexpr Duration kFirstStartTime = std::chrono::minutes(1);
 constexpr int kOk = 200;
 
 // Returns a port that is free for both TCP and UDP right now, or 0.
@@ -108,7 +112,9 @@
        << "http: " << ToString(listed.http_address) << "\n"
        << "packet: " << ToString(listed.packet_address) << "\n"
        << "platform: " << ToString(platform_->address()) << "\n"
-       << "seeds: [" << ToString(listed_.front().http_address) << "]\n";
+       << "seeds: [" << ToString(listed_.front().http_address) << "]\n"
+       << "first_start_until: " << FormatUtc(clock_.Now() + kFirstStartTime)
+       << "\n";
 }
 
 auto LocalFleet::targets() const -> std::vector<FabricTarget> {
