Command: Parse options in one place

Cause: nine commands repeated the same lines around cxxopts. Change: ParseOptions moves to Command/options and all commands call it.

--- a/Source/Command/check_command.cc
+++ b/Source/Command/check_command.cc
@@ -8,6 +8,7 @@
 #include <optional>
 
 #include "Command/object_files.h"
+#include "Command/options.h"
 #include "Command/value_files.h"
 #include "Config/config_check.h"
 #include "Config/digest_text.h"
@@ -211,11 +212,7 @@
 
 auto CheckCommand::Run(const std::vector<std::string>& arguments) -> ExitCode {
   auto options = DescribeOptions();
-  auto argv = std::vector<const char*>{"hemlockwick check"};
-  for (const auto& argument : arguments) {
-    argv.push_back(argument.c_str());
-  }
-  const auto parsed = options.parse(static_cast<int>(argv.size()), argv.data());
+  const auto parsed = ParseOptions(options, arguments);
   if (parsed.count("help") != 0) {
     std::cout << options.help() << "\n";
     return ExitCode::kSuccess;
--- a/Source/Command/operator_query.cc
+++ b/Source/Command/operator_query.cc
@@ -13,16 +13,6 @@
 
 }  // namespace
 
-auto ParseOptions(cxxopts::Options& options,
-                  const std::vector<std::string>& arguments)
-    -> cxxopts::ParseResult {
-  auto argv = std::vector<const char*>{"hemlockwick"};
-  for (const auto& argument : arguments) {
-    argv.push_back(argument.c_str());
-  }
-  return options.parse(static_cast<int>(argv.size()), argv.data());
-}
-
 auto ParseAddresses(const std::vector<std::string>& texts)
     -> Result<std::vector<SocketAddress>> {
   auto addresses = std::vector<SocketAddress>();
--- a/Source/Command/operator_query.h
+++ b/Source/Command/operator_query.h
@@ -1,7 +1,6 @@
 #ifndef HEMLOCKWICK_COMMAND_OPERATOR_QUERY_H_
 #define HEMLOCKWICK_COMMAND_OPERATOR_QUERY_H_
 
-#include <cxxopts.hpp>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -12,11 +11,6 @@
 
 namespace hemlockwick {
 
-// Parses a subcommand's arguments; cxxopts throws when they are wrong.
-[[nodiscard]] auto ParseOptions(cxxopts::Options& options,
-                                const std::vector<std::string>& arguments)
-    -> cxxopts::ParseResult;
-
 [[nodiscard]] auto ParseAddresses(const std::vector<std::string>& texts)
     -> Result<std::vector<SocketAddress>>;
 
--- a/Source/Command/serve_command.cc
+++ b/Source/Command/serve_command.cc
@@ -7,6 +7,7 @@
 #include <iostream>
 #include <memory>
 
+#include "Command/options.h"
 #include "Runtime/instance.h"
 #include "Runtime/log.h"
 #include "Runtime/settings.h"
@@ -28,11 +29,7 @@
        cxxopts::value<std::string>(), "FILE")                         //
       ("check-settings", "Check the settings file and do not serve")  //
       ("h,help", "Show this help");
-  auto argv = std::vector<const char*>{"hemlockwick serve"};
-  for (const auto& argument : arguments) {
-    argv.push_back(argument.c_str());
-  }
-  return options.parse(static_cast<int>(argv.size()), argv.data());
+  return ParseOptions(options, arguments);
 }
 
 auto PrintError(const Error& error) -> ExitCode {
--- a/Source/Command/status_command.cc
+++ b/Source/Command/status_command.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "Command/operator_query.h"
+#include "Command/options.h"
 #include "Config/quantity.h"
 #include "Fleet/status_report.h"
 #include "Runtime/system_clock.h"
--- a/Source/Command/timeline_command.cc
+++ b/Source/Command/timeline_command.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "Command/operator_query.h"
+#include "Command/options.h"
 #include "Config/quantity.h"
 #include "Runtime/system_clock.h"
 #include "Timeline/event_codec.h"
--- a/Source/Measure/capacity_command.cc
+++ b/Source/Measure/capacity_command.cc
@@ -6,6 +6,7 @@
 #include <iterator>
 #include <utility>
 
+#include "Command/options.h"
 #include "Measure/capacity_model.h"
 #include "Measure/config_slopes.h"
 #include "Measure/fleet_slopes.h"
@@ -137,12 +138,7 @@
                             kDefaultSeed))("json", "Print the costs as JSON")(
       "markdown", "Print slopes and costs as tables for docs/CAPACITY.md")(
       "h,help", "Show this help");
-  auto words = std::vector<const char*>{"capacity"};
-  for (const auto& argument : arguments) {
-    words.push_back(argument.c_str());
-  }
-  const auto parsed =
-      options.parse(static_cast<int>(words.size()), words.data());
+  const auto parsed = ParseOptions(options, arguments);
   if (parsed.count("help") > 0) {
     std::cout << options.help();
     return ExitCode::kSuccess;
--- a/Source/Measure/check_measure.cc
+++ b/Source/Measure/check_measure.cc
@@ -5,6 +5,7 @@
 #include <cxxopts.hpp>
 #include <iostream>
 
+#include "Command/options.h"
 #include "Config/published_value.h"
 #include "Measure/config_trial.h"
 #include "Measure/report.h"
@@ -70,11 +71,7 @@
       cxxopts::value<std::uint64_t>()->default_value("1"), "N");
   add("json", "Print JSON");
   add("h,help", "Print this help");
-  auto argv = std::vector<const char*>{"check"};
-  for (const auto& argument : arguments) {
-    argv.push_back(argument.c_str());
-  }
-  const auto parsed = options.parse(static_cast<int>(argv.size()), argv.data());
+  const auto parsed = ParseOptions(options, arguments);
   if (parsed.count("help") != 0) {
     std::cout << options.help() << "\n";
     return ExitCode::kSuccess;
--- a/Source/Measure/fleet_command.cc
+++ b/Source/Measure/fleet_command.cc
@@ -6,6 +6,7 @@
 #include <iterator>
 
 #include "Command/operator_query.h"
+#include "Command/options.h"
 #include "Measure/fleet_measure.h"
 #include "Measure/fleet_schedule.h"
 #include "Measure/fleet_target.h"
--- a/Source/Measure/flow_measure.cc
+++ b/Source/Measure/flow_measure.cc
@@ -8,6 +8,7 @@
 #include <iostream>
 #include <thread>
 
+#include "Command/options.h"
 #include "Flow/bucket_table.h"
 #include "Measure/flow_bench.h"
 #include "Measure/flow_run.h"
@@ -306,11 +307,7 @@
                         cxxopts::value<std::uint64_t>()->default_value("1"))(
       "schedule", "Run this schedule only", cxxopts::value<std::string>())(
       "json", "Print JSON")("h,help", "Print this help");
-  auto argv = std::vector<const char*>{"flows"};
-  for (const auto& argument : arguments) {
-    argv.push_back(argument.c_str());
-  }
-  const auto parsed = options.parse(static_cast<int>(argv.size()), argv.data());
+  const auto parsed = ParseOptions(options, arguments);
   if (parsed.count("help") > 0) {
     std::cout << options.help();
     return ExitCode::kSuccess;
--- a/Source/Measure/make_trace_command.cc
+++ b/Source/Measure/make_trace_command.cc
@@ -4,6 +4,7 @@
 #include <cxxopts.hpp>
 #include <iostream>
 
+#include "Command/options.h"
 #include "Measure/trace_generator.h"
 
 namespace hemlockwick {
@@ -18,12 +19,7 @@
       cxxopts::value<std::uint64_t>()->default_value("1"))("h,help",
                                                            "show this help");
   options.parse_positional({"name"});
-  auto words = std::vector<const char*>{"make-trace"};
-  for (const auto& argument : arguments) {
-    words.push_back(argument.c_str());
-  }
-  const auto parsed =
-      options.parse(static_cast<int>(words.size()), words.data());
+  const auto parsed = ParseOptions(options, arguments);
   if (parsed.count("help") > 0 || parsed.count("name") == 0) {
     auto& out = parsed.count("help") > 0 ? std::cout : std::cerr;
     out << options.help() << "\nNames:";
--- a/Source/Measure/requests_command.cc
+++ b/Source/Measure/requests_command.cc
@@ -7,6 +7,7 @@
 #include <iterator>
 #include <sstream>
 
+#include "Command/options.h"
 #include "Measure/request_measures.h"
 #include "Measure/request_plot.h"
 #include "Measure/trace_generator.h"
@@ -109,12 +110,7 @@
 auto RequestsCommand::Run(const std::vector<std::string>& arguments)
     -> ExitCode {
   auto options = MakeOptions();
-  auto words = std::vector<const char*>{"requests"};
-  for (const auto& argument : arguments) {
-    words.push_back(argument.c_str());
-  }
-  const auto parsed =
-      options.parse(static_cast<int>(words.size()), words.data());
+  const auto parsed = ParseOptions(options, arguments);
   if (parsed.count("help") > 0) {
     std::cout << options.help() << "\n";
     return ExitCode::kSuccess;
--- a/Source/Measure/udp_command.cc
+++ b/Source/Measure/udp_command.cc
@@ -3,6 +3,7 @@
 #include <cxxopts.hpp>
 #include <iostream>
 
+#include "Command/options.h"
 #include "Measure/report.h"
 #include "Measure/udp_bench.h"
 
@@ -50,11 +51,7 @@
 
 auto UdpCommand::Run(const std::vector<std::string>& arguments) -> ExitCode {
   auto options = NewOptions();
-  auto argv = std::vector<const char*>{"hemlockwick-measure udp"};
-  for (const auto& argument : arguments) {
-    argv.push_back(argument.c_str());
-  }
-  const auto parsed = options.parse(static_cast<int>(argv.size()), argv.data());
+  const auto parsed = ParseOptions(options, arguments);
   if (parsed.count("help") > 0) {
     std::cout << options.help();
     return ExitCode::kSuccess;
