--- a/Source/Core/random.h
+++ b/Source/Core/random.h
@@ -22,6 +22,12 @@
         0, bound - 1)(engine_);
   }
 
+  // Returns a duration in [0, bound). `bound` must be positive.
+  auto DurationBelow(Duration bound) -> Duration {
+    return Duration(static_cast<Duration::rep>(
+        Below(static_cast<std::uint64_t>(bound.count()))));
+  }
+
   // Returns a number in [0, 1).
   auto Unit() -> double { return boost::random::uniform_01<double>()(engine_); }
 
--- a/Source/Measure/fleet_simulation.cc
+++ b/Source/Measure/fleet_simulation.cc
@@ -16,7 +16,6 @@
 constexpr Duration kPlatformLatency = std::chrono::milliseconds(2);
 
 // How long the platform's list lags behind a start or stop.
-constexpr Duration kListLag = std::chrono::seconds(3);
 
 constexpr std::uint32_t kFirstIp = 0x0A000001;  // 10.0.0.1
 constexpr std::uint16_t kHttpPort = 6080;
--- a/Source/Measure/flow_node.cc
+++ b/Source/Measure/flow_node.cc
@@ -91,7 +91,7 @@
 
 template <RivalKind kKind>
 auto RivalNode<kKind>::OnTick(TimePoint now) -> FlowActions {
-  const auto elapsed = std::chrono::duration<double>(now - last_tick_).count();
+  const auto elapsed = std::chrono::duration<double>{now - last_tick_}.count();
   last_tick_ = now;
   allowance_ = std::min(allowance_ + elapsed * kRivalBytesPerSecond,
                         kRivalBytesPerSecond);
--- a/Source/Measure/request_replay.cc
+++ b/Source/Measure/request_replay.cc
@@ -151,7 +151,7 @@
     endpoint.state_since = now_;
     service->endpoints.push_back(endpoint);
   }
-  return BuildFleetConfig(Version(configs_.size() + 1), Digest(), now_,
+  return BuildFleetConfig(Version{configs_.size() + 1}, Digest(), now_,
                           std::move(centres), {service});
 }
 
@@ -242,8 +242,7 @@
       break;
     case Kind::kPause: {
       auto& instance = instances_[random_.Below(instances_.size())];
-      const auto length = Duration(
-          static_cast<Duration::rep>(random_.Below(kMaxPause.count())));
+      const auto length = random_.DurationBelow(kMaxPause);
       instance.paused_until = std::max(instance.paused_until, now_ + length);
       ScheduleRandom(Kind::kPause, settings_.rates.mean_between_pauses);
       break;
@@ -510,8 +509,7 @@
   result.load = is_lagging_[endpoint] ? lagging_loads_[endpoint]
                                       : endpoints_[endpoint].Load(now_);
   if (random_.Chance(settings_.rates.result_delayed)) {
-    result.at += Duration(
-        static_cast<Duration::rep>(random_.Below(kMaxResultDelay.count())));
+    result.at += random_.DurationBelow(kMaxResultDelay);
   }
   Push(result);
   if (random_.Chance(settings_.rates.result_repeated)) {
@@ -650,8 +648,7 @@
 void RequestReplay<Policy>::PublishConfig() {
   configs_.push_back(MakeConfig());
   for (auto number = std::size_t{0}; number < instances_.size(); ++number) {
-    const auto delay = Duration(
-        static_cast<Duration::rep>(random_.Below(kMaxPublishDelay.count())));
+    const auto delay = random_.DurationBelow(kMaxPublishDelay);
     Push({.at = now_ + delay,
           .kind = Kind::kConfig,
           .instance = number,
--- a/Source/Request/rate_share.cc
+++ b/Source/Request/rate_share.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <utility>
 
 namespace hemlockwick {
@@ -58,7 +59,8 @@
 }
 
 auto RateShare::TakeReport(TimePoint now) -> std::uint32_t {
-  reported_demand_ = static_cast<std::uint32_t>(demand_.PerSecond(now) + 0.5);
+  reported_demand_ =
+      static_cast<std::uint32_t>(std::lround(demand_.PerSecond(now)));
   return reported_demand_;
 }
 
--- a/Source/Runtime/ulfius_headers.h
+++ b/Source/Runtime/ulfius_headers.h
@@ -4,7 +4,7 @@
 #include <map>
 #include <string>
 
-struct _u_map;
+struct _u_map;  // NOLINT(bugprone-reserved-identifier): ulfius's own name
 
 namespace hemlockwick {
 
--- a/Utilities/lint.sh
+++ b/Utilities/lint.sh
@@ -13,4 +13,5 @@
 fi
 printf '%s\0' "${sources[@]}" |
   xargs -0 -n 1 -P "${HEMLOCKWICK_JOBS:-$(nproc)}" \
-    clang-tidy -p "$build" --quiet --extra-arg=-Wno-unknown-warning-option
+    clang-tidy -p "$build" --quiet --extra-arg=-Wno-unknown-warning-option \
+    --extra-arg=-Wno-gnu-statement-expression
