--- a/Source/Command/serve_command.cc
+++ b/Source/Command/serve_command.cc
@@ -3,11 +3,9 @@
 #include <csignal>
 #include <cstdlib>
 #include <ctime>
-#include <cxxopts.hpp>
-#include <iostream>
 #include <memory>
 
-#include "Command/options.h"
+#include "Command/settings_argument.h"
 #include "Runtime/instance.h"
 #include "Runtime/log.h"
 #include "Runtime/settings.h"
@@ -17,30 +15,9 @@
 
 namespace {
 
-constexpr const char* kPrefix = "hemlockwick serve: ";
-
 // How often a stopping process looks whether it is done.
 constexpr auto kStopCheck = timespec{0, 20'000'000};
 
-auto ParseArguments(const std::vector<std::string>& arguments,
-                    cxxopts::Options& options) -> cxxopts::ParseResult {
-  options.add_options()                                               //
-      ("settings", "YAML file with this instance's settings",         //
-       cxxopts::value<std::string>(), "FILE")                         //
-      ("check-settings", "Check the settings file and do not serve")  //
-      ("h,help", "Show this help");
-  return ParseOptions(options, arguments);
-}
-
-auto PrintError(const Error& error) -> ExitCode {
-  std::cerr << kPrefix << error.message;
-  if (!error.remedy.empty()) {
-    std::cerr << "; " << error.remedy;
-  }
-  std::cerr << "\n";
-  return ExitCode::kUsage;
-}
-
 // The signals that stop the process; blocked in every thread and waited for
 // in the main one.
 auto StopSignals() -> sigset_t {
@@ -108,44 +85,14 @@
   return ExitCode::kSuccess;
 }
 
-auto Start(const std::string& file, bool check_only) -> Result<ExitCode> {
-  BOOST_LEAF_AUTO(text, ReadTextFile(file));
-  const auto parsed = ParseSettings(text, file);
-  for (const auto& finding : parsed.findings) {
-    std::cerr << ToString(finding) << "\n";
-  }
-  if (!parsed.findings.empty()) {
-    return ExitCode::kUsage;
-  }
-  if (check_only) {
-    std::cout << "settings of " << parsed.settings.name << " are valid\n";
-    return ExitCode::kSuccess;
-  }
-  return Serve(parsed.settings);
-}
-
 }  // namespace
 
 auto ServeCommand::Run(const std::vector<std::string>& arguments) -> ExitCode {
-  auto options = cxxopts::Options("hemlockwick serve", std::string(summary()));
-  const auto parsed = ParseArguments(arguments, options);
-  if (parsed.count("help") > 0) {
-    std::cout << options.help();
-    return ExitCode::kSuccess;
-  }
-  if (!parsed.unmatched().empty()) {
-    return PrintError(
-        {ErrorCode::kInvalidArgument,
-         "unexpected argument '" + parsed.unmatched().front() + "'",
-         "see 'hemlockwick serve --help'"});
-  }
-  if (parsed.count("settings") == 0) {
-    return PrintError({ErrorCode::kInvalidArgument, "no settings file given",
-                       "add --settings FILE"});
-  }
-  const auto file = parsed["settings"].as<std::string>();
-  const auto check_only = parsed.count("check-settings") > 0;
-  return TryOr([&] { return Start(file, check_only); }, &PrintError);
+  return RunWithSettings(
+      "serve", std::string(summary()), arguments,
+      [](const std::string& /*file*/, const ServeSettings& settings) {
+        return Serve(settings);
+      });
 }
 
 }  // namespace hemlockwick
--- /dev/null
+++ b/Source/Edge/edge_forwarder.h
@@ -0,0 +1,147 @@
+#ifndef HEMLOCKWICK_EDGE_EDGE_FORWARDER_H_
+#define HEMLOCKWICK_EDGE_EDGE_FORWARDER_H_
+
+#include <atomic>
+#include <span>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "Core/snapshot_cell.h"
+#include "Edge/edge_metrics.h"
+#include "Edge/packet_codec.h"
+#include "Edge/router_log.h"
+#include "Flow/token_router.h"
+#include "Runtime/datagram_batch.h"
+#include "Runtime/socket.h"
+#include "Runtime/system_clock.h"
+
+namespace hemlockwick {
+
+// Datagrams that an edge process takes by one system call.
+inline constexpr std::size_t kEdgeBatch = 32;
+
+// The packet path of an edge process: receives datagrams, decides each and
+// sends it on with its flow's token. One thread calls RunBatch.
+template <PacketCodec Codec>
+class EdgeForwarder {
+ public:
+  using Directories = SnapshotCell<DirectorySnapshot>;
+
+  // `socket` is a bound UDP socket with a receive timeout. Everything passed
+  // by reference must outlive the forwarder.
+  EdgeForwarder(FileDescriptor socket, const TokenRouterSettings& settings,
+                const Directories& directories, EdgeMetrics& metrics,
+                const SystemClock& clock)
+      : socket_(std::move(socket)),
+        local_(LocalAddress(socket_)),
+        metrics_(metrics),
+        clock_(clock),
+        directories_(directories),
+        router_(settings),
+        batch_(kEdgeBatch, Codec::kMaxDatagramBytes) {}
+
+  // Handles the datagrams that have arrived, waiting for a first one as long
+  // as the socket's receive timeout says.
+  void RunBatch() {
+    const auto arrived = batch_.Receive(socket_);
+    const auto now = clock_.Now();
+    TakeDirectory(now);
+    if (arrived > 0) {
+      metrics_.CountReceived(arrived);
+      last_packet_.store(now, std::memory_order_relaxed);
+    }
+    for (auto index = std::size_t{0}; index < arrived; ++index) {
+      if (batch_.is_truncated(index)) {
+        metrics_.CountMalformed();
+      } else {
+        Handle(batch_.datagram(index), now);
+      }
+    }
+    Flush();
+    if (arrived < batch_.capacity()) {
+      SendResets(router_.OnTick(now));
+    }
+    Report(now);
+  }
+
+  // When the last packet arrived. Any thread may ask.
+  [[nodiscard]] auto last_packet() const -> TimePoint {
+    return last_packet_.load(std::memory_order_relaxed);
+  }
+
+ private:
+  void TakeDirectory(TimePoint now) {
+    const auto generation = directories_.generation();
+    if (generation == seen_generation_) {
+      return;
+    }
+    seen_generation_ = generation;
+    SendResets(router_.Update(directories_.Load(), now));
+  }
+
+  void Handle(std::span<std::uint8_t> datagram, TimePoint now) {
+    const auto packet = Codec::Decode(datagram);
+    if (!packet) {
+      metrics_.CountMalformed();
+      return;
+    }
+    const auto action = router_.Decide(*packet, now);
+    if (const auto* const forward = std::get_if<ForwardWithToken>(&action)) {
+      Codec::WriteToken(datagram, forward->token);
+      batch_.Queue(Codec::PrefixOf(forward->endpoint), datagram,
+                   forward->address);
+      metrics_.CountForwarded();
+    } else if (const auto* const reset = std::get_if<ResetFlow>(&action)) {
+      QueueReset(*reset);
+    } else {
+      metrics_.CountDropped(std::get<DropPacket>(action).reason);
+    }
+  }
+
+  void QueueReset(const ResetFlow& reset) {
+    batch_.Queue(Codec::EncodeReset(reset), {},
+                 Codec::ResetDestination(reset, local_));
+    metrics_.CountReset(reset.reason);
+  }
+
+  void SendResets(const std::vector<ResetFlow>& resets) {
+    for (const auto& reset : resets) {
+      QueueReset(reset);
+      if (batch_.queued() == batch_.capacity()) {
+        Flush();
+      }
+    }
+    Flush();
+  }
+
+  void Flush() {
+    const auto failed = batch_.Flush(socket_);
+    if (failed > 0) {
+      metrics_.CountSendFailed(failed);
+    }
+  }
+
+  void Report(TimePoint now) {
+    for (const auto& note : router_.TakeNotes()) {
+      LogNote(note, router_.directory(), now);
+    }
+    for (const auto& sample : router_.TakeReplies()) {
+      metrics_.Observe(sample);
+    }
+  }
+
+  const FileDescriptor socket_;
+  const SocketAddress local_;
+  EdgeMetrics& metrics_;
+  const SystemClock& clock_;
+  const Directories& directories_;
+  std::uint64_t seen_generation_ = 0;
+  TokenRouter router_;
+  DatagramBatch batch_;
+  std::atomic<TimePoint> last_packet_{TimePoint()};
+};
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_EDGE_EDGE_FORWARDER_H_
--- /dev/null
+++ b/Source/Edge/edge_metrics.cc
@@ -0,0 +1,119 @@
+#include "Edge/edge_metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace hemlockwick {
+
+namespace {
+
+// Upper bounds of the histograms' buckets, in seconds.
+const auto kBuckets = prometheus::Histogram::BucketBoundaries{
+    0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5};
+
+auto Seconds(Duration time) -> double {
+  return std::chrono::duration<double>(time).count();
+}
+
+}  // namespace
+
+EdgeMetrics::EdgeMetrics()
+    : received_(NewCounter("packets_received_total", "Datagrams received")),
+      malformed_(NewCounter("packets_malformed_total",
+                            "Datagrams that are no packet")),
+      forwarded_(
+          NewCounter("packets_forwarded_total", "Packets sent to endpoints")),
+      send_failed_(NewCounter("packets_send_failed_total",
+                              "Packets that the kernel refused to send")),
+      ignored_(NewCounter("directory_entries_ignored_total",
+                          "Entries of the platform that were not understood")),
+      opening_time_(NewHistogram("flow_opening_seconds",
+                                 "Time from a caller's opening packet to the "
+                                 "first packet after the handshake")),
+      reply_time_(NewHistogram("flow_reply_seconds",
+                               "Time from a caller's data to its first "
+                               "acknowledgement of the endpoint's reply")),
+      call_time_(NewHistogram("platform_call_seconds",
+                              "Time of calls to the platform, watches "
+                              "included")),
+      version_(NewGauge("config_version", "Configuration version in force")),
+      endpoints_(NewGauge("endpoints", "Endpoints in the directory")),
+      log_lines_dropped_(
+          NewGauge("log_lines_dropped", "Log lines that were not written")) {
+  for (auto index = std::size_t{0}; index < kResetReasonCount; ++index) {
+    const auto reason = ToString(static_cast<ResetReason>(index));
+    resets_[index] = &NewCounter("flows_reset_total", "Flows reset",
+                                 {{"reason", std::string(reason)}});
+  }
+  for (auto index = std::size_t{0}; index < kDropReasonCount; ++index) {
+    const auto reason = ToString(static_cast<DropReason>(index));
+    drops_[index] = &NewCounter("packets_dropped_total", "Packets dropped",
+                                {{"reason", std::string(reason)}});
+  }
+  for (auto index = std::size_t{0}; index < kSyncStatusCount; ++index) {
+    const auto status = ToString(static_cast<SyncStatus>(index));
+    calls_[index] = &NewCounter("platform_calls_total", "Calls answered",
+                                {{"status", std::string(status)}});
+  }
+}
+
+void EdgeMetrics::CountReset(ResetReason reason) {
+  Add(*resets_[static_cast<std::size_t>(reason)], 1);
+}
+
+void EdgeMetrics::CountDropped(DropReason reason) {
+  Add(*drops_[static_cast<std::size_t>(reason)], 1);
+}
+
+void EdgeMetrics::CountCall(SyncStatus status, Duration time) {
+  Add(*calls_[static_cast<std::size_t>(status)], 1);
+  call_time_.Observe(Seconds(time));
+}
+
+void EdgeMetrics::Observe(const ReplySample& sample) {
+  auto& histogram =
+      sample.kind == ReplySample::Kind::kOpening ? opening_time_ : reply_time_;
+  histogram.Observe(Seconds(sample.time));
+}
+
+void EdgeMetrics::SetDirectory(Version version, std::size_t endpoints) {
+  version_.Set(static_cast<double>(version.value()));
+  endpoints_.Set(static_cast<double>(endpoints));
+}
+
+void EdgeMetrics::SetLogLinesDropped(std::uint64_t lines) {
+  log_lines_dropped_.Set(static_cast<double>(lines));
+}
+
+auto EdgeMetrics::Format() const -> std::string {
+  return prometheus::TextSerializer().Serialize(registry_.Collect());
+}
+
+auto EdgeMetrics::NewCounter(const char* name, const char* help,
+                             const prometheus::Labels& labels)
+    -> prometheus::Counter& {
+  return prometheus::BuildCounter()
+      .Name(std::string("hemlockwick_") + name)
+      .Help(help)
+      .Register(registry_)
+      .Add(labels);
+}
+
+auto EdgeMetrics::NewGauge(const char* name, const char* help)
+    -> prometheus::Gauge& {
+  return prometheus::BuildGauge()
+      .Name(std::string("hemlockwick_") + name)
+      .Help(help)
+      .Register(registry_)
+      .Add({});
+}
+
+auto EdgeMetrics::NewHistogram(const char* name, const char* help)
+    -> prometheus::Histogram& {
+  return prometheus::BuildHistogram()
+      .Name(std::string("hemlockwick_") + name)
+      .Help(help)
+      .Register(registry_)
+      .Add({}, kBuckets);
+}
+
+}  // namespace hemlockwick
--- /dev/null
+++ b/Source/Edge/edge_metrics.h
@@ -0,0 +1,69 @@
+#ifndef HEMLOCKWICK_EDGE_EDGE_METRICS_H_
+#define HEMLOCKWICK_EDGE_EDGE_METRICS_H_
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <array>
+#include <string>
+#include <string_view>
+
+#include "Edge/directory_sync.h"
+#include "Flow/flow_types.h"
+#include "Flow/token_router.h"
+
+namespace hemlockwick {
+
+// Counters and histograms of an edge process. Any thread may add to them.
+class EdgeMetrics {
+ public:
+  EdgeMetrics();
+
+  void CountReceived(std::size_t packets) { Add(received_, packets); }
+  void CountMalformed() { Add(malformed_, 1); }
+  void CountForwarded() { Add(forwarded_, 1); }
+  void CountSendFailed(std::size_t packets) { Add(send_failed_, packets); }
+  void CountReset(ResetReason reason);
+  void CountDropped(DropReason reason);
+  void CountCall(SyncStatus status, Duration time);
+  void CountIgnoredEntries(std::size_t entries) { Add(ignored_, entries); }
+  void Observe(const ReplySample& sample);
+  void SetDirectory(Version version, std::size_t endpoints);
+  void SetLogLinesDropped(std::uint64_t lines);
+
+  // All metrics in the Prometheus text format.
+  [[nodiscard]] auto Format() const -> std::string;
+
+ private:
+  static void Add(prometheus::Counter& counter, std::size_t amount) {
+    counter.Increment(static_cast<double>(amount));
+  }
+  auto NewCounter(const char* name, const char* help,
+                  const prometheus::Labels& labels = {})
+      -> prometheus::Counter&;
+  auto NewGauge(const char* name, const char* help) -> prometheus::Gauge&;
+  auto NewHistogram(const char* name, const char* help)
+      -> prometheus::Histogram&;
+
+  prometheus::Registry registry_;
+  prometheus::Counter& received_;
+  prometheus::Counter& malformed_;
+  prometheus::Counter& forwarded_;
+  prometheus::Counter& send_failed_;
+  prometheus::Counter& ignored_;
+  std::array<prometheus::Counter*, kResetReasonCount> resets_{};
+  std::array<prometheus::Counter*, kDropReasonCount> drops_{};
+  std::array<prometheus::Counter*, kSyncStatusCount> calls_{};
+  prometheus::Histogram& opening_time_;
+  prometheus::Histogram& reply_time_;
+  prometheus::Histogram& call_time_;
+  prometheus::Gauge& version_;
+  prometheus::Gauge& endpoints_;
+  prometheus::Gauge& log_lines_dropped_;
+};
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_EDGE_EDGE_METRICS_H_
--- /dev/null
+++ b/Source/Edge/edge_process.h
@@ -0,0 +1,213 @@
+#ifndef HEMLOCKWICK_EDGE_EDGE_PROCESS_H_
+#define HEMLOCKWICK_EDGE_EDGE_PROCESS_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <csignal>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+#include <utility>
+
+#include "Core/error.h"
+#include "Edge/directory_keeper.h"
+#include "Edge/directory_source.h"
+#include "Edge/edge_forwarder.h"
+#include "Edge/edge_metrics.h"
+#include "Edge/http_listener.h"
+#include "Edge/settings_watch.h"
+#include "Runtime/log.h"
+#include "Runtime/settings.h"
+#include "Runtime/socket.h"
+#include "Runtime/system_clock.h"
+
+namespace hemlockwick {
+
+// The sockets of an edge process, bound before anything else runs.
+struct EdgeSockets {
+  FileDescriptor packet;
+  FileDescriptor http;
+  FileDescriptor metrics;  // Invalid when the settings name no address.
+
+  // Fails with kAddressInUse when one of the addresses is taken.
+  [[nodiscard]] static auto Open(const ServeSettings& settings)
+      -> Result<EdgeSockets>;
+};
+
+// An edge process: forwards packets of flows that carry their endpoint, by a
+// directory that it reads from the platform. The control thread runs in Run;
+// another thread forwards packets.
+template <PacketCodec Codec, DirectorySource Source>
+class EdgeProcess {
+ public:
+  EdgeProcess(std::string settings_file, const ServeSettings& settings,
+              EdgeSockets sockets)
+      : settings_(settings),
+        settings_watch_(std::move(settings_file), settings),
+        keeper_(IdFromName<InstanceId>(settings.name).value(), metrics_,
+                clock_.Now()),
+        source_(context_, settings.platform, clock_),
+        forwarder_(std::move(sockets.packet),
+                   {IdFromName<DataCentreId>(settings.data_centre)},
+                   keeper_.snapshots(), metrics_, clock_),
+        http_(context_, std::move(sockets.http),
+              [this](const std::string& path) { return Answer(path); }),
+        call_timer_(context_),
+        tick_timer_(context_),
+        signals_(context_, SIGTERM, SIGINT, SIGHUP) {
+    if (sockets.metrics.valid()) {
+      metrics_listener_.emplace(
+          context_, std::move(sockets.metrics),
+          [this](const std::string& path) { return Answer(path); });
+    }
+  }
+
+  // Serves until a stop signal and the end of the time to leave.
+  void Run() {
+    WaitForSignal();
+    ScheduleCall();
+    Tick();
+    context_.run();
+    traffic_ = std::jthread();
+  }
+
+ private:
+  // How often slow work is looked after.
+  static constexpr auto kTickInterval = std::chrono::milliseconds(200);
+
+  // A leaving process whose last packet is this old is out of rotation.
+  static constexpr Duration kQuietTime = std::chrono::milliseconds(700);
+
+  void ScheduleCall() {
+    const auto& call = keeper_.next_call();
+    const auto now = clock_.Now();
+    if (call.at <= now) {
+      MakeCall(call);
+      return;
+    }
+    call_timer_.expires_after(call.at - now);
+    call_timer_.async_wait([this](const boost::system::error_code& error) {
+      if (!error) {
+        MakeCall(keeper_.next_call());
+      }
+    });
+  }
+
+  void MakeCall(const SyncCall& call) {
+    const auto started = clock_.Now();
+    source_.Call(call, [this, started](const SyncAnswer& answer,
+                                       const std::string& error) {
+      const auto now = clock_.Now();
+      metrics_.CountCall(answer.status, now - started);
+      keeper_.OnAnswer(answer, error, now);
+      StartTraffic();
+      ScheduleCall();
+    });
+  }
+
+  void StartTraffic() {
+    if (traffic_.joinable() || !keeper_.IsUsable()) {
+      return;
+    }
+    Log(LogLevel::kInfo, "serving",
+        {{"packet", ToString(settings_.packet)},
+         {"http", ToString(settings_.http)}});
+    traffic_ = std::jthread([this](const std::stop_token& stop) {
+      while (!stop.stop_requested()) {
+        forwarder_.RunBatch();
+      }
+    });
+  }
+
+  void Tick() {
+    const auto now = clock_.Now();
+    keeper_.OnTick(now);
+    settings_watch_.OnTick(now);
+    metrics_.SetLogLinesDropped(DroppedLogLines());
+    FlushLog();
+    if (LeaveDone(now)) {
+      Log(LogLevel::kInfo, "stopped");
+      context_.stop();
+      return;
+    }
+    tick_timer_.expires_after(kTickInterval);
+    tick_timer_.async_wait([this](const boost::system::error_code& error) {
+      if (!error) {
+        Tick();
+      }
+    });
+  }
+
+  void WaitForSignal() {
+    signals_.async_wait(
+        [this](const boost::system::error_code& error, int signal) {
+          if (error) {
+            return;
+          }
+          if (signal == SIGHUP) {
+            settings_watch_.Reload("signal");
+          } else {
+            BeginLeave();
+          }
+          WaitForSignal();
+        });
+  }
+
+  // Stops taking new rotation; packets are forwarded until none arrives.
+  void BeginLeave() {
+    if (leaving_since_) {
+      Log(LogLevel::kWarning, "second stop signal; ending at once");
+      context_.stop();
+      return;
+    }
+    leaving_since_ = clock_.Now();
+    Log(LogLevel::kInfo, "stopping");
+  }
+
+  [[nodiscard]] auto LeaveDone(TimePoint now) const -> bool {
+    if (!leaving_since_) {
+      return false;
+    }
+    const auto time = now - *leaving_since_;
+    const auto is_quiet = now - forwarder_.last_packet() >= kQuietTime;
+    return time >= settings_.drain_deadline ||
+           (time >= settings_.leave_grace && is_quiet);
+  }
+
+  [[nodiscard]] auto Answer(const std::string& path) const -> HttpReply {
+    if (path == "/readyz") {
+      const auto is_ready = !leaving_since_ && keeper_.IsUsable();
+      return is_ready ? HttpReply{200, "text/plain", "ready\n"}
+                      : HttpReply{503, "text/plain", "not ready\n"};
+    }
+    if (path == "/healthz") {
+      return {200, "text/plain", "running\n"};
+    }
+    if (path == "/metrics") {
+      return {200, "text/plain; version=0.0.4", metrics_.Format()};
+    }
+    return {404, "text/plain", "no such path\n"};
+  }
+
+  const ServeSettings settings_;
+  SettingsWatch settings_watch_;
+  const SystemClock clock_;
+  EdgeMetrics metrics_;
+  DirectoryKeeper keeper_;
+  boost::asio::io_context context_{1};
+  Source source_;
+  EdgeForwarder<Codec> forwarder_;
+  HttpListener http_;
+  std::optional<HttpListener> metrics_listener_;
+  boost::asio::steady_timer call_timer_;
+  boost::asio::steady_timer tick_timer_;
+  boost::asio::signal_set signals_;
+  std::optional<TimePoint> leaving_since_;
+  std::jthread traffic_;  // Last: it uses the forwarder.
+};
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_EDGE_EDGE_PROCESS_H_
--- /dev/null
+++ b/Source/Edge/edge_sockets.cc
@@ -0,0 +1,27 @@
+#include <sys/socket.h>
+#include <sys/time.h>
+
+#include "Edge/edge_process.h"
+
+namespace hemlockwick {
+
+namespace {
+
+// Longest wait for a datagram, after which unanswered packets are judged.
+constexpr auto kReceiveWait = timeval{0, 50'000};
+
+}  // namespace
+
+auto EdgeSockets::Open(const ServeSettings& settings) -> Result<EdgeSockets> {
+  auto sockets = EdgeSockets();
+  BOOST_LEAF_ASSIGN(sockets.packet, BindUdp(settings.packet, false));
+  setsockopt(sockets.packet.get(), SOL_SOCKET, SO_RCVTIMEO, &kReceiveWait,
+             sizeof(kReceiveWait));
+  BOOST_LEAF_ASSIGN(sockets.http, ListenTcp(settings.http));
+  if (settings.metrics != SocketAddress()) {
+    BOOST_LEAF_ASSIGN(sockets.metrics, ListenTcp(settings.metrics));
+  }
+  return sockets;
+}
+
+}  // namespace hemlockwick
--- /dev/null
+++ b/Source/Edge/http_connection.h
@@ -0,0 +1,47 @@
+#ifndef HEMLOCKWICK_EDGE_HTTP_CONNECTION_H_
+#define HEMLOCKWICK_EDGE_HTTP_CONNECTION_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "Core/net_address.h"
+#include "Core/time.h"
+
+namespace hemlockwick {
+
+// Outcome of one call: status 0 when there was no whole answer.
+struct HttpAnswer {
+  int status = 0;
+  std::string body;
+  std::string error;  // Why there was none.
+};
+
+// A client connection that is kept open between calls. One call at a time; all
+// functions run on the thread of the I/O context.
+class HttpConnection {
+ public:
+  using OnAnswer = std::function<void(HttpAnswer)>;
+
+  HttpConnection(boost::asio::io_context& context,
+                 const SocketAddress& address);
+  ~HttpConnection();
+  HttpConnection(const HttpConnection&) = delete;
+  auto operator=(const HttpConnection&) -> HttpConnection& = delete;
+
+  // Gets `target`, a path with its query. Connects first where needed; a call
+  // that fails closes the connection. `timeout` covers the whole call.
+  void Get(std::string target, Duration timeout, OnAnswer on_answer);
+
+ private:
+  class Session;
+
+  boost::asio::io_context& context_;
+  const SocketAddress address_;
+  std::shared_ptr<Session> session_;
+};
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_EDGE_HTTP_CONNECTION_H_
--- /dev/null
+++ b/Source/Edge/http_listener.h
@@ -0,0 +1,42 @@
+#ifndef HEMLOCKWICK_EDGE_HTTP_LISTENER_H_
+#define HEMLOCKWICK_EDGE_HTTP_LISTENER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "Core/error.h"
+#include "Core/net_address.h"
+#include "Runtime/file_descriptor.h"
+
+namespace hemlockwick {
+
+struct HttpReply {
+  int status = 200;
+  std::string content_type = "text/plain";
+  std::string body;
+};
+
+// Answers GET requests on one address with short texts. Runs on the thread of
+// the I/O context.
+class HttpListener {
+ public:
+  // Called with the path of a request.
+  using Handler = std::function<HttpReply(const std::string& path)>;
+
+  // Takes over a socket of ListenTcp.
+  HttpListener(boost::asio::io_context& context, FileDescriptor socket,
+               Handler handler);
+  ~HttpListener();
+  HttpListener(const HttpListener&) = delete;
+  auto operator=(const HttpListener&) -> HttpListener& = delete;
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_EDGE_HTTP_LISTENER_H_
--- /dev/null
+++ b/Source/Edge/router_log.cc
@@ -0,0 +1,92 @@
+#include "Edge/router_log.h"
+
+#include <array>
+#include <charconv>
+#include <map>
+#include <string>
+
+#include "Runtime/log.h"
+
+namespace hemlockwick {
+
+namespace {
+
+using Fields = std::map<std::string, std::string>;
+
+auto MillisOf(Duration time) -> std::string {
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
+void AddFlow(const RouterNote& note, Fields& fields) {
+  if (note.caller != SocketAddress()) {
+    fields["flow"] = ToString(note.caller) + ">" + ToString(note.service);
+  }
+}
+
+void AddDirectory(const DirectorySnapshot* directory, TimePoint now,
+                  Fields& fields) {
+  if (directory != nullptr) {
+    fields["directory"] = std::to_string(directory->sequence());
+    fields["directory_age_ms"] = MillisOf(now - directory->made_at());
+    fields["version"] = std::to_string(directory->version().value());
+  }
+}
+
+// Whether the note is about one flow, so that there may be very many.
+auto IsAboutFlow(RouterNote::Kind kind) -> bool {
+  return kind == RouterNote::Kind::kFlowOpened ||
+         kind == RouterNote::Kind::kFlowReset ||
+         kind == RouterNote::Kind::kPacketDropped ||
+         kind == RouterNote::Kind::kTokenChanged;
+}
+
+}  // namespace
+
+auto HexOf(std::uint64_t number) -> std::string {
+  constexpr auto kHex = 16;
+  auto digits = std::array<char, 2 * sizeof(number)>();
+  const auto end =
+      std::to_chars(digits.data(), digits.data() + digits.size(), number, kHex);
+  return {digits.data(), end.ptr};
+}
+
+void LogNote(const RouterNote& note, const DirectorySnapshot* directory,
+             TimePoint now) {
+  auto fields = Fields();
+  AddFlow(note, fields);
+  if (note.token != kNoToken) {
+    fields["endpoint"] = HexOf(note.token.value());
+  }
+  if (!note.detail.empty()) {
+    fields["reason"] = note.detail;
+  }
+  if (note.kind == RouterNote::Kind::kFlowOpened) {
+    fields["copy"] = std::to_string(note.copy);
+    fields["waiting"] = std::to_string(note.waiting);
+  }
+  if (note.signs > 0) {
+    fields["signs"] = std::to_string(note.signs);
+  }
+  if (note.age > Duration(0)) {
+    fields["age_ms"] = MillisOf(note.age);
+  }
+  AddDirectory(directory, now, fields);
+  if (IsAboutFlow(note.kind)) {
+    LogDecision(ToString(note.kind), fields, now);
+  } else {
+    Log(LogLevel::kInfo, ToString(note.kind), fields);
+  }
+}
+
+void LogDirectoryEvent(const DirectoryEvent& event) {
+  if (event.kind == DirectoryEvent::Kind::kRoutesInForce) {
+    Log(LogLevel::kInfo, ToString(event.kind),
+        {{"version", std::to_string(event.version.value())}});
+    return;
+  }
+  Log(LogLevel::kInfo, ToString(event.kind),
+      {{"endpoint", HexOf(event.endpoint.value())}});
+}
+
+}  // namespace hemlockwick
--- /dev/null
+++ b/Source/Edge/settings_watch.cc
@@ -0,0 +1,71 @@
+#include "Edge/settings_watch.h"
+
+#include <utility>
+
+#include "Runtime/log.h"
+
+namespace hemlockwick {
+
+namespace {
+
+// How often the file is looked at.
+constexpr Duration kLookInterval = std::chrono::seconds(5);
+
+// Whether a key that only a restart can change differs.
+auto NeedsRestart(const ServeSettings& left, const ServeSettings& right)
+    -> bool {
+  return left.name != right.name || left.data_centre != right.data_centre ||
+         left.http != right.http || left.packet != right.packet ||
+         left.platform != right.platform || left.metrics != right.metrics;
+}
+
+}  // namespace
+
+SettingsWatch::SettingsWatch(std::string file, ServeSettings settings)
+    : file_(std::move(file)),
+      settings_(std::move(settings)),
+      text_(ReadText()) {}
+
+void SettingsWatch::OnTick(TimePoint now) {
+  if (now < next_look_) {
+    return;
+  }
+  next_look_ = now + kLookInterval;
+  if (ReadText() != text_) {
+    Reload("file changed");
+  }
+}
+
+void SettingsWatch::Reload(std::string_view cause) {
+  text_ = ReadText();
+  const auto parsed = ParseSettings(text_, file_);
+  for (const auto& finding : parsed.findings) {
+    Log(LogLevel::kError, "settings_refused",
+        {{"cause", std::string(cause)}, {"finding", ToString(finding)}});
+  }
+  if (parsed.findings.empty()) {
+    Compare(parsed.settings, cause);
+  }
+}
+
+auto SettingsWatch::ReadText() const -> std::string {
+  return TryOr([this] { return ReadTextFile(file_); },
+               [](const Error& error) {
+                 Log(LogLevel::kError, "settings_unreadable",
+                     {{"error", error.message}});
+                 return std::string();
+               });
+}
+
+void SettingsWatch::Compare(const ServeSettings& next, std::string_view cause) {
+  if (next.log_level != settings_.log_level) {
+    StartLog(next.name, next.log_level);
+  }
+  const auto needs_restart = NeedsRestart(settings_, next);
+  Log(needs_restart ? LogLevel::kWarning : LogLevel::kInfo, "settings_reloaded",
+      {{"cause", std::string(cause)},
+       {"needs_restart", needs_restart ? "true" : "false"}});
+  settings_ = next;
+}
+
+}  // namespace hemlockwick
--- /dev/null
+++ b/Source/Flow/endpoint_directory.cc
@@ -0,0 +1,221 @@
+#include "Flow/endpoint_directory.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hemlockwick {
+
+namespace {
+
+// How long an endpoint may take to report again after the platform's return.
+// The platform's contract says two seconds; the rest covers a late read.
+constexpr Duration kReturnTime = std::chrono::milliseconds(2500);
+
+// How long departed endpoints are remembered: their flows have then ended.
+constexpr Duration kDepartedMemory = std::chrono::seconds(60);
+
+}  // namespace
+
+DirectorySnapshot::DirectorySnapshot(std::vector<DirectoryEndpoint> endpoints,
+                                     std::vector<DepartedEndpoint> departed,
+                                     std::shared_ptr<const RouteSet> routes,
+                                     std::uint64_t sequence, TimePoint made_at)
+    : endpoints_(std::move(endpoints)),
+      departed_(std::move(departed)),
+      routes_(std::move(routes)),
+      sequence_(sequence),
+      made_at_(made_at) {
+  for (auto index = std::uint32_t{0}; index < endpoints_.size(); ++index) {
+    const auto& endpoint = endpoints_[index];
+    by_token_.emplace(endpoint.token, index);
+    if (endpoint.takes_new) {
+      takers_[endpoint.report.service].push_back(index);
+    }
+  }
+  for (const auto& endpoint : departed_) {
+    departed_index_.emplace(endpoint.token, endpoint.since);
+  }
+  if (routes_ != nullptr) {
+    for (const auto& route : routes_->routes) {
+      by_address_.emplace(route.address, &route);
+    }
+  }
+}
+
+auto DirectorySnapshot::Find(FlowToken token) const
+    -> const DirectoryEndpoint* {
+  const auto found = by_token_.find(token);
+  return found == by_token_.end() ? nullptr : &endpoints_[found->second];
+}
+
+auto DirectorySnapshot::FindRoute(const SocketAddress& address) const
+    -> const Route* {
+  const auto found = by_address_.find(address);
+  return found == by_address_.end() ? nullptr : found->second;
+}
+
+auto DirectorySnapshot::TakersOf(ServiceId service) const
+    -> std::span<const std::uint32_t> {
+  const auto found = takers_.find(service);
+  if (found == takers_.end()) {
+    return {};
+  }
+  return found->second;
+}
+
+auto DirectorySnapshot::version() const -> Version {
+  return routes_ == nullptr ? Version() : routes_->version;
+}
+
+auto ToString(DirectoryEvent::Kind kind) -> std::string {
+  switch (kind) {
+    case DirectoryEvent::Kind::kEndpointAdded:
+      return "endpoint_added";
+    case DirectoryEvent::Kind::kEndpointDraining:
+      return "endpoint_draining";
+    case DirectoryEvent::Kind::kEndpointWithheld:
+      return "endpoint_withheld";
+    case DirectoryEvent::Kind::kEndpointMissing:
+      return "endpoint_missing";
+    case DirectoryEvent::Kind::kEndpointReturned:
+      return "endpoint_returned";
+    case DirectoryEvent::Kind::kEndpointDeparted:
+      return "endpoint_departed";
+    case DirectoryEvent::Kind::kRoutesInForce:
+      return "routes_in_force";
+  }
+  return "unknown";
+}
+
+void EndpointDirectory::Report(const EndpointReport& report) {
+  const auto [found, is_new] = entries_.try_emplace(report.id);
+  auto& entry = found->second;
+  if (is_new) {
+    entry.report = report;
+    std::erase_if(departed_, [&report](const auto& endpoint) {
+      return endpoint.token == TokenOf(report.id);
+    });
+    Note(DirectoryEvent::Kind::kEndpointAdded, report.id);
+  }
+  if (std::exchange(entry.withheld, false)) {
+    changed_ = true;
+  }
+  if (entry.missing) {
+    entry.missing = false;
+    Note(DirectoryEvent::Kind::kEndpointReturned, report.id);
+  }
+  if (report.draining && (is_new || !entry.report.draining)) {
+    Note(DirectoryEvent::Kind::kEndpointDraining, report.id);
+  }
+  if (entry.report != report) {
+    entry.report = report;
+    changed_ = true;
+  }
+}
+
+void EndpointDirectory::Remove(EndpointId endpoint, TimePoint now) {
+  const auto found = entries_.find(endpoint);
+  if (found == entries_.end() || found->second.missing) {
+    return;
+  }
+  found->second.missing = true;
+  found->second.missing_since = now;
+  Note(DirectoryEvent::Kind::kEndpointMissing, endpoint);
+}
+
+void EndpointDirectory::Withhold(EndpointId endpoint) {
+  const auto found = entries_.find(endpoint);
+  if (found != entries_.end() && !found->second.withheld) {
+    found->second.withheld = true;
+    Note(DirectoryEvent::Kind::kEndpointWithheld, endpoint);
+  }
+}
+
+void EndpointDirectory::RemoveOthers(
+    const std::unordered_set<EndpointId>& present, TimePoint now) {
+  for (const auto& [endpoint, entry] : entries_) {
+    if (!present.contains(endpoint)) {
+      Remove(endpoint, now);
+    }
+  }
+}
+
+auto EndpointDirectory::Publish(std::shared_ptr<const RouteSet> routes)
+    -> bool {
+  if (routes_ != nullptr && routes->version <= routes_->version) {
+    return false;
+  }
+  routes_ = std::move(routes);
+  events_.push_back(
+      {DirectoryEvent::Kind::kRoutesInForce, EndpointId(), routes_->version});
+  changed_ = true;
+  return true;
+}
+
+void EndpointDirectory::OnPlatformLost(TimePoint /*now*/) {
+  platform_lost_ = true;
+}
+
+void EndpointDirectory::OnPlatformBack(TimePoint now) {
+  platform_lost_ = false;
+  had_outage_ = true;
+  outage_end_ = now;
+}
+
+auto EndpointDirectory::MayStillReturn(const Entry& entry, TimePoint now) const
+    -> bool {
+  if (platform_lost_) {
+    return true;
+  }
+  const auto is_after_outage =
+      had_outage_ && entry.missing_since < outage_end_ + kReturnTime;
+  return is_after_outage && now < outage_end_ + kReturnTime;
+}
+
+void EndpointDirectory::OnTick(TimePoint now) {
+  for (auto entry = entries_.begin(); entry != entries_.end();) {
+    if (!entry->second.missing || MayStillReturn(entry->second, now)) {
+      ++entry;
+      continue;
+    }
+    departed_.push_back({TokenOf(entry->first), now});
+    Note(DirectoryEvent::Kind::kEndpointDeparted, entry->first);
+    entry = entries_.erase(entry);
+  }
+  std::erase_if(departed_, [now](const auto& endpoint) {
+    return now - endpoint.since >= kDepartedMemory;
+  });
+}
+
+auto EndpointDirectory::IsUsable() const -> bool {
+  return routes_ != nullptr && !entries_.empty();
+}
+
+auto EndpointDirectory::TakeSnapshot(TimePoint now)
+    -> std::shared_ptr<const DirectorySnapshot> {
+  if (!std::exchange(changed_, false)) {
+    return nullptr;
+  }
+  auto endpoints = std::vector<DirectoryEndpoint>();
+  endpoints.reserve(entries_.size());
+  for (const auto& [endpoint, entry] : entries_) {
+    const auto takes_new =
+        !entry.missing && !entry.withheld && !entry.report.draining;
+    endpoints.push_back({entry.report, TokenOf(endpoint), takes_new});
+  }
+  std::ranges::sort(endpoints, {},
+                    [](const auto& item) { return item.report.id; });
+  return std::make_shared<const DirectorySnapshot>(
+      std::move(endpoints), departed_, routes_, ++sequence_, now);
+}
+
+auto EndpointDirectory::TakeEvents() -> std::vector<DirectoryEvent> {
+  return std::exchange(events_, {});
+}
+
+void EndpointDirectory::Note(DirectoryEvent::Kind kind, EndpointId endpoint) {
+  changed_ = true;
+  events_.push_back({kind, endpoint, Version()});
+}
+
+}  // namespace hemlockwick
--- /dev/null
+++ b/Source/Flow/endpoint_directory.h
@@ -0,0 +1,200 @@
+#ifndef HEMLOCKWICK_FLOW_ENDPOINT_DIRECTORY_H_
+#define HEMLOCKWICK_FLOW_ENDPOINT_DIRECTORY_H_
+
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "Core/ids.h"
+#include "Core/net_address.h"
+#include "Core/time.h"
+#include "Flow/flow_token.h"
+
+namespace hemlockwick {
+
+// What an endpoint last reported of itself.
+struct EndpointReport {
+  EndpointId id;
+  ServiceId service;
+  SocketAddress address;
+  DataCentreId data_centre;
+  std::uint32_t slots = 1;
+  bool draining = false;
+  // Until then the endpoint works slower than usual.
+  TimePoint cold_until;
+
+  friend auto operator==(const EndpointReport&, const EndpointReport&)
+      -> bool = default;
+};
+
+// A service that a route sends new flows to, with its share.
+struct RouteTarget {
+  ServiceId service;
+  std::uint32_t weight = 1;
+};
+
+// A service address and where its new flows go.
+struct Route {
+  SocketAddress address;
+  std::vector<RouteTarget> targets;
+};
+
+// All routes of one published configuration.
+struct RouteSet {
+  Version version;
+  std::vector<Route> routes;
+};
+
+struct DirectoryEndpoint {
+  EndpointReport report;
+  FlowToken token;
+  // In the directory, not draining: takes new flows.
+  bool takes_new = false;
+};
+
+// An endpoint that has left for certain.
+struct DepartedEndpoint {
+  FlowToken token;
+  TimePoint since;
+};
+
+// The directory at one moment, as read by traffic threads. Immutable.
+class DirectorySnapshot {
+ public:
+  DirectorySnapshot(std::vector<DirectoryEndpoint> endpoints,
+                    std::vector<DepartedEndpoint> departed,
+                    std::shared_ptr<const RouteSet> routes,
+                    std::uint64_t sequence, TimePoint made_at);
+
+  // The endpoint that a token names; null when it is not known.
+  [[nodiscard]] auto Find(FlowToken token) const -> const DirectoryEndpoint*;
+
+  [[nodiscard]] auto IsDeparted(FlowToken token) const -> bool {
+    return departed_index_.contains(token);
+  }
+
+  [[nodiscard]] auto FindRoute(const SocketAddress& address) const
+      -> const Route*;
+
+  // Positions in `endpoints()` of a service's endpoints that take new flows.
+  [[nodiscard]] auto TakersOf(ServiceId service) const
+      -> std::span<const std::uint32_t>;
+
+  [[nodiscard]] auto endpoints() const
+      -> const std::vector<DirectoryEndpoint>& {
+    return endpoints_;
+  }
+  [[nodiscard]] auto departed() const -> const std::vector<DepartedEndpoint>& {
+    return departed_;
+  }
+  [[nodiscard]] auto version() const -> Version;
+  // Counts the snapshots of this process.
+  [[nodiscard]] auto sequence() const -> std::uint64_t { return sequence_; }
+  [[nodiscard]] auto made_at() const -> TimePoint { return made_at_; }
+
+ private:
+  std::vector<DirectoryEndpoint> endpoints_;
+  std::vector<DepartedEndpoint> departed_;
+  std::shared_ptr<const RouteSet> routes_;
+  std::uint64_t sequence_;
+  TimePoint made_at_;
+  std::unordered_map<FlowToken, std::uint32_t> by_token_;
+  std::unordered_map<FlowToken, TimePoint> departed_index_;
+  std::unordered_map<SocketAddress, const Route*> by_address_;
+  std::unordered_map<ServiceId, std::vector<std::uint32_t>> takers_;
+};
+
+// A change of belief, for the log and the time line.
+struct DirectoryEvent {
+  enum class Kind {
+    kEndpointAdded,
+    kEndpointDraining,
+    kEndpointWithheld,  // Its entry cannot be understood.
+    kEndpointMissing,   // Gone from the platform; may come back.
+    kEndpointReturned,  // Reported again after it was missing.
+    kEndpointDeparted,  // Gone for certain.
+    kRoutesInForce,
+  };
+
+  Kind kind = Kind::kEndpointAdded;
+  EndpointId endpoint;
+  Version version;
+};
+
+// Name of the kind as it appears in the log, for example "endpoint_added".
+[[nodiscard]] auto ToString(DirectoryEvent::Kind kind) -> std::string;
+
+// The endpoints and routes that the platform publishes. Owned by the control
+// thread.
+//
+// An entry that is missing while the platform was well is gone; one that
+// vanished around an outage may come back for kReturnTime after its end, and
+// until then keeps its open flows but takes no new ones.
+class EndpointDirectory {
+ public:
+  // Takes a report that the platform holds now.
+  void Report(const EndpointReport& report);
+
+  // Notes that the platform no longer holds the endpoint.
+  void Remove(EndpointId endpoint, TimePoint now);
+
+  // Notes that the platform's entry of the endpoint cannot be understood: it
+  // keeps its open flows and takes no new ones until the next report.
+  void Withhold(EndpointId endpoint);
+
+  // Notes that the endpoints that `present` does not name are no longer held
+  // by the platform.
+  void RemoveOthers(const std::unordered_set<EndpointId>& present,
+                    TimePoint now);
+
+  // Takes routes; ignores a version that is not higher than the present one.
+  // Returns whether it was taken.
+  auto Publish(std::shared_ptr<const RouteSet> routes) -> bool;
+
+  void OnPlatformLost(TimePoint now);
+  void OnPlatformBack(TimePoint now);
+
+  // Moves missing endpoints whose time to return has passed to the departed
+  // ones.
+  void OnTick(TimePoint now);
+
+  // Whether routes and at least one endpoint are known.
+  [[nodiscard]] auto IsUsable() const -> bool;
+
+  // The present state when it changed since the last call, otherwise null.
+  [[nodiscard]] auto TakeSnapshot(TimePoint now)
+      -> std::shared_ptr<const DirectorySnapshot>;
+
+  // Events since the last call.
+  [[nodiscard]] auto TakeEvents() -> std::vector<DirectoryEvent>;
+
+ private:
+  struct Entry {
+    EndpointReport report;
+    bool withheld = false;
+    bool missing = false;
+    TimePoint missing_since;
+  };
+
+  void Note(DirectoryEvent::Kind kind, EndpointId endpoint);
+  [[nodiscard]] auto MayStillReturn(const Entry& entry, TimePoint now) const
+      -> bool;
+
+  std::unordered_map<EndpointId, Entry> entries_;
+  std::vector<DepartedEndpoint> departed_;
+  std::shared_ptr<const RouteSet> routes_;
+  std::vector<DirectoryEvent> events_;
+  bool platform_lost_ = false;
+  bool had_outage_ = false;
+  TimePoint outage_end_;
+  bool changed_ = false;
+  std::uint64_t sequence_ = 0;
+};
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_FLOW_ENDPOINT_DIRECTORY_H_
--- /dev/null
+++ b/Source/Flow/endpoint_load.h
@@ -0,0 +1,32 @@
+#ifndef HEMLOCKWICK_FLOW_ENDPOINT_LOAD_H_
+#define HEMLOCKWICK_FLOW_ENDPOINT_LOAD_H_
+
+#include <cstdint>
+#include <unordered_map>
+
+#include "Core/ids.h"
+#include "Core/time.h"
+#include "Flow/endpoint_signs.h"
+#include "Flow/flow_token.h"
+
+namespace hemlockwick {
+
+// What this instance knows of an endpoint from the flows it forwards.
+struct EndpointLoad {
+  EndpointSigns signs;
+  std::uint32_t open_flows = 0;     // Tracked flows of the endpoint.
+  std::uint32_t waiting_flows = 0;  // Those with an unanswered packet.
+  Duration reply_time{0};           // Smoothed time to the first reply byte.
+
+  void NoteReplyTime(Duration time) {
+    constexpr int kSmoothing = 8;  // Weight of one reply: 1/8.
+    reply_time += (time - reply_time) / kSmoothing;
+  }
+};
+
+// Loads by the endpoint's token. Owned by one traffic thread.
+using EndpointLoads = std::unordered_map<FlowToken, EndpointLoad>;
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_FLOW_ENDPOINT_LOAD_H_
--- /dev/null
+++ b/Source/Flow/endpoint_signs.h
@@ -0,0 +1,53 @@
+#ifndef HEMLOCKWICK_FLOW_ENDPOINT_SIGNS_H_
+#define HEMLOCKWICK_FLOW_ENDPOINT_SIGNS_H_
+
+#include <cstdint>
+
+#include "Core/time.h"
+
+namespace hemlockwick {
+
+// What a packet that got no reply was.
+enum class SilentPacket : std::uint8_t {
+  kOpening,  // Endpoints reply to it at once, whatever they work on.
+  kData,     // The reply may be held up by long work.
+};
+
+// Passive health of one endpoint, from the flows that this instance forwards.
+// A sign is an unanswered packet that was sent after the last proof of life;
+// each comes from a flow of its own.
+class EndpointSigns {
+ public:
+  // Notes that a caller has received something that the endpoint sent.
+  void NoteAlive(TimePoint now);
+
+  // Notes a packet sent at `sent_at` that has had no reply. Returns whether it
+  // counts as a sign.
+  auto NoteSilence(SilentPacket packet, TimePoint sent_at, TimePoint now)
+      -> bool;
+
+  // Forgets all signs, for example after this process was suspended.
+  void Clear();
+
+  // Whether new flows should go elsewhere. After kRetryTime without a further
+  // sign one flow may try again.
+  [[nodiscard]] auto IsSuspect(TimePoint now) const -> bool;
+
+  // Whether the endpoint counts as dead, so that waiting flows may be reset.
+  [[nodiscard]] auto IsSilent(TimePoint now) const -> bool;
+
+  [[nodiscard]] auto signs() const -> std::uint32_t {
+    return openings_ + data_;
+  }
+  [[nodiscard]] auto last_alive() const -> TimePoint { return last_alive_; }
+
+ private:
+  TimePoint last_alive_;
+  TimePoint last_sign_;
+  std::uint32_t openings_ = 0;
+  std::uint32_t data_ = 0;
+};
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_FLOW_ENDPOINT_SIGNS_H_
--- a/Source/Flow/flow_types.cc
+++ b/Source/Flow/flow_types.cc
@@ -16,6 +16,10 @@
       return "quarantined";
     case DropReason::kOverLimit:
       return "over_limit";
+    case DropReason::kNotReady:
+      return "not_ready";
+    case DropReason::kUnknownEndpoint:
+      return "unknown_endpoint";
   }
   return "unknown";
 }
--- a/Source/Flow/flow_types.h
+++ b/Source/Flow/flow_types.h
@@ -46,8 +46,10 @@
   kLoop,
   kQuarantined,  // The address left another service too recently.
   kOverLimit,
+  kNotReady,         // No directory has been read yet.
+  kUnknownEndpoint,  // The flow names an endpoint that is not known.
 };
-inline constexpr std::size_t kDropReasonCount = 6;
+inline constexpr std::size_t kDropReasonCount = 8;
 
 // Name of the reason as it appears in metrics, for example "no_endpoint".
 [[nodiscard]] auto ToString(DropReason reason) -> std::string_view;
--- /dev/null
+++ b/Source/Flow/opening_choice.cc
@@ -0,0 +1,94 @@
+#include "Flow/opening_choice.h"
+
+#include <limits>
+
+#include "Core/hash.h"
+
+namespace hemlockwick {
+
+namespace {
+
+// Costs, in units of one waiting request on an endpoint with one slot.
+constexpr double kWaitingCost = 1.0;
+constexpr double kOpenFlowCost = 0.1;
+// Added for an endpoint in another data centre, and for one that was tried.
+constexpr double kDistanceCost = 1.0;
+constexpr double kTriedCost = 1e3;
+// Added for a suspect endpoint; more than any other cost.
+constexpr double kSuspectCost = 1e6;
+// Factor for an endpoint that has just started and is slow.
+constexpr double kColdFactor = 1.6;
+// Smallest cost of an idle endpoint, so that slow ones rank behind.
+constexpr double kIdleCost = 0.05;
+// Reply time up to which endpoints count as equally fast.
+constexpr auto kUsualReplyTime = std::chrono::milliseconds(100);
+
+auto SlownessOf(const EndpointLoad& load) -> double {
+  if (load.reply_time <= kUsualReplyTime) {
+    return 1.0;
+  }
+  return static_cast<double>(load.reply_time.count()) /
+         static_cast<double>(Duration(kUsualReplyTime).count());
+}
+
+auto CostOf(const DirectoryEndpoint& endpoint, const EndpointLoads& loads,
+            const OpeningRequest& request, TimePoint now) -> double {
+  auto cost = kIdleCost;
+  const auto found = loads.find(endpoint.token);
+  if (found != loads.end()) {
+    const auto& load = found->second;
+    cost += kWaitingCost * load.waiting_flows + kOpenFlowCost * load.open_flows;
+    cost *= SlownessOf(load);
+    cost += load.signs.IsSuspect(now) ? kSuspectCost : 0;
+  }
+  cost /= endpoint.report.slots;
+  cost *= now < endpoint.report.cold_until ? kColdFactor : 1.0;
+  const auto is_near = endpoint.report.data_centre == request.data_centre;
+  cost += is_near ? 0 : kDistanceCost;
+  cost += endpoint.token == request.tried ? kTriedCost : 0;
+  return cost;
+}
+
+// The service that the flow belongs to, by the targets' weights.
+auto ChooseService(const Route& route, FlowKey flow) -> ServiceId {
+  auto total = std::uint64_t{0};
+  for (const auto& target : route.targets) {
+    total += target.weight;
+  }
+  if (total == 0) {
+    return ServiceId();
+  }
+  auto point = MixWords(flow.value(), total) % total;
+  for (const auto& target : route.targets) {
+    if (point < target.weight) {
+      return target.service;
+    }
+    point -= target.weight;
+  }
+  return ServiceId();
+}
+
+}  // namespace
+
+auto ChooseEndpoint(const DirectorySnapshot& directory,
+                    const EndpointLoads& loads, const OpeningRequest& request,
+                    TimePoint now) -> const DirectoryEndpoint* {
+  const auto service = ChooseService(request.route, request.flow);
+  const DirectoryEndpoint* best = nullptr;
+  auto best_cost = std::numeric_limits<double>::max();
+  auto best_tie = std::uint64_t{0};
+  for (const auto index : directory.TakersOf(service)) {
+    const auto& endpoint = directory.endpoints()[index];
+    const auto cost = CostOf(endpoint, loads, request, now);
+    // Equal costs are common; instances must not all prefer the same one.
+    const auto tie = MixWords(request.flow.value(), endpoint.token.value());
+    if (cost < best_cost || (cost == best_cost && tie > best_tie)) {
+      best = &endpoint;
+      best_cost = cost;
+      best_tie = tie;
+    }
+  }
+  return best;
+}
+
+}  // namespace hemlockwick
--- /dev/null
+++ b/Source/Flow/opening_choice.h
@@ -0,0 +1,31 @@
+#ifndef HEMLOCKWICK_FLOW_OPENING_CHOICE_H_
+#define HEMLOCKWICK_FLOW_OPENING_CHOICE_H_
+
+#include "Core/ids.h"
+#include "Core/time.h"
+#include "Flow/endpoint_directory.h"
+#include "Flow/endpoint_load.h"
+
+namespace hemlockwick {
+
+// A new flow that needs an endpoint.
+struct OpeningRequest {
+  FlowKey flow;
+  const Route& route;
+  DataCentreId data_centre;  // Where this instance and its callers are.
+  // Endpoint that has not answered an earlier copy; kNoToken if none.
+  FlowToken tried;
+};
+
+// Chooses the endpoint of a new flow: the one with the least open work for its
+// slots, in this data centre unless that is much busier than another one.
+// Suspect endpoints are used only when no other is left. Null when the service
+// has no endpoint that takes new flows.
+[[nodiscard]] auto ChooseEndpoint(const DirectorySnapshot& directory,
+                                  const EndpointLoads& loads,
+                                  const OpeningRequest& request, TimePoint now)
+    -> const DirectoryEndpoint*;
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_FLOW_OPENING_CHOICE_H_
--- /dev/null
+++ b/Source/Flow/token_router.cc
@@ -0,0 +1,476 @@
+#include "Flow/token_router.h"
+
+#include <utility>
+
+#include "Core/hash.h"
+#include "Flow/opening_choice.h"
+
+namespace hemlockwick {
+
+namespace {
+
+// Time in which an endpoint's reply to an opening comes back as a packet of
+// the caller; well above the round trips and below the caller's first copy.
+constexpr Duration kOpeningReplyTime = std::chrono::milliseconds(100);
+
+// A flow that waits this long for a silent endpoint is reset.
+constexpr Duration kResetWait = std::chrono::milliseconds(100);
+
+// A longer pause between two ticks means that this process was suspended, and
+// that replies may have passed unseen.
+constexpr Duration kLongestTick = std::chrono::milliseconds(400);
+
+// Time for which the token of an endpoint that is not in the directory may be
+// newer than the directory.
+constexpr Duration kUnknownTime = std::chrono::milliseconds(2500);
+constexpr std::size_t kMaxUnknownTokens = 256;
+
+// Packets that a caller sends ahead of acknowledgements.
+constexpr std::uint16_t kSendWindowPackets = 16;
+
+// Flows without a packet for this long are no longer tracked, and how often
+// they are looked for.
+constexpr Duration kIdleTime = std::chrono::seconds(20);
+constexpr Duration kSweepInterval = std::chrono::seconds(1);
+
+// Notes kept between two collections.
+constexpr std::size_t kMaxNotes = 512;
+constexpr std::size_t kMaxReplies = 512;
+
+// Whether sequence position `left` lies before `right`, across the wrap.
+auto IsBefore(std::uint32_t left, std::uint32_t right) -> bool {
+  return static_cast<std::int32_t>(left - right) < 0;
+}
+
+}  // namespace
+
+auto FlowKeyOf(const SocketAddress& caller, const SocketAddress& service)
+    -> FlowKey {
+  const auto word = [](const SocketAddress& address) {
+    constexpr auto kPortBits = 16;
+    return (static_cast<std::uint64_t>(address.ip.value()) << kPortBits) |
+           address.port.value();
+  };
+  return FlowKey(MixWords(word(caller), word(service)));
+}
+
+auto ToString(ResetReason reason) -> std::string_view {
+  switch (reason) {
+    case ResetReason::kNoRoute:
+      return "no_route";
+    case ResetReason::kDeparted:
+      return "endpoint_departed";
+    case ResetReason::kSilent:
+      return "endpoint_silent";
+    case ResetReason::kUnknown:
+      return "endpoint_unknown";
+  }
+  return "unknown";
+}
+
+auto ToString(RouterNote::Kind kind) -> std::string_view {
+  switch (kind) {
+    case RouterNote::Kind::kFlowOpened:
+      return "flow_opened";
+    case RouterNote::Kind::kFlowReset:
+      return "flow_reset";
+    case RouterNote::Kind::kPacketDropped:
+      return "packet_dropped";
+    case RouterNote::Kind::kTokenChanged:
+      return "flow_token_changed";
+    case RouterNote::Kind::kEndpointSuspected:
+      return "endpoint_suspected";
+    case RouterNote::Kind::kEndpointSilent:
+      return "endpoint_silent";
+    case RouterNote::Kind::kEndpointAlive:
+      return "endpoint_alive";
+    case RouterNote::Kind::kSuspended:
+      return "process_suspended";
+  }
+  return "unknown";
+}
+
+TokenRouter::TokenRouter(const TokenRouterSettings& settings)
+    : settings_(settings), flows_(settings.tracked_flows) {}
+
+auto TokenRouter::Update(std::shared_ptr<const DirectorySnapshot> directory,
+                         TimePoint now) -> std::vector<ResetFlow> {
+  const auto previous = std::exchange(directory_, std::move(directory));
+  auto resets = std::vector<ResetFlow>();
+  for (const auto& departed : directory_->departed()) {
+    if (previous != nullptr && previous->IsDeparted(departed.token)) {
+      continue;
+    }
+    auto ended = ResetTracked(departed.token, ResetReason::kDeparted, now);
+    resets.insert(resets.end(), ended.begin(), ended.end());
+    loads_.erase(departed.token);
+  }
+  std::erase_if(unknown_since_, [this](const auto& unknown) {
+    return directory_->Find(unknown.first) != nullptr;
+  });
+  return resets;
+}
+
+auto TokenRouter::Decide(const TokenPacket& packet, TimePoint now)
+    -> TokenAction {
+  if (directory_ == nullptr) {
+    return Drop(packet, DropReason::kNotReady);
+  }
+  const auto* const route = directory_->FindRoute(packet.service);
+  if (route == nullptr) {
+    return Reset(packet, ResetReason::kNoRoute, Duration(0));
+  }
+  return packet.opens ? Open(packet, *route, now) : Continue(packet, now);
+}
+
+auto TokenRouter::Open(const TokenPacket& packet, const Route& route,
+                       TimePoint now) -> TokenAction {
+  auto& flow = Track(packet, now);
+  const auto tried = packet.ack > 0 ? flow.token : kNoToken;
+  const auto* const endpoint =
+      ChooseEndpoint(*directory_, loads_,
+                     {flow.key, route, settings_.data_centre, tried}, now);
+  if (endpoint == nullptr) {
+    Forget(flow);
+    return Drop(packet, DropReason::kNoEndpoint);
+  }
+  flow.closed = false;
+  flow.established = false;
+  SetToken(flow, endpoint->token);
+  StopWaiting(flow);
+  StartWaiting(flow, now);
+  pending_.push_back({flow.key, endpoint->token, now});
+  ++counters_.opened;
+  counters_.reopened += packet.ack > 0 ? 1 : 0;
+  auto& load = loads_[endpoint->token];
+  AddNote({RouterNote::Kind::kFlowOpened, packet.caller, packet.service,
+           endpoint->token, packet.ack, load.signs.signs(), load.waiting_flows,
+           Duration(0), ""});
+  return ForwardWithToken{endpoint->report.id, endpoint->report.address,
+                          endpoint->token};
+}
+
+auto TokenRouter::Continue(const TokenPacket& packet, TimePoint now)
+    -> TokenAction {
+  const auto* const endpoint = directory_->Find(packet.token);
+  if (endpoint == nullptr) {
+    return Unroutable(packet, now);
+  }
+  auto& flow = Track(packet, now);
+  if (flow.established && flow.token != packet.token) {
+    AddNote({RouterNote::Kind::kTokenChanged, packet.caller, packet.service,
+             packet.token, 0, 0, 0, Duration(0), ""});
+  }
+  if (flow.closed) {
+    return ForwardWithToken{endpoint->report.id, endpoint->report.address,
+                            packet.token};
+  }
+  SetToken(flow, packet.token);
+  NotePacket(flow, packet, now);
+  const auto& signs = loads_[packet.token].signs;
+  if (packet.data_bytes > 0 && flow.waiting && signs.IsSilent(now)) {
+    return Reset(packet, ResetReason::kSilent, now - signs.last_alive());
+  }
+  if (packet.finishes || packet.resets) {
+    Release(flow);
+    flow.closed = true;
+  }
+  return ForwardWithToken{endpoint->report.id, endpoint->report.address,
+                          packet.token};
+}
+
+// Decides a packet whose endpoint is not in the directory.
+auto TokenRouter::Unroutable(const TokenPacket& packet, TimePoint now)
+    -> TokenAction {
+  if (packet.resets) {
+    return Drop(packet, DropReason::kUnknownEndpoint);
+  }
+  if (directory_->IsDeparted(packet.token)) {
+    return Reset(packet, ResetReason::kDeparted, Duration(0));
+  }
+  if (unknown_since_.size() >= kMaxUnknownTokens) {
+    unknown_since_.clear();
+  }
+  const auto since = unknown_since_.try_emplace(packet.token, now).first;
+  const auto age = now - since->second;
+  if (age >= kUnknownTime) {
+    return Reset(packet, ResetReason::kUnknown, age);
+  }
+  return Drop(packet, DropReason::kUnknownEndpoint);
+}
+
+auto TokenRouter::Reset(const TokenPacket& packet, ResetReason reason,
+                        Duration age) -> TokenAction {
+  if (packet.resets) {
+    return DropPacket{DropReason::kUnknownService};
+  }
+  auto* const flow = flows_.Find(FlowKeyOf(packet.caller, packet.service));
+  if (flow != nullptr) {
+    Forget(*flow);
+  }
+  AddNote({RouterNote::Kind::kFlowReset, packet.caller, packet.service,
+           packet.token, 0, 0, 0, age, ToString(reason)});
+  const auto seq = packet.opens ? 0 : packet.ack;
+  return ResetFlow{packet.caller, packet.service, seq, reason};
+}
+
+auto TokenRouter::Drop(const TokenPacket& packet, DropReason reason)
+    -> TokenAction {
+  AddNote({RouterNote::Kind::kPacketDropped, packet.caller, packet.service,
+           packet.token, 0, 0, 0, Duration(0), ToString(reason)});
+  return DropPacket{reason};
+}
+
+auto TokenRouter::Track(const TokenPacket& packet, TimePoint now)
+    -> TrackedFlow& {
+  auto& flow = flows_.FindOrAdd(FlowKeyOf(packet.caller, packet.service),
+                                [this](TrackedFlow& idle) { Forget(idle); });
+  flow.caller = packet.caller;
+  flow.service = packet.service;
+  flow.last_seen = now;
+  return flow;
+}
+
+void TokenRouter::NotePacket(TrackedFlow& flow, const TokenPacket& packet,
+                             TimePoint now) {
+  if (!flow.established) {
+    Establish(flow, packet, now);
+  } else if (IsBefore(flow.last_ack, packet.ack)) {
+    flow.last_ack = packet.ack;
+    NoteAlive(flow.token, now);
+    if (flow.waiting) {
+      const auto time = now - flow.waiting_since;
+      loads_[flow.token].NoteReplyTime(time);
+      if (replies_.size() < kMaxReplies) {
+        replies_.push_back({ReplySample::Kind::kData, time});
+      }
+    }
+    StopWaiting(flow);
+  }
+  if (packet.data_bytes > 0) {
+    NoteData(flow, packet, now);
+  }
+}
+
+// Takes the first packet after the handshake: the endpoint has answered, unless
+// the flow was opened through another instance long ago.
+void TokenRouter::Establish(TrackedFlow& flow, const TokenPacket& packet,
+                            TimePoint now) {
+  if (flow.waiting) {
+    const auto time = now - flow.waiting_since;
+    if (replies_.size() < kMaxReplies) {
+      replies_.push_back({ReplySample::Kind::kOpening, time});
+    }
+    NoteAlive(flow.token, now);
+    StopWaiting(flow);
+  }
+  flow.established = true;
+  flow.last_ack = packet.ack;
+  flow.next_seq = packet.seq;
+  ++counters_.established;
+}
+
+void TokenRouter::NoteData(TrackedFlow& flow, const TokenPacket& packet,
+                           TimePoint now) {
+  const auto end = packet.seq + packet.data_bytes;
+  if (!IsBefore(flow.next_seq, end)) {
+    NoteSilence(flow, SilentPacket::kData, now);
+    return;
+  }
+  flow.next_seq = end;
+  StartWaiting(flow, now);
+  if (++flow.waiting_packets > kSendWindowPackets) {
+    // The caller could not have sent more without acknowledgements.
+    NoteAlive(flow.token, now);
+  }
+}
+
+void TokenRouter::SetToken(TrackedFlow& flow, FlowToken token) {
+  if (flow.token == token) {
+    return;
+  }
+  const auto was_waiting = flow.waiting;
+  Release(flow);
+  flow.token = token;
+  ++loads_[token].open_flows;
+  if (was_waiting) {
+    flow.waiting = true;
+    ++loads_[token].waiting_flows;
+  }
+}
+
+void TokenRouter::StartWaiting(TrackedFlow& flow, TimePoint now) {
+  if (flow.waiting) {
+    return;
+  }
+  flow.waiting = true;
+  flow.waiting_since = now;
+  flow.waiting_packets = 0;
+  flow.gave_sign = false;
+  ++loads_[flow.token].waiting_flows;
+}
+
+void TokenRouter::StopWaiting(TrackedFlow& flow) {
+  if (!flow.waiting) {
+    return;
+  }
+  flow.waiting = false;
+  --loads_[flow.token].waiting_flows;
+}
+
+// Takes the flow out of its endpoint's load.
+void TokenRouter::Release(TrackedFlow& flow) {
+  StopWaiting(flow);
+  if (flow.token != kNoToken) {
+    --loads_[flow.token].open_flows;
+    flow.token = kNoToken;
+  }
+}
+
+void TokenRouter::Forget(TrackedFlow& flow) {
+  Release(flow);
+  TrackedFlows::Remove(flow);
+}
+
+void TokenRouter::ForgetIdle(TimePoint now) {
+  if (now < next_sweep_) {
+    return;
+  }
+  next_sweep_ = now + kSweepInterval;
+  flows_.ForEach([this, now](TrackedFlow& flow) {
+    if (now - flow.last_seen >= kIdleTime) {
+      Forget(flow);
+    }
+  });
+}
+
+void TokenRouter::NoteAlive(FlowToken token, TimePoint now) {
+  auto& signs = loads_[token].signs;
+  if (signs.IsSuspect(now) || signs.IsSilent(now)) {
+    AddNote({RouterNote::Kind::kEndpointAlive,
+             {},
+             {},
+             token,
+             0,
+             signs.signs(),
+             0,
+             now - signs.last_alive(),
+             ""});
+  }
+  signs.NoteAlive(now);
+}
+
+void TokenRouter::NoteSilence(TrackedFlow& flow, SilentPacket packet,
+                              TimePoint now) {
+  if (!flow.waiting || flow.gave_sign) {
+    return;
+  }
+  flow.gave_sign = true;
+  auto& signs = loads_[flow.token].signs;
+  const auto was_suspect = signs.IsSuspect(now);
+  const auto was_silent = signs.IsSilent(now);
+  if (!signs.NoteSilence(packet, flow.waiting_since, now)) {
+    return;
+  }
+  ++counters_.signs;
+  const auto age = now - signs.last_alive();
+  if (!was_suspect && signs.IsSuspect(now)) {
+    AddNote({RouterNote::Kind::kEndpointSuspected, flow.caller, flow.service,
+             flow.token, 0, signs.signs(), 0, age, ""});
+  }
+  if (!was_silent && signs.IsSilent(now)) {
+    AddNote({RouterNote::Kind::kEndpointSilent, flow.caller, flow.service,
+             flow.token, 0, signs.signs(), 0, age, ""});
+    newly_silent_.push_back(flow.token);
+  }
+}
+
+auto TokenRouter::OnTick(TimePoint now) -> std::vector<ResetFlow> {
+  CheckSuspension(now);
+  ForgetIdle(now);
+  while (!pending_.empty() &&
+         now - pending_.front().sent_at >= kOpeningReplyTime) {
+    const auto opening = pending_.front();
+    pending_.pop_front();
+    auto* const flow = flows_.Find(opening.flow);
+    if (flow != nullptr && !flow->established && flow->waiting &&
+        flow->token == opening.token &&
+        flow->waiting_since == opening.sent_at) {
+      NoteSilence(*flow, SilentPacket::kOpening, now);
+    }
+  }
+  auto resets = std::vector<ResetFlow>();
+  for (const auto token : std::exchange(newly_silent_, {})) {
+    auto ended = ResetTracked(token, ResetReason::kSilent, now - kResetWait);
+    resets.insert(resets.end(), ended.begin(), ended.end());
+  }
+  return resets;
+}
+
+// A process that did not run for a while has missed replies: what it takes for
+// silence may be its own.
+void TokenRouter::CheckSuspension(TimePoint now) {
+  const auto previous = std::exchange(last_tick_, now);
+  if (previous == TimePoint() || now - previous <= kLongestTick) {
+    return;
+  }
+  AddNote({RouterNote::Kind::kSuspended,
+           {},
+           {},
+           kNoToken,
+           0,
+           0,
+           0,
+           now - previous,
+           ""});
+  pending_.clear();
+  newly_silent_.clear();
+  for (auto& [token, load] : loads_) {
+    load.signs.Clear();
+  }
+  flows_.ForEach([](TrackedFlow& flow) { flow.gave_sign = true; });
+}
+
+// Ends the flows of an endpoint that have waited since `silent_since` or
+// earlier; of a departed endpoint all of them.
+auto TokenRouter::ResetTracked(FlowToken token, ResetReason reason,
+                               TimePoint silent_since)
+    -> std::vector<ResetFlow> {
+  auto resets = std::vector<ResetFlow>();
+  flows_.ForEach([&](TrackedFlow& flow) {
+    if (flow.token != token) {
+      return;
+    }
+    const auto is_departed = reason == ResetReason::kDeparted;
+    const auto is_stuck = flow.waiting && flow.waiting_since <= silent_since;
+    if (!flow.established || !(is_departed || is_stuck)) {
+      if (is_departed) {
+        Forget(flow);
+      }
+      return;
+    }
+    resets.push_back({flow.caller, flow.service, flow.last_ack, reason});
+    AddNote({RouterNote::Kind::kFlowReset, flow.caller, flow.service, token, 0,
+             0, 0, Duration(0), ToString(reason)});
+    Forget(flow);
+  });
+  return resets;
+}
+
+auto TokenRouter::TakeNotes() -> std::vector<RouterNote> {
+  return std::exchange(notes_, {});
+}
+
+auto TokenRouter::TakeReplies() -> std::vector<ReplySample> {
+  return std::exchange(replies_, {});
+}
+
+void TokenRouter::AddNote(const RouterNote& note) {
+  if (notes_.size() >= kMaxNotes) {
+    ++counters_.notes_lost;
+    return;
+  }
+  notes_.push_back(note);
+}
+
+}  // namespace hemlockwick
--- /dev/null
+++ b/Source/Flow/token_router.h
@@ -0,0 +1,197 @@
+#ifndef HEMLOCKWICK_FLOW_TOKEN_ROUTER_H_
+#define HEMLOCKWICK_FLOW_TOKEN_ROUTER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <string_view>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "Core/ids.h"
+#include "Core/net_address.h"
+#include "Core/time.h"
+#include "Flow/endpoint_directory.h"
+#include "Flow/endpoint_load.h"
+#include "Flow/flow_token.h"
+#include "Flow/flow_types.h"
+#include "Flow/tracked_flows.h"
+
+namespace hemlockwick {
+
+// The facts about a packet whose flow carries its endpoint's token.
+struct TokenPacket {
+  SocketAddress caller;
+  SocketAddress service;
+  bool opens = false;     // Asks to open a flow.
+  bool finishes = false;  // The caller sends nothing more.
+  bool resets = false;
+  std::uint32_t seq = 0;         // Position of the first byte of data.
+  std::uint32_t ack = 0;         // Bytes received; of an opening: its copy.
+  std::uint16_t data_bytes = 0;  // Bytes of data in the packet.
+  FlowToken token;
+};
+
+// Identifies the flow of a packet.
+[[nodiscard]] auto FlowKeyOf(const SocketAddress& caller,
+                             const SocketAddress& service) -> FlowKey;
+
+// Why a flow is reset.
+enum class ResetReason : std::uint8_t {
+  kNoRoute,   // Its service address is not published.
+  kDeparted,  // Its endpoint has left.
+  kSilent,    // Its endpoint does not answer.
+  kUnknown,   // No instance has heard of its endpoint for long.
+};
+inline constexpr std::size_t kResetReasonCount = 4;
+
+// Name of the reason in logs and metrics, for example "endpoint_departed".
+[[nodiscard]] auto ToString(ResetReason reason) -> std::string_view;
+
+struct ForwardWithToken {
+  EndpointId endpoint;
+  SocketAddress address;
+  FlowToken token;  // Written into the packet.
+};
+
+// Tells the caller that its flow has ended.
+struct ResetFlow {
+  SocketAddress caller;
+  SocketAddress service;
+  std::uint32_t seq = 0;  // Acceptable to the caller.
+  ResetReason reason = ResetReason::kNoRoute;
+};
+
+using TokenAction = std::variant<ForwardWithToken, ResetFlow, DropPacket>;
+
+// A decision or a change of belief of the router, for the log.
+struct RouterNote {
+  enum class Kind : std::uint8_t {
+    kFlowOpened,
+    kFlowReset,
+    kPacketDropped,
+    kTokenChanged,       // A flow named another endpoint than before.
+    kEndpointSuspected,  // It left packets of several flows unanswered.
+    kEndpointSilent,     // It counts as dead.
+    kEndpointAlive,      // A suspect endpoint answered again.
+    kSuspended,          // This process did not run for a while.
+  };
+
+  Kind kind = Kind::kFlowOpened;
+  SocketAddress caller;
+  SocketAddress service;
+  FlowToken token;
+  std::uint32_t copy = 0;   // Of an opening: copies sent before this one.
+  std::uint32_t signs = 0;  // Of the endpoint.
+  std::uint32_t waiting = 0;
+  Duration age{0};          // Of the decisive input.
+  std::string_view detail;  // Reason, with static lifetime.
+};
+
+// Name of the kind as it appears in the log, for example "flow_opened".
+[[nodiscard]] auto ToString(RouterNote::Kind kind) -> std::string_view;
+
+struct TokenRouterCounters {
+  std::uint64_t opened = 0;       // Openings forwarded, copies included.
+  std::uint64_t reopened = 0;     // Copies among them.
+  std::uint64_t established = 0;  // First packets of open flows.
+  std::uint64_t signs = 0;        // Unanswered packets that counted.
+  std::uint64_t notes_lost = 0;   // Notes beyond the bound.
+};
+
+// Latencies that callers see, as measured from their packets.
+struct ReplySample {
+  enum class Kind : std::uint8_t { kOpening, kData };
+  Kind kind = Kind::kOpening;
+  Duration time{0};
+};
+
+struct TokenRouterSettings {
+  DataCentreId data_centre;
+  // Flows watched for signs of dead endpoints; about 100 bytes each.
+  std::size_t tracked_flows = 8192;
+};
+
+// Decides packets of flows that carry their endpoint. Needs no state shared
+// with other instances and none that outlives the process; what it tracks
+// only improves the choice of endpoints. One traffic thread owns it.
+class TokenRouter {
+ public:
+  explicit TokenRouter(const TokenRouterSettings& settings);
+
+  // Takes a new directory; returns the resets of flows whose endpoint left.
+  auto Update(std::shared_ptr<const DirectorySnapshot> directory, TimePoint now)
+      -> std::vector<ResetFlow>;
+
+  auto Decide(const TokenPacket& packet, TimePoint now) -> TokenAction;
+
+  // To be called often, and only when all packets that have arrived were
+  // decided: judges packets that had no reply. Returns resets of flows of
+  // endpoints found silent.
+  auto OnTick(TimePoint now) -> std::vector<ResetFlow>;
+
+  // Notes since the last call.
+  [[nodiscard]] auto TakeNotes() -> std::vector<RouterNote>;
+  [[nodiscard]] auto TakeReplies() -> std::vector<ReplySample>;
+
+  // What decisions are based on; null before the first Update.
+  [[nodiscard]] auto directory() const -> const DirectorySnapshot* {
+    return directory_.get();
+  }
+  [[nodiscard]] auto counters() const -> const TokenRouterCounters& {
+    return counters_;
+  }
+  [[nodiscard]] auto loads() const -> const EndpointLoads& { return loads_; }
+
+ private:
+  // An opening whose reply is due.
+  struct PendingOpening {
+    FlowKey flow;
+    FlowToken token;
+    TimePoint sent_at;
+  };
+
+  auto Open(const TokenPacket& packet, const Route& route, TimePoint now)
+      -> TokenAction;
+  auto Continue(const TokenPacket& packet, TimePoint now) -> TokenAction;
+  auto Unroutable(const TokenPacket& packet, TimePoint now) -> TokenAction;
+  auto Reset(const TokenPacket& packet, ResetReason reason, Duration age)
+      -> TokenAction;
+  auto Drop(const TokenPacket& packet, DropReason reason) -> TokenAction;
+
+  auto Track(const TokenPacket& packet, TimePoint now) -> TrackedFlow&;
+  void Establish(TrackedFlow& flow, const TokenPacket& packet, TimePoint now);
+  void NotePacket(TrackedFlow& flow, const TokenPacket& packet, TimePoint now);
+  void NoteData(TrackedFlow& flow, const TokenPacket& packet, TimePoint now);
+  void SetToken(TrackedFlow& flow, FlowToken token);
+  void StartWaiting(TrackedFlow& flow, TimePoint now);
+  void StopWaiting(TrackedFlow& flow);
+  void Release(TrackedFlow& flow);
+  void Forget(TrackedFlow& flow);
+  void ForgetIdle(TimePoint now);
+  void NoteAlive(FlowToken token, TimePoint now);
+  void NoteSilence(TrackedFlow& flow, SilentPacket packet, TimePoint now);
+  void CheckSuspension(TimePoint now);
+  auto ResetTracked(FlowToken token, ResetReason reason, TimePoint silent_since)
+      -> std::vector<ResetFlow>;
+  void AddNote(const RouterNote& note);
+
+  const TokenRouterSettings settings_;
+  std::shared_ptr<const DirectorySnapshot> directory_;
+  TrackedFlows flows_;
+  EndpointLoads loads_;
+  std::deque<PendingOpening> pending_;
+  std::vector<FlowToken> newly_silent_;
+  std::unordered_map<FlowToken, TimePoint> unknown_since_;
+  std::vector<RouterNote> notes_;
+  std::vector<ReplySample> replies_;
+  TokenRouterCounters counters_;
+  TimePoint last_tick_;
+  TimePoint next_sweep_;
+};
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_FLOW_TOKEN_ROUTER_H_
--- a/Source/Runtime/log.cc
+++ b/Source/Runtime/log.cc
@@ -1,18 +1,62 @@
 #include "Runtime/log.h"
 
-#include <spdlog/sinks/stdout_sinks.h>
-#include <spdlog/spdlog.h>
+#include <spdlog/logger.h>
+#include <spdlog/pattern_formatter.h>
 
-#include <atomic>
+#include <algorithm>
 #include <memory>
+#include <mutex>
 #include <nlohmann/json.hpp>
 
+#include "Runtime/log_sink.h"
+
 namespace hemlockwick {
 
 namespace {
 
 constexpr const char* kLoggerName = "hemlockwick";
 
+// Limits the lines about decisions by a token bucket.
+class LineLimit {
+ public:
+  auto Take(TimePoint now) -> bool {
+    const auto lock = std::lock_guard(mutex_);
+    const auto seconds = std::chrono::duration<double>(now - last_).count();
+    left_ = std::min<double>(kDecisionLinesPerSecond,
+                             left_ + seconds * kDecisionLinesPerSecond);
+    last_ = now;
+    if (left_ < 1) {
+      ++dropped_;
+      return false;
+    }
+    left_ -= 1;
+    return true;
+  }
+
+  auto dropped() -> std::uint64_t {
+    const auto lock = std::lock_guard(mutex_);
+    return dropped_;
+  }
+
+ private:
+  std::mutex mutex_;
+  double left_ = kDecisionLinesPerSecond;
+  TimePoint last_;
+  std::uint64_t dropped_ = 0;
+};
+
+// The log of the process, set by StartLog.
+struct ProcessLog {
+  std::shared_ptr<LogSink> sink;
+  std::unique_ptr<spdlog::logger> logger;
+  LineLimit limit;
+};
+
+auto TheLog() -> ProcessLog& {
+  static auto log = ProcessLog();
+  return log;
+}
+
 auto ToSpdlog(LogLevel level) -> spdlog::level::level_enum {
   switch (level) {
     case LogLevel::kDebug:
@@ -32,30 +76,59 @@
   return Json(text).dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
+void Write(spdlog::logger& logger, LogLevel level, std::string_view message,
+           const std::map<std::string, std::string>& fields) {
+  auto line = R"("message":)" + Quote(message);
+  for (const auto& [name, value] : fields) {
+    line += "," + Quote(name) + ":" + Quote(value);
+  }
+  logger.log(ToSpdlog(level), spdlog::string_view_t(line));
+}
+
 }  // namespace
 
 void StartLog(std::string_view instance, LogLevel level) {
-  spdlog::drop(kLoggerName);
-  const auto logger = spdlog::stdout_logger_mt(kLoggerName);
-  logger->set_level(ToSpdlog(level));
-  logger->flush_on(spdlog::level::info);
-  logger->set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%eZ","level":"%l",)"
-                      R"("instance":)" +
-                          Quote(instance) + R"(,%v})",
-                      spdlog::pattern_time_type::utc);
+  auto& log = TheLog();
+  log.sink = std::make_shared<LogSink>();
+  log.logger = std::make_unique<spdlog::logger>(kLoggerName, log.sink);
+  log.logger->set_level(ToSpdlog(level));
+  log.logger->set_formatter(std::make_unique<spdlog::pattern_formatter>(
+      R"({"time":"%Y-%m-%dT%H:%M:%S.%eZ","level":"%l","instance":)" +
+          Quote(instance) + ",%v}",
+      spdlog::pattern_time_type::utc));
 }
 
 void Log(LogLevel level, std::string_view message,
          const std::map<std::string, std::string>& fields) {
-  const auto logger = spdlog::get(kLoggerName);
+  const auto& logger = TheLog().logger;
   if (logger == nullptr || !logger->should_log(ToSpdlog(level))) {
     return;
   }
-  auto line = R"("message":)" + Quote(message);
-  for (const auto& [name, value] : fields) {
-    line += "," + Quote(name) + ":" + Quote(value);
+  Write(*logger, level, message, fields);
+  logger->flush();
+}
+
+void LogDecision(std::string_view message,
+                 const std::map<std::string, std::string>& fields,
+                 TimePoint now) {
+  auto& log = TheLog();
+  const auto is_wanted =
+      log.logger != nullptr && log.logger->should_log(spdlog::level::info);
+  if (is_wanted && log.limit.Take(now)) {
+    Write(*log.logger, LogLevel::kInfo, message, fields);
+  }
+}
+
+void FlushLog() {
+  const auto& logger = TheLog().logger;
+  if (logger != nullptr) {
+    logger->flush();
   }
-  logger->log(ToSpdlog(level), "{}", line);
+}
+
+auto DroppedLogLines() -> std::uint64_t {
+  auto& log = TheLog();
+  return log.limit.dropped() + (log.sink == nullptr ? 0 : log.sink->dropped());
 }
 
 }  // namespace hemlockwick
--- a/Source/Runtime/log.h
+++ b/Source/Runtime/log.h
@@ -1,22 +1,40 @@
 #ifndef HEMLOCKWICK_RUNTIME_LOG_H_
 #define HEMLOCKWICK_RUNTIME_LOG_H_
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
 
+#include "Core/time.h"
+
 namespace hemlockwick {
 
 enum class LogLevel { kDebug, kInfo, kWarning, kError };
 
 // Sends the log of this process to standard output, one JSON object a line,
-// from `level` on. `instance` is part of each line.
+// from `level` on. `instance` is part of each line. Logging never waits for
+// the reader of standard output.
 void StartLog(std::string_view instance, LogLevel level);
 
-// Writes one line. Does nothing before StartLog. Any thread may call it.
+// Writes one line at once. Does nothing before StartLog. Any thread may call
+// it.
 void Log(LogLevel level, std::string_view message,
          const std::map<std::string, std::string>& fields = {});
 
+// Writes one line about a decision, at level info. Such lines are gathered
+// until FlushLog and limited to kDecisionLinesPerSecond.
+void LogDecision(std::string_view message,
+                 const std::map<std::string, std::string>& fields,
+                 TimePoint now);
+inline constexpr std::uint32_t kDecisionLinesPerSecond = 200;
+
+// Writes the lines that LogDecision has gathered.
+void FlushLog();
+
+// Lines that were not written: over the limit, or the reader was too slow.
+[[nodiscard]] auto DroppedLogLines() -> std::uint64_t;
+
 }  // namespace hemlockwick
 
 #endif  // HEMLOCKWICK_RUNTIME_LOG_H_
--- /dev/null
+++ b/Source/Runtime/log_sink.cc
@@ -0,0 +1,62 @@
+#include "Runtime/log_sink.h"
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <climits>
+
+namespace hemlockwick {
+
+namespace {
+
+// Text kept for a reader that does not keep up, in bytes.
+constexpr std::size_t kMaxWaitingBytes = 64 * 1024;
+
+// Whether standard output takes PIPE_BUF bytes without waiting.
+auto TakesText() -> bool {
+  auto output = pollfd{STDOUT_FILENO, POLLOUT, 0};
+  return poll(&output, 1, 0) > 0 && (output.revents & POLLOUT) != 0;
+}
+
+// Length of the whole lines at the start of `text` that fit one write.
+auto WholeLines(const std::string& text) -> std::size_t {
+  if (text.size() <= PIPE_BUF) {
+    return text.size();
+  }
+  const auto end = text.rfind('\n', PIPE_BUF - 1);
+  return end == std::string::npos ? std::size_t{PIPE_BUF} : end + 1;
+}
+
+}  // namespace
+
+auto LogSink::dropped() -> std::uint64_t {
+  const auto lock = std::lock_guard(mutex_);
+  return dropped_;
+}
+
+void LogSink::sink_it_(const spdlog::details::log_msg& message) {
+  auto line = spdlog::memory_buf_t();
+  formatter_->format(message, line);
+  if (waiting_.size() + line.size() > kMaxWaitingBytes) {
+    ++dropped_;
+    return;
+  }
+  waiting_.append(line.data(), line.size());
+  if (waiting_.size() >= PIPE_BUF) {
+    flush_();
+  }
+}
+
+void LogSink::flush_() {
+  while (!waiting_.empty() && TakesText()) {
+    const auto written =
+        write(STDOUT_FILENO, waiting_.data(), WholeLines(waiting_));
+    if (written <= 0) {
+      return;  // Kept for the next flush.
+    }
+    waiting_.erase(0, static_cast<std::size_t>(written));
+  }
+}
+
+}  // namespace hemlockwick
--- /dev/null
+++ b/Source/Runtime/log_sink.h
@@ -0,0 +1,32 @@
+#ifndef HEMLOCKWICK_RUNTIME_LOG_SINK_H_
+#define HEMLOCKWICK_RUNTIME_LOG_SINK_H_
+
+#include <spdlog/sinks/base_sink.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <mutex>
+#include <string>
+
+namespace hemlockwick {
+
+// Collects log lines and writes them to standard output in whole lines, a few
+// kilobytes a system call. Never waits for a slow reader: lines beyond a bound
+// are dropped and counted.
+class LogSink : public spdlog::sinks::base_sink<std::mutex> {
+ public:
+  // Lines dropped so far.
+  [[nodiscard]] auto dropped() -> std::uint64_t;
+
+ protected:
+  void sink_it_(const spdlog::details::log_msg& message) override;
+  void flush_() override;
+
+ private:
+  std::string waiting_;
+  std::uint64_t dropped_ = 0;
+};
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_RUNTIME_LOG_SINK_H_
--- a/Source/Runtime/packet_forwarder.h
+++ b/Source/Runtime/packet_forwarder.h
@@ -5,10 +5,10 @@
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
-#include <memory>
 
 #include "Core/snapshot_cell.h"
 #include "Flow/flow_router.h"
+#include "Runtime/datagram_batch.h"
 #include "Runtime/file_descriptor.h"
 #include "Runtime/gue_codec.h"
 #include "Runtime/system_clock.h"
@@ -38,7 +38,6 @@
   // forwarder.
   PacketForwarder(FileDescriptor socket, FlowRouter& router,
                   const SystemClock& clock);
-  ~PacketForwarder();
   PacketForwarder(const PacketForwarder&) = delete;
   auto operator=(const PacketForwarder&) -> PacketForwarder& = delete;
 
@@ -51,19 +50,16 @@
   }
 
  private:
-  struct Buffers;
-
   void Handle(Bytes datagram, TimePoint now);
   void Queue(const GueHeader& header, Bytes inner,
              const SocketAddress& destination);
-  void Flush();
 
   const FileDescriptor socket_;
   FlowRouter& router_;
   const SystemClock& clock_;
   SnapshotReader<FlowSnapshot> snapshots_;
   PacketCounters counters_;
-  std::unique_ptr<Buffers> buffers_;
+  DatagramBatch batch_;
 };
 
 }  // namespace hemlockwick
--- a/Source/Runtime/settings.cc
+++ b/Source/Runtime/settings.cc
@@ -233,6 +233,8 @@
       {"packet", [this](const auto& node) { Address(node, settings_.packet); }},
       {"platform",
        [this](const auto& node) { Address(node, settings_.platform); }},
+      {"metrics",
+       [this](const auto& node) { Address(node, settings_.metrics); }},
       {"seeds", [this](const auto& node) { Seeds(node); }},
       {"traffic_threads", [this](const auto& node) { Threads(node); }},
       {"log_level", [this](const auto& node) { Level(node); }},
--- a/Source/Runtime/settings.h
+++ b/Source/Runtime/settings.h
@@ -22,6 +22,8 @@
   SocketAddress http;
   SocketAddress packet;
   SocketAddress platform;
+  // Where metrics are served too; port 0: only at `http`.
+  SocketAddress metrics;
   std::vector<SocketAddress> seeds;
   std::size_t traffic_threads = 1;
   LogLevel log_level = LogLevel::kInfo;
