Flow: Tell timed-out openings from repeated ones

Change: an endpoint counts as alive when it is first heard of; only packets that the caller sends again can make it silent.

--- a/Source/Flow/endpoint_load.h
+++ b/Source/Flow/endpoint_load.h
@@ -13,6 +13,8 @@
 
 // What this instance knows of an endpoint from the flows it forwards.
 struct EndpointLoad {
+  explicit EndpointLoad(TimePoint now) : signs(now) {}
+
   EndpointSigns signs;
   std::uint32_t open_flows = 0;     // Tracked flows of the endpoint.
   std::uint32_t waiting_flows = 0;  // Those with an unanswered packet.
--- a/Source/Flow/endpoint_signs.cc
+++ b/Source/Flow/endpoint_signs.cc
@@ -11,8 +11,9 @@
 // After this time without a new sign a new flow tries the endpoint again.
 constexpr Duration kRetryTime = std::chrono::seconds(2);
 
-// Signs that make an endpoint silent, and the time without proof of life.
-constexpr std::uint32_t kSignsToReset = 3;
+// Packets sent again that make an endpoint silent, and the time without proof
+// of life.
+constexpr std::uint32_t kRepeatsToSilence = 2;
 constexpr Duration kSilenceWithOpening = std::chrono::milliseconds(500);
 // Data alone may wait for long work; openings never do.
 constexpr Duration kSilenceOfData = std::chrono::milliseconds(2000);
@@ -21,8 +22,7 @@
 
 void EndpointSigns::NoteAlive(TimePoint now) {
   last_alive_ = now;
-  openings_ = 0;
-  data_ = 0;
+  Clear();
 }
 
 auto EndpointSigns::NoteSilence(SilentPacket packet, TimePoint sent_at,
@@ -30,15 +30,27 @@
   if (sent_at <= last_alive_) {
     return false;
   }
-  auto& count = packet == SilentPacket::kOpening ? openings_ : data_;
-  ++count;
+  ++CountOf(packet);
   last_sign_ = now;
   return true;
 }
 
+auto EndpointSigns::CountOf(SilentPacket packet) -> std::uint32_t& {
+  switch (packet) {
+    case SilentPacket::kOpening:
+      return openings_;
+    case SilentPacket::kRepeatedOpening:
+      return repeated_openings_;
+    case SilentPacket::kRepeatedData:
+      break;
+  }
+  return repeated_data_;
+}
+
 void EndpointSigns::Clear() {
   openings_ = 0;
-  data_ = 0;
+  repeated_openings_ = 0;
+  repeated_data_ = 0;
 }
 
 auto EndpointSigns::IsSuspect(TimePoint now) const -> bool {
@@ -46,10 +58,11 @@
 }
 
 auto EndpointSigns::IsSilent(TimePoint now) const -> bool {
-  if (signs() < kSignsToReset) {
+  if (repeated_openings_ + repeated_data_ < kRepeatsToSilence) {
     return false;
   }
-  const auto needed = openings_ > 0 ? kSilenceWithOpening : kSilenceOfData;
+  const auto needed = openings_ + repeated_openings_ > 0 ? kSilenceWithOpening
+                                                         : kSilenceOfData;
   return now - last_alive_ >= needed;
 }
 
--- a/Source/Flow/endpoint_signs.h
+++ b/Source/Flow/endpoint_signs.h
@@ -9,8 +9,14 @@
 
 // What a packet that got no reply was.
 enum class SilentPacket : std::uint8_t {
-  kOpening,  // Endpoints reply to it at once, whatever they work on.
-  kData,     // The reply may be held up by long work.
+  // An opening without a further packet of its flow for some time. Endpoints
+  // reply at once, whatever they work on; but the flow may have moved to
+  // another instance.
+  kOpening,
+  // An opening that the caller has sent again.
+  kRepeatedOpening,
+  // Data that the caller has sent again. The reply may be held up by long work.
+  kRepeatedData,
 };
 
 // Passive health of one endpoint, from the flows that this instance forwards.
@@ -18,6 +24,9 @@
 // each comes from a flow of its own.
 class EndpointSigns {
  public:
+  // An endpoint counts as alive when it is first heard of.
+  explicit EndpointSigns(TimePoint now) : last_alive_(now) {}
+
   // Notes that a caller has received something that the endpoint sent.
   void NoteAlive(TimePoint now);
 
@@ -37,15 +46,18 @@
   [[nodiscard]] auto IsSilent(TimePoint now) const -> bool;
 
   [[nodiscard]] auto signs() const -> std::uint32_t {
-    return openings_ + data_;
+    return openings_ + repeated_openings_ + repeated_data_;
   }
   [[nodiscard]] auto last_alive() const -> TimePoint { return last_alive_; }
 
  private:
+  auto CountOf(SilentPacket packet) -> std::uint32_t&;
+
   TimePoint last_alive_;
   TimePoint last_sign_;
   std::uint32_t openings_ = 0;
-  std::uint32_t data_ = 0;
+  std::uint32_t repeated_openings_ = 0;
+  std::uint32_t repeated_data_ = 0;
 };
 
 }  // namespace hemlockwick
--- a/Source/Flow/token_router.cc
+++ b/Source/Flow/token_router.cc
@@ -126,7 +126,13 @@
 auto TokenRouter::Open(const TokenPacket& packet, const Route& route,
                        TimePoint now) -> TokenAction {
   auto& flow = Track(packet, now);
-  const auto tried = packet.ack > 0 ? flow.token : kNoToken;
+  const auto is_copy = packet.ack > 0;
+  const auto tried = is_copy ? flow.token : kNoToken;
+  if (is_copy) {
+    // The caller would not send it again had the endpoint answered.
+    flow.gave_sign = false;
+    NoteSilence(flow, SilentPacket::kRepeatedOpening, now);
+  }
   const auto* const endpoint =
       ChooseEndpoint(*directory_, loads_,
                      {flow.key, route, settings_.data_centre, tried}, now);
@@ -136,13 +142,13 @@
   }
   flow.closed = false;
   flow.established = false;
-  SetToken(flow, endpoint->token);
+  SetToken(flow, endpoint->token, now);
   StopWaiting(flow);
   StartWaiting(flow, now);
   pending_.push_back({flow.key, endpoint->token, now});
   ++counters_.opened;
-  counters_.reopened += packet.ack > 0 ? 1 : 0;
-  auto& load = loads_[endpoint->token];
+  counters_.reopened += is_copy ? 1 : 0;
+  const auto& load = LoadOf(endpoint->token, now);
   AddNote({RouterNote::Kind::kFlowOpened, packet.caller, packet.service,
            endpoint->token, packet.ack, load.signs.signs(), load.waiting_flows,
            Duration(0), ""});
@@ -157,7 +163,7 @@
     return Unroutable(packet, now);
   }
   auto& flow = Track(packet, now);
-  if (flow.established && flow.token != packet.token) {
+  if (flow.established && !flow.closed && flow.token != packet.token) {
     AddNote({RouterNote::Kind::kTokenChanged, packet.caller, packet.service,
              packet.token, 0, 0, 0, Duration(0), ""});
   }
@@ -165,9 +171,9 @@
     return ForwardWithToken{endpoint->report.id, endpoint->report.address,
                             packet.token};
   }
-  SetToken(flow, packet.token);
+  SetToken(flow, packet.token, now);
   NotePacket(flow, packet, now);
-  const auto& signs = loads_[packet.token].signs;
+  const auto& signs = LoadOf(packet.token, now).signs;
   if (packet.data_bytes > 0 && flow.waiting && signs.IsSilent(now)) {
     return Reset(packet, ResetReason::kSilent, now - signs.last_alive());
   }
@@ -240,7 +246,7 @@
     NoteAlive(flow.token, now);
     if (flow.waiting) {
       const auto time = now - flow.waiting_since;
-      loads_[flow.token].NoteReplyTime(time);
+      LoadOf(flow.token, now).NoteReplyTime(time);
       if (replies_.size() < kMaxReplies) {
         replies_.push_back({ReplySample::Kind::kData, time});
       }
@@ -274,7 +280,7 @@
                            TimePoint now) {
   const auto end = packet.seq + packet.data_bytes;
   if (!IsBefore(flow.next_seq, end)) {
-    NoteSilence(flow, SilentPacket::kData, now);
+    NoteSilence(flow, SilentPacket::kRepeatedData, now);
     return;
   }
   flow.next_seq = end;
@@ -285,17 +291,22 @@
   }
 }
 
-void TokenRouter::SetToken(TrackedFlow& flow, FlowToken token) {
+auto TokenRouter::LoadOf(FlowToken token, TimePoint now) -> EndpointLoad& {
+  return loads_.try_emplace(token, now).first->second;
+}
+
+void TokenRouter::SetToken(TrackedFlow& flow, FlowToken token, TimePoint now) {
   if (flow.token == token) {
     return;
   }
   const auto was_waiting = flow.waiting;
   Release(flow);
   flow.token = token;
-  ++loads_[token].open_flows;
+  auto& load = LoadOf(token, now);
+  ++load.open_flows;
   if (was_waiting) {
     flow.waiting = true;
-    ++loads_[token].waiting_flows;
+    ++load.waiting_flows;
   }
 }
 
@@ -307,7 +318,7 @@
   flow.waiting_since = now;
   flow.waiting_packets = 0;
   flow.gave_sign = false;
-  ++loads_[flow.token].waiting_flows;
+  ++LoadOf(flow.token, now).waiting_flows;
 }
 
 void TokenRouter::StopWaiting(TrackedFlow& flow) {
@@ -315,14 +326,14 @@
     return;
   }
   flow.waiting = false;
-  --loads_[flow.token].waiting_flows;
+  --loads_.at(flow.token).waiting_flows;
 }
 
 // Takes the flow out of its endpoint's load.
 void TokenRouter::Release(TrackedFlow& flow) {
   StopWaiting(flow);
   if (flow.token != kNoToken) {
-    --loads_[flow.token].open_flows;
+    --loads_.at(flow.token).open_flows;
     flow.token = kNoToken;
   }
 }
@@ -345,7 +356,7 @@
 }
 
 void TokenRouter::NoteAlive(FlowToken token, TimePoint now) {
-  auto& signs = loads_[token].signs;
+  auto& signs = LoadOf(token, now).signs;
   if (signs.IsSuspect(now) || signs.IsSilent(now)) {
     AddNote({RouterNote::Kind::kEndpointAlive,
              {},
@@ -366,7 +377,7 @@
     return;
   }
   flow.gave_sign = true;
-  auto& signs = loads_[flow.token].signs;
+  auto& signs = LoadOf(flow.token, now).signs;
   const auto was_suspect = signs.IsSuspect(now);
   const auto was_silent = signs.IsSilent(now);
   if (!signs.NoteSilence(packet, flow.waiting_since, now)) {
--- a/Source/Flow/token_router.h
+++ b/Source/Flow/token_router.h
@@ -165,7 +165,8 @@
   void Establish(TrackedFlow& flow, const TokenPacket& packet, TimePoint now);
   void NotePacket(TrackedFlow& flow, const TokenPacket& packet, TimePoint now);
   void NoteData(TrackedFlow& flow, const TokenPacket& packet, TimePoint now);
-  void SetToken(TrackedFlow& flow, FlowToken token);
+  auto LoadOf(FlowToken token, TimePoint now) -> EndpointLoad&;
+  void SetToken(TrackedFlow& flow, FlowToken token, TimePoint now);
   void StartWaiting(TrackedFlow& flow, TimePoint now);
   void StopWaiting(TrackedFlow& flow);
   void Release(TrackedFlow& flow);
