Edge: Relay the directory between instances

Change: the instances that the settings name as seeds watch the platform, the others watch a seed, over the same revisions, so a watch may move between relays and the platform. Routes are sent as a difference. A relay says how long ago the platform answered it and when an outage ended; one that is not up to date is left for the platform. Short outages are told to the directory too: entries that lapse in them may return. A departed endpoint that had not announced its leaving keeps its flows while callers hear from it.

A stale read at the start: it may miss removals.

--- /dev/null
+++ b/Source/Edge/directory_history.cc
@@ -0,0 +1,78 @@
+#include "Edge/directory_history.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hemlockwick {
+
+namespace {
+
+// Changes and routes kept for instances that are behind.
+constexpr Duration kKeepTime = std::chrono::seconds(20);
+constexpr std::size_t kMaxChanges = 256;
+constexpr std::size_t kMaxRoutes = 8;
+
+}  // namespace
+
+void DirectoryHistory::Add(const DirectoryUpdate& update, TimePoint now) {
+  if (update.routes != nullptr) {
+    KeepRoutes(update.routes);
+  }
+  if (update.is_whole) {
+    Replace(update);
+    return;
+  }
+  if (update.revision <= all_.revision) {
+    return;
+  }
+  all_.Append(update);
+  // Everything that is held is named by its report.
+  all_.removed.clear();
+  changes_.push_back({now, update});
+  while (changes_.size() > kMaxChanges ||
+         now - changes_.front().at > kKeepTime) {
+    complete_after_ = changes_.front().update.revision;
+    changes_.pop_front();
+  }
+}
+
+// A whole read does not say what has changed.
+void DirectoryHistory::Replace(const DirectoryUpdate& whole) {
+  auto routes = whole.routes != nullptr ? whole.routes : all_.routes;
+  all_ = whole;
+  all_.routes = std::move(routes);
+  complete_after_ = whole.revision;
+  changes_.clear();
+}
+
+auto DirectoryHistory::Since(Revision after) const
+    -> std::optional<DirectoryUpdate> {
+  if (after < complete_after_) {
+    return std::nullopt;
+  }
+  auto result = DirectoryUpdate();
+  result.revision = std::max(after, all_.revision);
+  for (const auto& change : changes_) {
+    if (change.update.revision > after) {
+      result.Append(change.update);
+    }
+  }
+  return result;
+}
+
+auto DirectoryHistory::RoutesOf(Version version) const
+    -> std::shared_ptr<const RouteSet> {
+  const auto found = std::ranges::find_if(
+      routes_,
+      [version](const auto& routes) { return routes->version == version; });
+  return found == routes_.end() ? nullptr : *found;
+}
+
+void DirectoryHistory::KeepRoutes(std::shared_ptr<const RouteSet> routes) {
+  routes_.push_back(std::move(routes));
+  if (routes_.size() > kMaxRoutes) {
+    routes_.pop_front();
+  }
+}
+
+}  // namespace hemlockwick
--- a/Source/Edge/directory_keeper.cc
+++ b/Source/Edge/directory_keeper.cc
@@ -1,5 +1,6 @@
 #include "Edge/directory_keeper.h"
 
+#include <algorithm>
 #include <unordered_set>
 
 #include "Edge/router_log.h"
@@ -7,22 +8,36 @@
 
 namespace hemlockwick {
 
-DirectoryKeeper::DirectoryKeeper(std::uint64_t seed, EdgeMetrics& metrics,
-                                 TimePoint now)
-    : metrics_(metrics), sync_(seed, now) {}
+namespace {
+
+// An answer that is this much later than asked for shows a short outage, in
+// which entries may have lapsed.
+constexpr Duration kLateAnswer = std::chrono::milliseconds(300);
+
+}  // namespace
+
+DirectoryKeeper::DirectoryKeeper(const SyncSettings& settings,
+                                 EdgeMetrics& metrics, TimePoint now)
+    : metrics_(metrics),
+      sync_(settings, now),
+      relay_([this](TimePoint at) { return RelayStateAt(at); }) {}
 
 void DirectoryKeeper::OnAnswer(const SyncAnswer& answer,
-                               const std::string& error, TimePoint now) {
+                               const std::string& error, TimePoint called_at,
+                               TimePoint now) {
+  NoteOutage(answer, called_at, now);
   sync_.OnAnswer(answer, now);
-  NoteConnection(answer, error, now);
+  LogConnection(answer, error);
   if (answer.status == SyncStatus::kOk) {
     Apply(answer.update, now);
+    relay_.Add(answer.update, now);
   }
   OnTick(now);
 }
 
 void DirectoryKeeper::OnTick(TimePoint now) {
   directory_.OnTick(now);
+  relay_.OnTick(now);
   Publish(now);
 }
 
@@ -53,8 +68,26 @@
   }
 }
 
-void DirectoryKeeper::NoteConnection(const SyncAnswer& answer,
-                                     const std::string& error, TimePoint now) {
+// Tells the directory of outages, also of those too short to count as a loss.
+void DirectoryKeeper::NoteOutage(const SyncAnswer& answer, TimePoint called_at,
+                                 TimePoint now) {
+  const auto is_ok = answer.status == SyncStatus::kOk;
+  const auto is_late = now - called_at > sync_.next().wait + kLateAnswer;
+  if (is_ok && (is_failing_ || is_late)) {
+    outage_end_ = now;
+  }
+  if (is_ok && answer.since_outage) {
+    const auto end = now - *answer.since_outage;
+    outage_end_ = std::max(outage_end_.value_or(end), end);
+  }
+  is_failing_ = !is_ok && answer.status != SyncStatus::kHistoryLost;
+  if (is_ok && outage_end_) {
+    directory_.OnPlatformBack(*outage_end_);
+  }
+}
+
+void DirectoryKeeper::LogConnection(const SyncAnswer& answer,
+                                    const std::string& error) {
   if (answer.status == SyncStatus::kHistoryLost) {
     Log(LogLevel::kWarning, "platform_history_lost", {{"error", error}});
   }
@@ -63,15 +96,22 @@
   }
   was_lost_ = sync_.is_lost();
   if (was_lost_) {
-    directory_.OnPlatformLost(now);
+    directory_.OnPlatformLost();
     Log(LogLevel::kWarning, "platform_lost",
         {{"status", std::string(ToString(answer.status))}, {"error", error}});
   } else {
-    directory_.OnPlatformBack(now);
     Log(LogLevel::kInfo, "platform_back");
   }
 }
 
+auto DirectoryKeeper::RelayStateAt(TimePoint now) const -> RelayState {
+  auto state = RelayState{now - sync_.last_fresh(), std::nullopt};
+  if (outage_end_) {
+    state.since_outage = now - *outage_end_;
+  }
+  return state;
+}
+
 void DirectoryKeeper::Publish(TimePoint now) {
   for (const auto& event : directory_.TakeEvents()) {
     LogDirectoryEvent(event);
--- a/Source/Edge/directory_keeper.h
+++ b/Source/Edge/directory_keeper.h
@@ -1,12 +1,14 @@
 #ifndef HEMLOCKWICK_EDGE_DIRECTORY_KEEPER_H_
 #define HEMLOCKWICK_EDGE_DIRECTORY_KEEPER_H_
 
-#include <cstdint>
+#include <memory>
+#include <optional>
 #include <string>
 
 #include "Core/snapshot_cell.h"
 #include "Edge/directory_sync.h"
 #include "Edge/edge_metrics.h"
+#include "Edge/relay_server.h"
 #include "Flow/endpoint_directory.h"
 
 namespace hemlockwick {
@@ -17,22 +19,31 @@
 class DirectoryKeeper {
  public:
   // `metrics` must outlive the keeper.
-  DirectoryKeeper(std::uint64_t seed, EdgeMetrics& metrics, TimePoint now);
+  DirectoryKeeper(const SyncSettings& settings, EdgeMetrics& metrics,
+                  TimePoint now);
 
   // The next call to make; its answer goes to OnAnswer.
   [[nodiscard]] auto next_call() const -> const SyncCall& {
     return sync_.next();
   }
 
-  // `error` says why there is no answer, for the log.
+  // Takes the answer to next_call, which was made at `called_at`. `error` says
+  // why there is none, for the log.
   void OnAnswer(const SyncAnswer& answer, const std::string& error,
-                TimePoint now);
+                TimePoint called_at, TimePoint now);
 
   void OnTick(TimePoint now);
 
   // Whether routes and endpoints are known.
   [[nodiscard]] auto IsUsable() const -> bool { return directory_.IsUsable(); }
 
+  [[nodiscard]] auto routes() const -> const std::shared_ptr<const RouteSet>& {
+    return directory_.routes();
+  }
+
+  // Passes the directory on to other instances.
+  [[nodiscard]] auto relay() -> RelayServer& { return relay_; }
+
   [[nodiscard]] auto snapshots() const
       -> const SnapshotCell<DirectorySnapshot>& {
     return snapshots_;
@@ -40,15 +51,19 @@
 
  private:
   void Apply(const DirectoryUpdate& update, TimePoint now);
-  void NoteConnection(const SyncAnswer& answer, const std::string& error,
-                      TimePoint now);
+  void NoteOutage(const SyncAnswer& answer, TimePoint called_at, TimePoint now);
+  void LogConnection(const SyncAnswer& answer, const std::string& error);
+  [[nodiscard]] auto RelayStateAt(TimePoint now) const -> RelayState;
   void Publish(TimePoint now);
 
   EdgeMetrics& metrics_;
   DirectorySync sync_;
   EndpointDirectory directory_;
   SnapshotCell<DirectorySnapshot> snapshots_;
+  RelayServer relay_;
   bool was_lost_ = false;
+  bool is_failing_ = false;  // The last call had no answer.
+  std::optional<TimePoint> outage_end_;
 };
 
 }  // namespace hemlockwick
--- a/Source/Edge/directory_sync.cc
+++ b/Source/Edge/directory_sync.cc
@@ -6,22 +6,36 @@
 
 namespace {
 
-// How long the platform holds a watch: a lost connection is noticed within
-// this time and kCallTimeout, well before a new version has to be in force.
-constexpr Duration kWatchTime = std::chrono::milliseconds(1500);
+// How long the platform and a relay hold a watch. A lost connection is noticed
+// within this time and the timeout, well before a new version has to be in
+// force.
+constexpr Duration kPlatformWatchTime = std::chrono::milliseconds(1500);
+constexpr Duration kRelayWatchTime = std::chrono::milliseconds(1000);
 
-// Time for an answer, beyond the time for which a watch is held.
-constexpr Duration kCallTimeout = std::chrono::milliseconds(1000);
+// Time for an answer, beyond the time for which a watch is held. Relays are
+// near, and there is another one.
+constexpr Duration kPlatformTimeout = std::chrono::milliseconds(1000);
+constexpr Duration kRelayTimeout = std::chrono::milliseconds(500);
 
 // After a change: the changes of this time are taken by one further call.
 constexpr Duration kGatherTime = std::chrono::milliseconds(500);
 
-// Wait after a failed call, doubled with each further one.
+// Wait before the platform is called again after a failure, doubled with each
+// further one.
 constexpr Duration kFirstBackoff = std::chrono::milliseconds(100);
 constexpr std::uint32_t kMaxBackoffDoublings = 3;
+// The same for instances that are not relays: there are many of them.
+constexpr Duration kPeerBackoff = std::chrono::seconds(2);
 
-// Failed calls after which the platform counts as lost.
-constexpr std::uint32_t kFailuresUntilLost = 2;
+// How long a relay is left alone after a failure, and when it does not hear
+// from the platform.
+constexpr Duration kRelayBackoff = std::chrono::seconds(3);
+
+// A relay that has not heard from the platform for longer is not up to date.
+constexpr Duration kMaxRelayAge = std::chrono::milliseconds(2700);
+
+// Without an up-to-date answer for this long the platform counts as lost.
+constexpr Duration kLostTime = std::chrono::milliseconds(3000);
 
 }  // namespace
 
@@ -39,56 +53,117 @@
   return "unknown";
 }
 
-DirectorySync::DirectorySync(std::uint64_t seed, TimePoint now)
-    : random_(seed) {
-  ScheduleRead(now);
+DirectorySync::DirectorySync(const SyncSettings& settings, TimePoint now)
+    : settings_(settings), random_(settings.seed), last_fresh_(now) {
+  const auto first =
+      settings.relays == 0 ? 0 : random_.Below(settings.relays);
+  for (auto offset = std::size_t{0}; offset < settings.relays; ++offset) {
+    relays_.push_back({(first + offset) % settings.relays, now, 0});
+  }
+  platform_.retry_at = now;
+  Schedule(now, now);
 }
 
 void DirectorySync::OnAnswer(const SyncAnswer& answer, TimePoint now) {
-  if (answer.status == SyncStatus::kRefused ||
-      answer.status == SyncStatus::kUnreachable) {
-    OnFailure(now);
-    return;
-  }
-  failures_ = 0;
-  is_lost_ = false;
-  last_answer_ = now;
-  if (answer.status == SyncStatus::kHistoryLost) {
-    has_read_ = false;
-    ScheduleRead(now);
-    return;
+  auto& upstream = Find(next_.relay);
+  switch (answer.status) {
+    case SyncStatus::kOk:
+      OnSuccess(upstream, answer, now);
+      break;
+    case SyncStatus::kHistoryLost:
+      has_read_ = false;
+      Schedule(now, now);
+      break;
+    case SyncStatus::kRefused:
+    case SyncStatus::kUnreachable:
+      OnFailure(upstream, now);
+      break;
   }
+  is_lost_ = now - last_fresh_ >= kLostTime;
+}
+
+void DirectorySync::OnSuccess(Upstream& upstream, const SyncAnswer& answer,
+                              TimePoint now) {
+  upstream.failures = 0;
   has_read_ = true;
-  revision_ = answer.update.revision;
-  ScheduleWatch(answer.update, now);
+  revision_ = std::max(revision_, answer.update.revision);
+  last_fresh_ = std::max(last_fresh_, now - answer.age);
+  if (answer.age > kMaxRelayAge) {
+    upstream.retry_at = now + Jitter(kRelayBackoff);
+  }
+  // A relay has gathered already.
+  const auto is_gathering = !upstream.relay && !answer.update.is_whole &&
+                            answer.update.has_changes();
+  Schedule(is_gathering ? now + kGatherTime : now, now);
+}
+
+void DirectorySync::OnFailure(Upstream& upstream, TimePoint now) {
+  ++upstream.failures;
+  if (upstream.relay) {
+    upstream.retry_at = now + Jitter(kRelayBackoff);
+  } else if (relays_.empty() || settings_.is_relay || !has_read_) {
+    const auto doublings =
+        std::min(upstream.failures - 1, kMaxBackoffDoublings);
+    upstream.retry_at = now + Jitter(kFirstBackoff * (1U << doublings));
+  } else {
+    upstream.retry_at = now + Jitter(kPeerBackoff);
+  }
+  Schedule(now, now);
 }
 
-void DirectorySync::OnFailure(TimePoint now) {
-  ++failures_;
-  is_lost_ = is_lost_ || failures_ >= kFailuresUntilLost;
-  const auto doublings = std::min(failures_ - 1, kMaxBackoffDoublings);
-  const auto mean = kFirstBackoff * (1U << doublings);
-  const auto at = now + mean / 2 + random_.DurationBelow(mean);
+// Sets the next call, to be made at `not_before` or later.
+void DirectorySync::Schedule(TimePoint not_before, TimePoint now) {
+  const auto& upstream = Choose(now);
+  next_ = SyncCall();
+  next_.relay = upstream.relay;
+  next_.at = std::max(not_before, upstream.retry_at);
+  next_.timeout = upstream.relay ? kRelayTimeout : kPlatformTimeout;
   if (!has_read_) {
-    ScheduleRead(at);
     return;
   }
-  // An immediate answer shows that the platform is back.
-  next_ = {SyncCall::Kind::kWatch, at, revision_, Duration(0), kCallTimeout};
+  next_.kind = SyncCall::Kind::kWatch;
+  next_.after = revision_;
+  // After a failure an immediate answer shows that it is back.
+  if (upstream.failures == 0) {
+    next_.wait = upstream.relay ? kRelayWatchTime : kPlatformWatchTime;
+    next_.timeout += next_.wait;
+  }
+}
+
+// The upstream of choice that may be called now, else the one that may be
+// called first.
+auto DirectorySync::Choose(TimePoint now) -> const Upstream& {
+  const auto platform_first = !has_read_ || settings_.is_relay;
+  auto order = std::vector<const Upstream*>();
+  if (platform_first) {
+    order.push_back(&platform_);
+  }
+  for (const auto& relay : relays_) {
+    order.push_back(&relay);
+  }
+  if (!platform_first) {
+    order.push_back(&platform_);
+  }
+  const auto ready = std::ranges::find_if(
+      order, [now](const auto* upstream) { return upstream->retry_at <= now; });
+  if (ready != order.end()) {
+    return **ready;
+  }
+  return **std::ranges::min_element(
+      order, {}, [](const auto* upstream) { return upstream->retry_at; });
 }
 
-void DirectorySync::ScheduleWatch(const DirectoryUpdate& update,
-                                  TimePoint now) {
-  const auto has_changes =
-      !update.reports.empty() || !update.removed.empty() || update.routes;
-  const auto is_gathering = has_changes && !update.is_whole;
-  const auto at = is_gathering ? now + kGatherTime : now;
-  next_ = {SyncCall::Kind::kWatch, at, revision_, kWatchTime,
-           kWatchTime + kCallTimeout};
+auto DirectorySync::Find(const std::optional<std::size_t>& relay)
+    -> Upstream& {
+  if (!relay) {
+    return platform_;
+  }
+  return *std::ranges::find(relays_, relay, &Upstream::relay);
 }
 
-void DirectorySync::ScheduleRead(TimePoint at) {
-  next_ = {SyncCall::Kind::kReadAll, at, Revision(), Duration(0), kCallTimeout};
+// A duration between half of `mean` and one and a half times it.
+auto DirectorySync::Jitter(Duration mean) -> Duration {
+  return mean / 2 + random_.DurationBelow(mean);
 }
 
 }  // namespace hemlockwick
--- a/Source/Edge/directory_sync.h
+++ b/Source/Edge/directory_sync.h
@@ -4,37 +4,23 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string_view>
 #include <vector>
 
+#include "Core/net_address.h"
 #include "Core/random.h"
 #include "Core/time.h"
-#include "Flow/endpoint_directory.h"
+#include "Edge/directory_update.h"
 
 namespace hemlockwick {
 
-// Position in the platform's history of changes.
-using Revision = StrongId<struct RevisionTag>;
-
-// Changes that one call to the platform has returned.
-struct DirectoryUpdate {
-  bool is_whole = false;  // Everything that the platform holds.
-  Revision revision;      // Continue watching from here.
-  std::vector<EndpointReport> reports;
-  std::vector<EndpointId> removed;
-  // Endpoints whose entry cannot be understood.
-  std::vector<EndpointId> unreadable;
-  std::shared_ptr<const RouteSet> routes;  // Null when they did not change.
-  std::size_t ignored = 0;  // Entries that could not be understood.
-};
-
 enum class SyncStatus : std::uint8_t {
   kOk,
   kHistoryLost,  // The changes after the revision are no longer available.
-  kRefused,      // The platform turned the call away.
+  kRefused,      // The call was turned away.
   kUnreachable,  // No answer, or one that could not be understood.
 };
-
 inline constexpr std::size_t kSyncStatusCount = 4;
 
 // Name of the status in logs and metrics, for example "refused".
@@ -43,47 +29,79 @@
 struct SyncAnswer {
   SyncStatus status = SyncStatus::kUnreachable;
   DirectoryUpdate update;  // Empty unless the status is kOk.
+  // Of a relay: time since the platform answered it, and since the end of the
+  // last outage that it noticed, if any.
+  Duration age{0};
+  std::optional<Duration> since_outage;
 };
 
-// The next call to the platform.
+// The next call for the directory.
 struct SyncCall {
   enum class Kind : std::uint8_t { kReadAll, kWatch };
 
   Kind kind = Kind::kReadAll;
+  // Position in the list of relays; nothing for the platform.
+  std::optional<std::size_t> relay;
   TimePoint at;         // Not before.
   Revision after;       // Of a watch.
-  Duration wait{0};     // Time that the platform may hold a watch.
+  Duration wait{0};     // Time for which a watch may be held.
   Duration timeout{0};  // Time after which the call has failed.
 };
 
-// Decides when to read and when to watch the platform's directory. Each call
-// is answered by OnAnswer before the next one is made.
+struct SyncSettings {
+  std::size_t relays = 0;  // Instances that pass the directory on.
+  // Whether this instance is one of them and prefers the platform.
+  bool is_relay = false;
+  std::uint64_t seed = 0;  // Spreads instances over relays and time.
+};
+
+// Decides when to call whom for the directory: the platform or an instance
+// that relays it. Relays and the platform count the same revisions, so a watch
+// may move from one to another. Each call is answered by OnAnswer before the
+// next one is made.
+//
+// A reader that has to start reads the platform. From then on relays watch the
+// platform, and the others watch a relay as long as that hears from the
+// platform.
 class DirectorySync {
  public:
-  DirectorySync(std::uint64_t seed, TimePoint now);
+  DirectorySync(const SyncSettings& settings, TimePoint now);
 
   [[nodiscard]] auto next() const -> const SyncCall& { return next_; }
 
   void OnAnswer(const SyncAnswer& answer, TimePoint now);
 
-  // Whether the platform does not answer this process.
+  // Whether nobody has given an up-to-date answer for some time.
   [[nodiscard]] auto is_lost() const -> bool { return is_lost_; }
 
-  // When the platform last answered; zero when it never did.
-  [[nodiscard]] auto last_answer() const -> TimePoint { return last_answer_; }
+  // When the platform was last known to be in touch, directly or through a
+  // relay.
+  [[nodiscard]] auto last_fresh() const -> TimePoint { return last_fresh_; }
 
  private:
-  void OnFailure(TimePoint now);
-  void ScheduleWatch(const DirectoryUpdate& update, TimePoint now);
-  void ScheduleRead(TimePoint at);
-
+  // The platform or a relay, and when it may be called again.
+  struct Upstream {
+    std::optional<std::size_t> relay;
+    TimePoint retry_at;
+    std::uint32_t failures = 0;
+  };
+
+  auto Find(const std::optional<std::size_t>& relay) -> Upstream&;
+  void OnFailure(Upstream& upstream, TimePoint now);
+  void OnSuccess(Upstream& upstream, const SyncAnswer& answer, TimePoint now);
+  void Schedule(TimePoint not_before, TimePoint now);
+  auto Choose(TimePoint now) -> const Upstream&;
+  auto Jitter(Duration mean) -> Duration;
+
+  const SyncSettings settings_;
   Random random_;
+  std::vector<Upstream> relays_;  // In the order of this instance's choice.
+  Upstream platform_;
   SyncCall next_;
   Revision revision_;
   bool has_read_ = false;
   bool is_lost_ = false;
-  std::uint32_t failures_ = 0;
-  TimePoint last_answer_;
+  TimePoint last_fresh_;
 };
 
 }  // namespace hemlockwick
--- a/Source/Edge/edge_process.h
+++ b/Source/Edge/edge_process.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <thread>
 #include <utility>
+#include <vector>
 
 #include "Core/error.h"
 #include "Edge/directory_keeper.h"
@@ -17,6 +18,8 @@
 #include "Edge/edge_forwarder.h"
 #include "Edge/edge_metrics.h"
 #include "Edge/http_listener.h"
+#include "Edge/relay_client.h"
+#include "Edge/relay_codec.h"
 #include "Edge/settings_watch.h"
 #include "Runtime/log.h"
 #include "Runtime/settings.h"
@@ -30,12 +33,19 @@
   FileDescriptor packet;
   FileDescriptor http;
   FileDescriptor metrics;  // Invalid when the settings name no address.
+  FileDescriptor relay;    // The same.
 
   // Fails with kAddressInUse when one of the addresses is taken.
   [[nodiscard]] static auto Open(const ServeSettings& settings)
       -> Result<EdgeSockets>;
 };
 
+// The instances that relay the directory, without this one.
+[[nodiscard]] auto RelaysOf(const ServeSettings& settings)
+    -> std::vector<SocketAddress>;
+[[nodiscard]] auto SyncSettingsOf(const ServeSettings& settings)
+    -> SyncSettings;
+
 // An edge process: forwards packets of flows that carry their endpoint, by a
 // directory that it reads from the platform. The control thread runs in Run;
 // another thread forwards packets.
@@ -46,21 +56,28 @@
               EdgeSockets sockets)
       : settings_(settings),
         settings_watch_(std::move(settings_file), settings),
-        keeper_(IdFromName<InstanceId>(settings.name).value(), metrics_,
-                clock_.Now()),
+        keeper_(SyncSettingsOf(settings), metrics_, clock_.Now()),
         source_(context_, settings.platform, clock_),
         forwarder_(std::move(sockets.packet),
                    {IdFromName<DataCentreId>(settings.data_centre)},
                    keeper_.snapshots(), metrics_, clock_),
-        http_(context_, std::move(sockets.http),
-              [this](const std::string& path) { return Answer(path); }),
+        http_(context_, std::move(sockets.http), StatusHandler()),
         call_timer_(context_),
         tick_timer_(context_),
         signals_(context_, SIGTERM, SIGINT, SIGHUP) {
     if (sockets.metrics.valid()) {
-      metrics_listener_.emplace(
-          context_, std::move(sockets.metrics),
-          [this](const std::string& path) { return Answer(path); });
+      metrics_listener_.emplace(context_, std::move(sockets.metrics),
+                                StatusHandler());
+    }
+    if (sockets.relay.valid()) {
+      relay_listener_.emplace(
+          context_, std::move(sockets.relay),
+          [this](const std::string& target, const HttpListener::Reply& reply) {
+            ServeRelay(target, reply);
+          });
+    }
+    for (const auto& relay : RelaysOf(settings)) {
+      relays_.push_back(std::make_unique<RelayClient>(context_, relay, clock_));
     }
   }
 
@@ -96,15 +113,35 @@
   }
 
   void MakeCall(const SyncCall& call) {
-    const auto started = clock_.Now();
-    source_.Call(call, [this, started](const SyncAnswer& answer,
+    const auto called_at = clock_.Now();
+    auto on_answer = [this, called_at](const SyncAnswer& answer,
                                        const std::string& error) {
       const auto now = clock_.Now();
-      metrics_.CountCall(answer.status, now - started);
-      keeper_.OnAnswer(answer, error, now);
+      metrics_.CountCall(answer.status, now - called_at);
+      keeper_.OnAnswer(answer, error, called_at, now);
       StartTraffic();
       ScheduleCall();
-    });
+    };
+    if (call.relay) {
+      relays_[*call.relay]->Call(call, keeper_.routes(), on_answer);
+    } else {
+      source_.Call(call, on_answer);
+    }
+  }
+
+  void ServeRelay(const std::string& target, const HttpListener::Reply& reply) {
+    const auto query = ParseQuery(target);
+    if (query) {
+      keeper_.relay().Serve(*query, reply, clock_.Now());
+    } else {
+      reply(Answer(target));
+    }
+  }
+
+  auto StatusHandler() -> HttpListener::Handler {
+    return [this](const std::string& target, const HttpListener::Reply& reply) {
+      reply(Answer(target));
+    };
   }
 
   void StartTraffic() {
@@ -201,6 +238,8 @@
   EdgeForwarder<Codec> forwarder_;
   HttpListener http_;
   std::optional<HttpListener> metrics_listener_;
+  std::optional<HttpListener> relay_listener_;
+  std::vector<std::unique_ptr<RelayClient>> relays_;
   boost::asio::steady_timer call_timer_;
   boost::asio::steady_timer tick_timer_;
   boost::asio::signal_set signals_;
--- a/Source/Edge/edge_sockets.cc
+++ b/Source/Edge/edge_sockets.cc
@@ -21,7 +21,24 @@
   if (settings.metrics != SocketAddress()) {
     BOOST_LEAF_ASSIGN(sockets.metrics, ListenTcp(settings.metrics));
   }
+  if (settings.relay != SocketAddress()) {
+    BOOST_LEAF_ASSIGN(sockets.relay, ListenTcp(settings.relay));
+  }
   return sockets;
 }
 
+auto RelaysOf(const ServeSettings& settings) -> std::vector<SocketAddress> {
+  auto relays = settings.seeds;
+  std::erase(relays, settings.relay);
+  return relays;
+}
+
+auto SyncSettingsOf(const ServeSettings& settings) -> SyncSettings {
+  auto result = SyncSettings();
+  result.relays = RelaysOf(settings).size();
+  result.is_relay = result.relays != settings.seeds.size();
+  result.seed = IdFromName<InstanceId>(settings.name).value();
+  return result;
+}
+
 }  // namespace hemlockwick
--- a/Source/Edge/http_listener.cc
+++ b/Source/Edge/http_listener.cc
@@ -21,7 +21,7 @@
 constexpr auto kIdleTimeout = std::chrono::seconds(30);
 
 // Connections served at once; further ones are closed.
-constexpr std::size_t kMaxConnections = 64;
+constexpr std::size_t kMaxConnections = 512;
 
 // Wait after accept failed, for example for lack of descriptors.
 constexpr auto kAcceptRetry = std::chrono::milliseconds(100);
@@ -50,16 +50,25 @@
                      [self = shared_from_this()](const beast::error_code& error,
                                                  std::size_t) {
                        if (!error) {
-                         self->Reply();
+                         self->Handle();
                        }
                      });
   }
 
  private:
-  void Reply() {
-    const auto is_get = request_.method() == http::verb::get;
-    auto reply = is_get ? (*handler_)(std::string(request_.target()))
-                        : HttpReply{405, "text/plain", "only GET\n"};
+  void Handle() {
+    if (request_.method() != http::verb::get) {
+      Write({405, "text/plain", "only GET\n"});
+      return;
+    }
+    stream_.expires_never();
+    (*handler_)(std::string(request_.target()),
+                [self = shared_from_this()](HttpReply reply) {
+                  self->Write(std::move(reply));
+                });
+  }
+
+  void Write(HttpReply reply) {
     response_ = {};
     response_.version(request_.version());
     response_.result(static_cast<unsigned>(reply.status));
@@ -67,6 +76,7 @@
     response_.keep_alive(request_.keep_alive());
     response_.body() = std::move(reply.body);
     response_.prepare_payload();
+    stream_.expires_after(kIdleTimeout);
     http::async_write(stream_, response_,
                       [self = shared_from_this()](
                           const beast::error_code& error, std::size_t) {
--- a/Source/Edge/http_listener.h
+++ b/Source/Edge/http_listener.h
@@ -22,8 +22,11 @@
 // the I/O context.
 class HttpListener {
  public:
-  // Called with the path of a request.
-  using Handler = std::function<HttpReply(const std::string& path)>;
+  // Sends the answer. Has to be called once, on the thread of the I/O context.
+  using Reply = std::function<void(HttpReply)>;
+
+  // Called with the path and query of a request. May answer later.
+  using Handler = std::function<void(const std::string& target, Reply reply)>;
 
   // Takes over a socket of ListenTcp.
   HttpListener(boost::asio::io_context& context, FileDescriptor socket,
--- /dev/null
+++ b/Source/Edge/relay_client.h
@@ -0,0 +1,41 @@
+#ifndef HEMLOCKWICK_EDGE_RELAY_CLIENT_H_
+#define HEMLOCKWICK_EDGE_RELAY_CLIENT_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "Core/net_address.h"
+#include "Edge/directory_sync.h"
+#include "Edge/http_connection.h"
+#include "Runtime/system_clock.h"
+
+namespace hemlockwick {
+
+// Calls an instance that relays the directory. One call at a time.
+class RelayClient {
+ public:
+  // Called once for each call, on the thread of the I/O context; `error` says
+  // why there is no answer.
+  using OnAnswer = std::function<void(SyncAnswer, std::string error)>;
+
+  // The clock must outlive the client.
+  RelayClient(boost::asio::io_context& context, const SocketAddress& address,
+              const SystemClock& clock);
+
+  // `routes` are those that the caller holds; null when it holds none.
+  void Call(const SyncCall& call, std::shared_ptr<const RouteSet> routes,
+            OnAnswer on_answer);
+
+ private:
+  auto Decode(const HttpAnswer& answer, const RouteSet* routes,
+              std::string& error) const -> SyncAnswer;
+
+  HttpConnection connection_;
+  const SystemClock& clock_;
+};
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_EDGE_RELAY_CLIENT_H_
--- /dev/null
+++ b/Source/Edge/relay_codec.cc
@@ -0,0 +1,258 @@
+#include "Edge/relay_codec.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <unordered_map>
+#include <utility>
+
+namespace hemlockwick {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::string_view kPath = "/directory";
+
+// Longest time for which a relay holds a call.
+constexpr std::int64_t kMaxWaitMillis = 30'000;
+
+auto MillisOf(Duration time) -> std::int64_t {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
+auto EncodeReport(const EndpointReport& report, TimePoint now) -> Json {
+  const auto cold = std::max(report.cold_until - now, Duration(0));
+  return Json::array({report.id.value(), report.service.value(),
+                      report.address.ip.value(), report.address.port.value(),
+                      report.data_centre.value(), report.slots,
+                      report.draining, MillisOf(cold)});
+}
+
+auto DecodeReport(const Json& item, TimePoint now) -> EndpointReport {
+  auto report = EndpointReport();
+  report.id = EndpointId(item.at(0).get<std::uint64_t>());
+  report.service = ServiceId(item.at(1).get<std::uint64_t>());
+  report.address = {Ipv4Address(item.at(2).get<std::uint32_t>()),
+                    Port(item.at(3).get<std::uint16_t>())};
+  report.data_centre = DataCentreId(item.at(4).get<std::uint64_t>());
+  report.slots = item.at(5).get<std::uint32_t>();
+  report.draining = item.at(6).get<bool>();
+  const auto cold = item.at(7).get<std::int64_t>();
+  if (cold > 0) {
+    report.cold_until = now + std::chrono::milliseconds(cold);
+  }
+  return report;
+}
+
+auto EncodeRoute(const Route& route) -> Json {
+  auto item = Json::array(
+      {route.address.ip.value(), route.address.port.value()});
+  for (const auto& target : route.targets) {
+    item.push_back(target.service.value());
+    item.push_back(target.weight);
+  }
+  return item;
+}
+
+auto DecodeRoute(const Json& item) -> Route {
+  auto route = Route();
+  route.address = {Ipv4Address(item.at(0).get<std::uint32_t>()),
+                   Port(item.at(1).get<std::uint16_t>())};
+  for (auto index = std::size_t{2}; index + 1 < item.size(); index += 2) {
+    route.targets.push_back({ServiceId(item.at(index).get<std::uint64_t>()),
+                             item.at(index + 1).get<std::uint32_t>()});
+  }
+  return route;
+}
+
+using RoutesByAddress = std::unordered_map<SocketAddress, const Route*>;
+
+auto ByAddress(const RouteSet& routes) -> RoutesByAddress {
+  auto result = RoutesByAddress();
+  for (const auto& route : routes.routes) {
+    result.emplace(route.address, &route);
+  }
+  return result;
+}
+
+auto EncodeRoutes(const RouteSet& routes, const RouteSet* base) -> Json {
+  auto known = base == nullptr ? RoutesByAddress() : ByAddress(*base);
+  auto put = Json::array();
+  for (const auto& route : routes.routes) {
+    const auto found = known.find(route.address);
+    if (found == known.end() || found->second->targets != route.targets) {
+      put.push_back(EncodeRoute(route));
+    }
+    if (found != known.end()) {
+      known.erase(found);
+    }
+  }
+  auto removed = Json::array();
+  for (const auto& [address, route] : known) {
+    removed.push_back(Json::array({address.ip.value(), address.port.value()}));
+  }
+  auto result = Json{{"version", routes.version.value()},
+                     {"put", std::move(put)},
+                     {"removed", std::move(removed)}};
+  if (base != nullptr) {
+    result["base"] = base->version.value();
+  }
+  return result;
+}
+
+// Throws a Json exception when the message is malformed or builds on routes
+// that the receiver does not hold.
+auto DecodeRoutes(const Json& message, const RouteSet* base)
+    -> std::shared_ptr<const RouteSet> {
+  auto result = std::make_shared<RouteSet>();
+  result->version = Version(message.at("version").get<std::uint64_t>());
+  auto changed = std::unordered_map<SocketAddress, bool>();
+  for (const auto& item : message.at("put")) {
+    result->routes.push_back(DecodeRoute(item));
+    changed.emplace(result->routes.back().address, true);
+  }
+  for (const auto& item : message.at("removed")) {
+    changed.emplace(SocketAddress{Ipv4Address(item.at(0).get<std::uint32_t>()),
+                                  Port(item.at(1).get<std::uint16_t>())},
+                    true);
+  }
+  if (!message.contains("base")) {
+    return result;
+  }
+  const auto version = Version(message.at("base").get<std::uint64_t>());
+  if (base == nullptr || base->version != version) {
+    throw Json::other_error::create(501, "the base is not held", &message);
+  }
+  for (const auto& route : base->routes) {
+    if (!changed.contains(route.address)) {
+      result->routes.push_back(route);
+    }
+  }
+  return result;
+}
+
+template <typename Ids>
+auto EncodeIds(const Ids& ids) -> Json {
+  auto result = Json::array();
+  for (const auto id : ids) {
+    result.push_back(id.value());
+  }
+  return result;
+}
+
+auto DecodeIds(const Json& items) -> std::vector<EndpointId> {
+  auto result = std::vector<EndpointId>();
+  for (const auto& item : items) {
+    result.emplace_back(item.get<std::uint64_t>());
+  }
+  return result;
+}
+
+auto DecodeMessage(const Json& message, const RouteSet* base, TimePoint now)
+    -> SyncAnswer {
+  auto answer = SyncAnswer{SyncStatus::kOk, {}, {}, {}};
+  answer.age = std::chrono::milliseconds(message.at("age_ms").get<int>());
+  if (message.contains("outage_ms")) {
+    answer.since_outage = std::chrono::milliseconds(
+        message.at("outage_ms").get<std::int64_t>());
+  }
+  auto& update = answer.update;
+  update.is_whole = message.at("whole").get<bool>();
+  update.revision = Revision(message.at("revision").get<std::uint64_t>());
+  for (const auto& item : message.at("endpoints")) {
+    update.reports.push_back(DecodeReport(item, now));
+  }
+  update.removed = DecodeIds(message.at("removed"));
+  update.unreadable = DecodeIds(message.at("unreadable"));
+  if (message.contains("routes")) {
+    update.routes = DecodeRoutes(message.at("routes"), base);
+  }
+  return answer;
+}
+
+auto ParseNumber(std::string_view text) -> std::optional<std::uint64_t> {
+  auto value = std::uint64_t{0};
+  const auto* const end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, value);
+  const auto is_whole = parsed.ec == std::errc() && parsed.ptr == end;
+  return is_whole ? std::optional(value) : std::nullopt;
+}
+
+}  // namespace
+
+auto EncodeUpdate(const DirectoryUpdate& update, const RelayState& state,
+                  const RouteSet* base, TimePoint now) -> std::string {
+  auto endpoints = Json::array();
+  for (const auto& report : update.reports) {
+    endpoints.push_back(EncodeReport(report, now));
+  }
+  auto message = Json{{"revision", update.revision.value()},
+                      {"whole", update.is_whole},
+                      {"age_ms", MillisOf(state.age)},
+                      {"endpoints", std::move(endpoints)},
+                      {"removed", EncodeIds(update.removed)},
+                      {"unreadable", EncodeIds(update.unreadable)}};
+  if (state.since_outage) {
+    message["outage_ms"] = MillisOf(*state.since_outage);
+  }
+  if (update.routes != nullptr) {
+    message["routes"] = EncodeRoutes(*update.routes, base);
+  }
+  auto body = std::string();
+  Json::to_cbor(message, body);
+  return body;
+}
+
+auto DecodeUpdate(std::string_view body, const RouteSet* base, TimePoint now)
+    -> Result<SyncAnswer> {
+  try {
+    return DecodeMessage(Json::from_cbor(body), base, now);
+  } catch (const Json::exception& error) {
+    return Fail(ErrorCode::kInvalidArgument,
+                std::string("not a relay's answer: ") + error.what(),
+                "run the same version on all instances");
+  }
+}
+
+auto FormatQuery(const RelayQuery& query) -> std::string {
+  auto target = std::string(kPath) +
+                "?version=" + std::to_string(query.version.value()) +
+                "&wait=" + std::to_string(MillisOf(query.wait));
+  if (query.after) {
+    target += "&after=" + std::to_string(query.after->value());
+  }
+  return target;
+}
+
+auto ParseQuery(std::string_view target) -> std::optional<RelayQuery> {
+  const auto mark = target.find('?');
+  if (mark == std::string_view::npos || target.substr(0, mark) != kPath) {
+    return std::nullopt;
+  }
+  auto query = RelayQuery();
+  auto rest = target.substr(mark + 1);
+  while (!rest.empty()) {
+    const auto end = std::min(rest.find('&'), rest.size());
+    const auto field = rest.substr(0, end);
+    rest.remove_prefix(std::min(end + 1, rest.size()));
+    const auto equals = std::min(field.find('='), field.size());
+    const auto name = field.substr(0, equals);
+    const auto value =
+        ParseNumber(field.substr(std::min(equals + 1, field.size())));
+    if (!value) {
+      return std::nullopt;
+    }
+    if (name == "after") {
+      query.after = Revision(*value);
+    } else if (name == "version") {
+      query.version = Version(*value);
+    } else if (name == "wait") {
+      query.wait = std::chrono::milliseconds(
+          std::min<std::int64_t>(static_cast<std::int64_t>(*value & INT64_MAX),
+                                 kMaxWaitMillis));
+    }
+  }
+  return query;
+}
+
+}  // namespace hemlockwick
--- /dev/null
+++ b/Source/Edge/relay_codec.h
@@ -0,0 +1,50 @@
+#ifndef HEMLOCKWICK_EDGE_RELAY_CODEC_H_
+#define HEMLOCKWICK_EDGE_RELAY_CODEC_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "Core/error.h"
+#include "Core/time.h"
+#include "Edge/directory_sync.h"
+
+namespace hemlockwick {
+
+// Messages between edge processes: a relay passes directory updates on, as
+// CBOR over HTTP.
+
+// What a relay says of itself beside an update.
+struct RelayState {
+  Duration age{0};  // Since the platform's last answer.
+  std::optional<Duration> since_outage;
+};
+
+// Encodes an update. Routes are sent as the difference to `base`, the routes
+// that the receiver holds, unless that is null.
+[[nodiscard]] auto EncodeUpdate(const DirectoryUpdate& update,
+                                const RelayState& state, const RouteSet* base,
+                                TimePoint now) -> std::string;
+
+// Decodes an update for a receiver that holds the routes `base`, which may be
+// null. Fails with kInvalidArgument.
+[[nodiscard]] auto DecodeUpdate(std::string_view body, const RouteSet* base,
+                                TimePoint now) -> Result<SyncAnswer>;
+
+// A call to a relay, as its path and query.
+struct RelayQuery {
+  std::optional<Revision> after;  // Nothing: everything.
+  Version version;                // Of the routes that the caller holds.
+  Duration wait{0};
+};
+
+[[nodiscard]] auto FormatQuery(const RelayQuery& query) -> std::string;
+
+// Nothing when `target` is not such a call.
+[[nodiscard]] auto ParseQuery(std::string_view target)
+    -> std::optional<RelayQuery>;
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_EDGE_RELAY_CODEC_H_
--- /dev/null
+++ b/Source/Edge/relay_server.h
@@ -0,0 +1,65 @@
+#ifndef HEMLOCKWICK_EDGE_RELAY_SERVER_H_
+#define HEMLOCKWICK_EDGE_RELAY_SERVER_H_
+
+#include <cstddef>
+#include <functional>
+#include <list>
+#include <map>
+#include <string>
+#include <utility>
+
+#include "Core/time.h"
+#include "Edge/directory_history.h"
+#include "Edge/http_listener.h"
+#include "Edge/relay_codec.h"
+
+namespace hemlockwick {
+
+// Passes the directory on to instances that watch it here. Runs on the control
+// thread.
+class RelayServer {
+ public:
+  // Says how fresh the directory of this instance is.
+  using StateNow = std::function<RelayState(TimePoint now)>;
+
+  explicit RelayServer(StateNow state);
+
+  // Takes an update that this instance has received, and answers the calls
+  // that wait for it.
+  void Add(const DirectoryUpdate& update, TimePoint now);
+
+  // Answers a call, now or when there is a change or its time is over.
+  void Serve(const RelayQuery& query, HttpListener::Reply reply,
+             TimePoint now);
+
+  // Answers the calls whose time is over.
+  void OnTick(TimePoint now);
+
+  [[nodiscard]] auto waiting() const -> std::size_t { return waiting_.size(); }
+
+ private:
+  struct Waiting {
+    RelayQuery query;
+    TimePoint until;
+    HttpListener::Reply reply;
+  };
+  // Answers with the same content are encoded once.
+  using EncodedKey = std::pair<Revision, Version>;
+  using Encoded = std::map<EncodedKey, std::string>;
+
+  void AnswerAll(TimePoint now);
+  [[nodiscard]] auto AnswerTo(const RelayQuery& query, Encoded& encoded,
+                              TimePoint now) const -> HttpReply;
+  [[nodiscard]] auto Encode(const DirectoryUpdate& update,
+                            const RelayQuery& query, TimePoint now) const
+      -> HttpReply;
+
+  const StateNow state_;
+  DirectoryHistory history_;
+  bool has_directory_ = false;
+  std::list<Waiting> waiting_;
+};
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_EDGE_RELAY_SERVER_H_
--- a/Source/Flow/endpoint_directory.cc
+++ b/Source/Flow/endpoint_directory.cc
@@ -32,8 +32,8 @@
       takers_[endpoint.report.service].push_back(index);
     }
   }
-  for (const auto& endpoint : departed_) {
-    departed_index_.emplace(endpoint.token, endpoint.since);
+  for (auto index = std::uint32_t{0}; index < departed_.size(); ++index) {
+    departed_by_token_.emplace(departed_[index].token, index);
   }
   if (routes_ != nullptr) {
     for (const auto& route : routes_->routes) {
@@ -48,6 +48,13 @@
   return found == by_token_.end() ? nullptr : &endpoints_[found->second];
 }
 
+auto DirectorySnapshot::FindDeparted(FlowToken token) const
+    -> const DepartedEndpoint* {
+  const auto found = departed_by_token_.find(token);
+  return found == departed_by_token_.end() ? nullptr
+                                           : &departed_[found->second];
+}
+
 auto DirectorySnapshot::FindRoute(const SocketAddress& address) const
     -> const Route* {
   const auto found = by_address_.find(address);
@@ -152,14 +159,12 @@
   return true;
 }
 
-void EndpointDirectory::OnPlatformLost(TimePoint /*now*/) {
-  platform_lost_ = true;
-}
+void EndpointDirectory::OnPlatformLost() { platform_lost_ = true; }
 
-void EndpointDirectory::OnPlatformBack(TimePoint now) {
+void EndpointDirectory::OnPlatformBack(TimePoint end) {
   platform_lost_ = false;
+  outage_end_ = std::max(outage_end_, end);
   had_outage_ = true;
-  outage_end_ = now;
 }
 
 auto EndpointDirectory::MayStillReturn(const Entry& entry, TimePoint now) const
@@ -178,7 +183,7 @@
       ++entry;
       continue;
     }
-    departed_.push_back({TokenOf(entry->first), now});
+    departed_.push_back({entry->second.report, TokenOf(entry->first), now});
     Note(DirectoryEvent::Kind::kEndpointDeparted, entry->first);
     entry = entries_.erase(entry);
   }
--- a/Source/Flow/endpoint_directory.h
+++ b/Source/Flow/endpoint_directory.h
@@ -35,6 +35,9 @@
 struct RouteTarget {
   ServiceId service;
   std::uint32_t weight = 1;
+
+  friend auto operator==(const RouteTarget&, const RouteTarget&)
+      -> bool = default;
 };
 
 // A service address and where its new flows go.
@@ -56,8 +59,10 @@
   bool takes_new = false;
 };
 
-// An endpoint that has left for certain.
+// An endpoint that the platform has given up, with its last report. One that
+// had not announced its leaving may still be alive, cut off from the platform.
 struct DepartedEndpoint {
+  EndpointReport report;
   FlowToken token;
   TimePoint since;
 };
@@ -73,9 +78,9 @@
   // The endpoint that a token names; null when it is not known.
   [[nodiscard]] auto Find(FlowToken token) const -> const DirectoryEndpoint*;
 
-  [[nodiscard]] auto IsDeparted(FlowToken token) const -> bool {
-    return departed_index_.contains(token);
-  }
+  // The departed endpoint that a token names; null when there is none.
+  [[nodiscard]] auto FindDeparted(FlowToken token) const
+      -> const DepartedEndpoint*;
 
   [[nodiscard]] auto FindRoute(const SocketAddress& address) const
       -> const Route*;
@@ -103,7 +108,7 @@
   std::uint64_t sequence_;
   TimePoint made_at_;
   std::unordered_map<FlowToken, std::uint32_t> by_token_;
-  std::unordered_map<FlowToken, TimePoint> departed_index_;
+  std::unordered_map<FlowToken, std::uint32_t> departed_by_token_;
   std::unordered_map<SocketAddress, const Route*> by_address_;
   std::unordered_map<ServiceId, std::vector<std::uint32_t>> takers_;
 };
@@ -155,8 +160,10 @@
   // Returns whether it was taken.
   auto Publish(std::shared_ptr<const RouteSet> routes) -> bool;
 
-  void OnPlatformLost(TimePoint now);
-  void OnPlatformBack(TimePoint now);
+  void OnPlatformLost();
+
+  // Notes that an outage, however short, ended at `end`.
+  void OnPlatformBack(TimePoint end);
 
   // Moves missing endpoints whose time to return has passed to the departed
   // ones.
@@ -169,6 +176,11 @@
   [[nodiscard]] auto TakeSnapshot(TimePoint now)
       -> std::shared_ptr<const DirectorySnapshot>;
 
+  // The routes in force; null before the first ones.
+  [[nodiscard]] auto routes() const -> const std::shared_ptr<const RouteSet>& {
+    return routes_;
+  }
+
   // Events since the last call.
   [[nodiscard]] auto TakeEvents() -> std::vector<DirectoryEvent>;
 
--- a/Source/Flow/token_router.cc
+++ b/Source/Flow/token_router.cc
@@ -16,6 +16,9 @@
 // A flow that waits this long for a silent endpoint is reset.
 constexpr Duration kResetWait = std::chrono::milliseconds(100);
 
+// An endpoint that answered this recently is alive, whatever the platform says.
+constexpr Duration kAliveTime = std::chrono::seconds(1);
+
 // A longer pause between two ticks means that this process was suspended, and
 // that replies may have passed unseen.
 constexpr Duration kLongestTick = std::chrono::milliseconds(400);
@@ -98,12 +101,13 @@
   const auto previous = std::exchange(directory_, std::move(directory));
   auto resets = std::vector<ResetFlow>();
   for (const auto& departed : directory_->departed()) {
-    if (previous != nullptr && previous->IsDeparted(departed.token)) {
+    const auto was_departed =
+        previous != nullptr && previous->FindDeparted(departed.token) != nullptr;
+    if (was_departed || !IsGone(departed, now)) {
       continue;
     }
     auto ended = ResetTracked(departed.token, ResetReason::kDeparted, now);
     resets.insert(resets.end(), ended.begin(), ended.end());
-    loads_.erase(departed.token);
   }
   std::erase_if(unknown_since_, [this](const auto& unknown) {
     return directory_->Find(unknown.first) != nullptr;
@@ -158,19 +162,28 @@
 
 auto TokenRouter::Continue(const TokenPacket& packet, TimePoint now)
     -> TokenAction {
-  const auto* const endpoint = directory_->Find(packet.token);
-  if (endpoint == nullptr) {
-    return Unroutable(packet, now);
+  if (const auto* const endpoint = directory_->Find(packet.token)) {
+    return Forward(packet, endpoint->report, now);
+  }
+  if (const auto* const departed = directory_->FindDeparted(packet.token)) {
+    return ToDeparted(packet, *departed, now);
   }
+  return ToUnknown(packet, now);
+}
+
+auto TokenRouter::Forward(const TokenPacket& packet,
+                          const EndpointReport& endpoint, TimePoint now)
+    -> TokenAction {
+  const auto forward =
+      ForwardWithToken{endpoint.id, endpoint.address, packet.token};
   auto& flow = Track(packet, now);
-  if (flow.established && !flow.closed && flow.token != packet.token) {
+  if (flow.closed) {
+    return forward;
+  }
+  if (flow.established && flow.token != packet.token) {
     AddNote({RouterNote::Kind::kTokenChanged, packet.caller, packet.service,
              packet.token, 0, 0, 0, Duration(0), ""});
   }
-  if (flow.closed) {
-    return ForwardWithToken{endpoint->report.id, endpoint->report.address,
-                            packet.token};
-  }
   SetToken(flow, packet.token, now);
   NotePacket(flow, packet, now);
   const auto& signs = LoadOf(packet.token, now).signs;
@@ -181,18 +194,38 @@
     Release(flow);
     flow.closed = true;
   }
-  return ForwardWithToken{endpoint->report.id, endpoint->report.address,
-                          packet.token};
+  return forward;
 }
 
-// Decides a packet whose endpoint is not in the directory.
-auto TokenRouter::Unroutable(const TokenPacket& packet, TimePoint now)
+// Whether a departed endpoint has ended. One that left without notice may be
+// cut off from the platform only and still serve its flows.
+auto TokenRouter::IsGone(const DepartedEndpoint& endpoint, TimePoint now) const
+    -> bool {
+  if (endpoint.report.draining) {
+    return true;
+  }
+  const auto load = loads_.find(endpoint.token);
+  return load == loads_.end() ||
+         now - load->second.signs.last_alive() >= kAliveTime;
+}
+
+auto TokenRouter::ToDeparted(const TokenPacket& packet,
+                             const DepartedEndpoint& endpoint, TimePoint now)
     -> TokenAction {
   if (packet.resets) {
     return Drop(packet, DropReason::kUnknownEndpoint);
   }
-  if (directory_->IsDeparted(packet.token)) {
-    return Reset(packet, ResetReason::kDeparted, Duration(0));
+  if (!IsGone(endpoint, now)) {
+    return Forward(packet, endpoint.report, now);
+  }
+  return Reset(packet, ResetReason::kDeparted, now - endpoint.since);
+}
+
+// Decides a packet whose endpoint this instance has never heard of.
+auto TokenRouter::ToUnknown(const TokenPacket& packet, TimePoint now)
+    -> TokenAction {
+  if (packet.resets) {
+    return Drop(packet, DropReason::kUnknownEndpoint);
   }
   if (unknown_since_.size() >= kMaxUnknownTokens) {
     unknown_since_.clear();
@@ -353,6 +386,12 @@
       Forget(flow);
     }
   });
+  std::erase_if(loads_, [this](const auto& entry) {
+    const auto& [token, load] = entry;
+    return load.open_flows == 0 && directory_ != nullptr &&
+           directory_->Find(token) == nullptr &&
+           directory_->FindDeparted(token) == nullptr;
+  });
 }
 
 void TokenRouter::NoteAlive(FlowToken token, TimePoint now) {
--- a/Source/Flow/token_router.h
+++ b/Source/Flow/token_router.h
@@ -156,7 +156,13 @@
   auto Open(const TokenPacket& packet, const Route& route, TimePoint now)
       -> TokenAction;
   auto Continue(const TokenPacket& packet, TimePoint now) -> TokenAction;
-  auto Unroutable(const TokenPacket& packet, TimePoint now) -> TokenAction;
+  auto ToDeparted(const TokenPacket& packet, const DepartedEndpoint& endpoint,
+                  TimePoint now) -> TokenAction;
+  auto ToUnknown(const TokenPacket& packet, TimePoint now) -> TokenAction;
+  auto Forward(const TokenPacket& packet, const EndpointReport& endpoint,
+               TimePoint now) -> TokenAction;
+  [[nodiscard]] auto IsGone(const DepartedEndpoint& endpoint,
+                            TimePoint now) const -> bool;
   auto Reset(const TokenPacket& packet, ResetReason reason, Duration age)
       -> TokenAction;
   auto Drop(const TokenPacket& packet, DropReason reason) -> TokenAction;
--- a/Source/Runtime/settings.cc
+++ b/Source/Runtime/settings.cc
@@ -235,6 +235,7 @@
        [this](const auto& node) { Address(node, settings_.platform); }},
       {"metrics",
        [this](const auto& node) { Address(node, settings_.metrics); }},
+      {"relay", [this](const auto& node) { Address(node, settings_.relay); }},
       {"seeds", [this](const auto& node) { Seeds(node); }},
       {"traffic_threads", [this](const auto& node) { Threads(node); }},
       {"log_level", [this](const auto& node) { Level(node); }},
--- a/Source/Runtime/settings.h
+++ b/Source/Runtime/settings.h
@@ -25,6 +25,8 @@
   // Where metrics are served too; port 0: only at `http`.
   SocketAddress metrics;
   std::vector<SocketAddress> seeds;
+  // Where an edge process relays its directory, as the seeds name it.
+  SocketAddress relay;
   std::size_t traffic_threads = 1;
   LogLevel log_level = LogLevel::kInfo;
   // After a stop signal: shortest time in which packets are still forwarded,
