Edge: Write one line for the first directory and gather the others

Cause: a start on an instance with 0.038 cores took 0.30 s from 'starting' to 'serving' (0.03 s with 0.5 cores): 150 lines of added endpoints, each with a poll and a write.

Change: the first directory is one line; lines of level info are gathered for up to a tick of 200 ms; warnings are still written at once.

--- a/Source/Edge/directory_keeper.cc
+++ b/Source/Edge/directory_keeper.cc
@@ -112,14 +112,27 @@
   return state;
 }
 
-void DirectoryKeeper::Publish(TimePoint now) {
-  for (const auto& event : directory_.TakeEvents()) {
+// What the first directory holds is one line; its changes are one line each.
+void DirectoryKeeper::LogEvents() {
+  const auto events = directory_.TakeEvents();
+  if (snapshots_.generation() == 0) {
+    LogSoon(LogLevel::kInfo, "directory_read",
+            {{"endpoints", std::to_string(directory_.size())},
+             {"version", std::to_string(directory_.routes()->version.value())},
+             {"revision", std::to_string(sync_.revision().value())}});
+    return;
+  }
+  for (const auto& event : events) {
     LogDirectoryEvent(event);
   }
+}
+
+void DirectoryKeeper::Publish(TimePoint now) {
   // Packets wait in the socket until there is something to decide by.
   if (!directory_.IsUsable()) {
     return;
   }
+  LogEvents();
   auto snapshot = directory_.TakeSnapshot(now);
   if (snapshot != nullptr) {
     metrics_.SetDirectory(snapshot->version(), snapshot->endpoints().size());
--- a/Source/Edge/directory_keeper.h
+++ b/Source/Edge/directory_keeper.h
@@ -54,6 +54,7 @@
   void NoteOutage(const SyncAnswer& answer, TimePoint called_at, TimePoint now);
   void LogConnection(const SyncAnswer& answer, const std::string& error);
   [[nodiscard]] auto RelayStateAt(TimePoint now) const -> RelayState;
+  void LogEvents();
   void Publish(TimePoint now);
 
   EdgeMetrics& metrics_;
--- a/Source/Edge/directory_sync.cc
+++ b/Source/Edge/directory_sync.cc
@@ -55,8 +55,7 @@
 
 DirectorySync::DirectorySync(const SyncSettings& settings, TimePoint now)
     : settings_(settings), random_(settings.seed), last_fresh_(now) {
-  const auto first =
-      settings.relays == 0 ? 0 : random_.Below(settings.relays);
+  const auto first = settings.relays == 0 ? 0 : random_.Below(settings.relays);
   for (auto offset = std::size_t{0}; offset < settings.relays; ++offset) {
     relays_.push_back({(first + offset) % settings.relays, now, 0});
   }
@@ -92,8 +91,8 @@
     upstream.retry_at = now + Jitter(kRelayBackoff);
   }
   // A relay has gathered already.
-  const auto is_gathering = !upstream.relay && !answer.update.is_whole &&
-                            answer.update.has_changes();
+  const auto is_gathering =
+      !upstream.relay && !answer.update.is_whole && answer.update.has_changes();
   Schedule(is_gathering ? now + kGatherTime : now, now);
 }
 
@@ -153,8 +152,7 @@
       order, {}, [](const auto* upstream) { return upstream->retry_at; });
 }
 
-auto DirectorySync::Find(const std::optional<std::size_t>& relay)
-    -> Upstream& {
+auto DirectorySync::Find(const std::optional<std::size_t>& relay) -> Upstream& {
   if (!relay) {
     return platform_;
   }
--- a/Source/Edge/directory_sync.h
+++ b/Source/Edge/directory_sync.h
@@ -74,6 +74,9 @@
   // Whether nobody has given an up-to-date answer for some time.
   [[nodiscard]] auto is_lost() const -> bool { return is_lost_; }
 
+  // Up to where the directory is known.
+  [[nodiscard]] auto revision() const -> Revision { return revision_; }
+
   // When the platform was last known to be in touch, directly or through a
   // relay.
   [[nodiscard]] auto last_fresh() const -> TimePoint { return last_fresh_; }
--- a/Source/Edge/relay_client.cc
+++ b/Source/Edge/relay_client.cc
@@ -26,14 +26,13 @@
   }
   query.version = routes == nullptr ? Version() : routes->version;
   query.wait = call.wait;
-  connection_.Get(
-      FormatQuery(query), call.timeout,
-      [this, routes = std::move(routes),
-       on_answer = std::move(on_answer)](const HttpAnswer& answer) {
-        auto error = std::string();
-        auto decoded = Decode(answer, routes.get(), error);
-        on_answer(std::move(decoded), std::move(error));
-      });
+  connection_.Get(FormatQuery(query), call.timeout,
+                  [this, routes = std::move(routes),
+                   on_answer = std::move(on_answer)](const HttpAnswer& answer) {
+                    auto error = std::string();
+                    auto decoded = Decode(answer, routes.get(), error);
+                    on_answer(std::move(decoded), std::move(error));
+                  });
 }
 
 auto RelayClient::Decode(const HttpAnswer& answer, const RouteSet* routes,
--- a/Source/Edge/relay_codec.cc
+++ b/Source/Edge/relay_codec.cc
@@ -24,8 +24,8 @@
   const auto cold = std::max(report.cold_until - now, Duration(0));
   return Json::array({report.id.value(), report.service.value(),
                       report.address.ip.value(), report.address.port.value(),
-                      report.data_centre.value(), report.slots,
-                      report.draining, MillisOf(cold)});
+                      report.data_centre.value(), report.slots, report.draining,
+                      MillisOf(cold)});
 }
 
 auto DecodeReport(const Json& item, TimePoint now) -> EndpointReport {
@@ -45,8 +45,8 @@
 }
 
 auto EncodeRoute(const Route& route) -> Json {
-  auto item = Json::array(
-      {route.address.ip.value(), route.address.port.value()});
+  auto item =
+      Json::array({route.address.ip.value(), route.address.port.value()});
   for (const auto& target : route.targets) {
     item.push_back(target.service.value());
     item.push_back(target.weight);
@@ -153,8 +153,8 @@
   auto answer = SyncAnswer{SyncStatus::kOk, {}, {}, {}};
   answer.age = std::chrono::milliseconds(message.at("age_ms").get<int>());
   if (message.contains("outage_ms")) {
-    answer.since_outage = std::chrono::milliseconds(
-        message.at("outage_ms").get<std::int64_t>());
+    answer.since_outage =
+        std::chrono::milliseconds(message.at("outage_ms").get<std::int64_t>());
   }
   auto& update = answer.update;
   update.is_whole = message.at("whole").get<bool>();
@@ -247,9 +247,8 @@
     } else if (name == "version") {
       query.version = Version(*value);
     } else if (name == "wait") {
-      query.wait = std::chrono::milliseconds(
-          std::min<std::int64_t>(static_cast<std::int64_t>(*value & INT64_MAX),
-                                 kMaxWaitMillis));
+      query.wait = std::chrono::milliseconds(std::min<std::int64_t>(
+          static_cast<std::int64_t>(*value & INT64_MAX), kMaxWaitMillis));
     }
   }
   return query;
--- a/Source/Edge/relay_server.h
+++ b/Source/Edge/relay_server.h
@@ -29,8 +29,7 @@
   void Add(const DirectoryUpdate& update, TimePoint now);
 
   // Answers a call, now or when there is a change or its time is over.
-  void Serve(const RelayQuery& query, HttpListener::Reply reply,
-             TimePoint now);
+  void Serve(const RelayQuery& query, HttpListener::Reply reply, TimePoint now);
 
   // Answers the calls whose time is over.
   void OnTick(TimePoint now);
--- a/Source/Edge/router_log.cc
+++ b/Source/Edge/router_log.cc
@@ -75,18 +75,18 @@
   if (IsAboutFlow(note.kind)) {
     LogDecision(ToString(note.kind), fields, now);
   } else {
-    Log(LogLevel::kInfo, ToString(note.kind), fields);
+    LogSoon(LogLevel::kInfo, ToString(note.kind), fields);
   }
 }
 
 void LogDirectoryEvent(const DirectoryEvent& event) {
   if (event.kind == DirectoryEvent::Kind::kRoutesInForce) {
-    Log(LogLevel::kInfo, ToString(event.kind),
-        {{"version", std::to_string(event.version.value())}});
+    LogSoon(LogLevel::kInfo, ToString(event.kind),
+            {{"version", std::to_string(event.version.value())}});
     return;
   }
-  Log(LogLevel::kInfo, ToString(event.kind),
-      {{"endpoint", HexOf(event.endpoint.value())}});
+  LogSoon(LogLevel::kInfo, ToString(event.kind),
+          {{"endpoint", HexOf(event.endpoint.value())}});
 }
 
 }  // namespace hemlockwick
--- a/Source/Flow/endpoint_directory.h
+++ b/Source/Flow/endpoint_directory.h
@@ -176,6 +176,8 @@
   [[nodiscard]] auto TakeSnapshot(TimePoint now)
       -> std::shared_ptr<const DirectorySnapshot>;
 
+  [[nodiscard]] auto size() const -> std::size_t { return entries_.size(); }
+
   // The routes in force; null before the first ones.
   [[nodiscard]] auto routes() const -> const std::shared_ptr<const RouteSet>& {
     return routes_;
--- a/Source/Flow/endpoint_signs.cc
+++ b/Source/Flow/endpoint_signs.cc
@@ -61,8 +61,8 @@
   if (repeated_openings_ + repeated_data_ < kRepeatsToSilence) {
     return false;
   }
-  const auto needed = openings_ + repeated_openings_ > 0 ? kSilenceWithOpening
-                                                         : kSilenceOfData;
+  const auto needed =
+      openings_ + repeated_openings_ > 0 ? kSilenceWithOpening : kSilenceOfData;
   return now - last_alive_ >= needed;
 }
 
--- a/Source/Flow/token_router.cc
+++ b/Source/Flow/token_router.cc
@@ -101,8 +101,8 @@
   const auto previous = std::exchange(directory_, std::move(directory));
   auto resets = std::vector<ResetFlow>();
   for (const auto& departed : directory_->departed()) {
-    const auto was_departed =
-        previous != nullptr && previous->FindDeparted(departed.token) != nullptr;
+    const auto was_departed = previous != nullptr &&
+                              previous->FindDeparted(departed.token) != nullptr;
     if (was_departed || !IsGone(departed, now)) {
       continue;
     }
--- a/Source/Runtime/log.cc
+++ b/Source/Runtime/log.cc
@@ -100,12 +100,20 @@
 
 void Log(LogLevel level, std::string_view message,
          const std::map<std::string, std::string>& fields) {
+  LogSoon(level, message, fields);
+  FlushLog();
+}
+
+void LogSoon(LogLevel level, std::string_view message,
+             const std::map<std::string, std::string>& fields) {
   const auto& logger = TheLog().logger;
   if (logger == nullptr || !logger->should_log(ToSpdlog(level))) {
     return;
   }
   Write(*logger, level, message, fields);
-  logger->flush();
+  if (level >= LogLevel::kWarning) {
+    logger->flush();
+  }
 }
 
 void LogDecision(std::string_view message,
--- a/Source/Runtime/log.h
+++ b/Source/Runtime/log.h
@@ -22,6 +22,10 @@
 void Log(LogLevel level, std::string_view message,
          const std::map<std::string, std::string>& fields = {});
 
+// The same, but lines of level info are gathered until FlushLog.
+void LogSoon(LogLevel level, std::string_view message,
+             const std::map<std::string, std::string>& fields = {});
+
 // Writes one line about a decision, at level info. Such lines are gathered
 // until FlushLog and limited to kDecisionLinesPerSecond.
 void LogDecision(std::string_view message,
@@ -29,7 +33,7 @@
                  TimePoint now);
 inline constexpr std::uint32_t kDecisionLinesPerSecond = 200;
 
-// Writes the lines that LogDecision has gathered.
+// Writes the gathered lines.
 void FlushLog();
 
 // Lines that were not written: over the limit, or the reader was too slow.
