Tests: Cover the decisions of the edge process and the translation

Directory, passive health, placement, token router, directory calls, relay and the platform's packets and entries, each without a network. The patterns that placement and health answer are named at the tests: a quarter of a service falls dark, slow and cold endpoints, callers moving between data centres, entries that lapse in an outage, a process that wakes late.

Found while writing them: nothing that failed in the product; two tests were wrong at first (a pause before the first tick is none; a dark endpoint is avoided by its waiting work before it is suspect).

--- /dev/null
+++ b/Tests/Edge/directory_sync_test.cc
@@ -0,0 +1,176 @@
+#include "Edge/directory_sync.h"
+
+#include <criterion/criterion.h>
+
+namespace hemlockwick {
+namespace {
+
+constexpr TimePoint kStart{std::chrono::hours(500'000)};
+constexpr auto kMillisecond = std::chrono::milliseconds(1);
+constexpr auto kSecond = std::chrono::seconds(1);
+// A new version has to be in force everywhere this long after publication.
+constexpr Duration kInForce = std::chrono::seconds(3);
+
+auto Ok(std::uint64_t revision, Duration age = {}) -> SyncAnswer {
+  auto answer = SyncAnswer();
+  answer.status = SyncStatus::kOk;
+  answer.update.revision = Revision(revision);
+  answer.age = age;
+  return answer;
+}
+
+auto Whole(std::uint64_t revision) -> SyncAnswer {
+  auto answer = Ok(revision);
+  answer.update.is_whole = true;
+  return answer;
+}
+
+auto Failed(SyncStatus status = SyncStatus::kUnreachable) -> SyncAnswer {
+  auto answer = SyncAnswer();
+  answer.status = status;
+  return answer;
+}
+
+Test(directory_sync, starts_with_a_full_read_of_the_platform) {
+  const auto sync = DirectorySync({3, false, 1}, kStart);
+  cr_assert_eq(sync.next().kind, SyncCall::Kind::kReadAll);
+  cr_assert_not(sync.next().relay.has_value());
+}
+
+Test(directory_sync, relays_watch_the_platform_and_others_a_relay) {
+  auto relay = DirectorySync({2, true, 1}, kStart);
+  auto peer = DirectorySync({3, false, 1}, kStart);
+  relay.OnAnswer(Whole(10), kStart);
+  peer.OnAnswer(Whole(10), kStart);
+  cr_assert_not(relay.next().relay.has_value());
+  cr_assert(peer.next().relay.has_value());
+  cr_assert_eq(peer.next().kind, SyncCall::Kind::kWatch);
+  cr_assert_eq(peer.next().after.value(), 10U);
+}
+
+Test(directory_sync, watches_without_relays_when_there_are_none) {
+  auto sync = DirectorySync({0, false, 1}, kStart);
+  sync.OnAnswer(Whole(10), kStart);
+  cr_assert_not(sync.next().relay.has_value());
+  cr_assert_eq(sync.next().kind, SyncCall::Kind::kWatch);
+}
+
+Test(directory_sync, gathers_changes_of_the_platform) {
+  auto sync = DirectorySync({0, false, 1}, kStart);
+  sync.OnAnswer(Whole(10), kStart);
+  auto answer = Ok(11);
+  answer.update.removed.emplace_back(1);
+  sync.OnAnswer(answer, kStart);
+  cr_assert_gt(sync.next().at, kStart);
+  cr_assert_leq(sync.next().at, kStart + kSecond);
+}
+
+Test(directory_sync, goes_to_another_relay_when_one_fails) {
+  auto sync = DirectorySync({3, false, 1}, kStart);
+  sync.OnAnswer(Whole(10), kStart);
+  const auto first = sync.next().relay;
+  sync.OnAnswer(Failed(), kStart + kSecond);
+  cr_assert(sync.next().relay.has_value());
+  cr_assert_neq(sync.next().relay, first);
+  cr_assert_leq(sync.next().at, kStart + kSecond);
+}
+
+Test(directory_sync, goes_to_the_platform_when_all_relays_fail) {
+  auto sync = DirectorySync({3, false, 1}, kStart);
+  sync.OnAnswer(Whole(10), kStart);
+  for (auto relay = 0; relay < 3; ++relay) {
+    sync.OnAnswer(Failed(), kStart);
+  }
+  cr_assert_not(sync.next().relay.has_value());
+  cr_assert_leq(sync.next().at, kStart);
+}
+
+// A relay is cut off from the platform and does not know of new versions.
+Test(directory_sync, leaves_a_relay_that_has_lost_the_platform) {
+  auto sync = DirectorySync({1, false, 1}, kStart);
+  sync.OnAnswer(Whole(10), kStart);
+  cr_assert(sync.next().relay.has_value());
+  sync.OnAnswer(Ok(10, 4 * kSecond), kStart);
+  cr_assert_not(sync.next().relay.has_value());
+}
+
+// Relay dead and silent: the platform has to be read in time.
+Test(directory_sync, silent_relays_do_not_delay_a_version_beyond_its_bound) {
+  auto sync = DirectorySync({1, false, 1}, kStart);
+  sync.OnAnswer(Whole(10), kStart);
+  const auto noticed = kStart + sync.next().timeout;
+  sync.OnAnswer(Failed(), noticed);
+  cr_assert_not(sync.next().relay.has_value());
+  cr_assert_leq(sync.next().at - kStart, kInForce);
+}
+
+Test(directory_sync, reads_from_a_relay_when_the_platform_refuses_a_start) {
+  auto sync = DirectorySync({2, false, 1}, kStart);
+  sync.OnAnswer(Failed(SyncStatus::kRefused), kStart);
+  cr_assert_eq(sync.next().kind, SyncCall::Kind::kReadAll);
+  cr_assert(sync.next().relay.has_value());
+}
+
+Test(directory_sync, relay_asks_other_relays_when_the_platform_refuses_it) {
+  auto sync = DirectorySync({2, true, 1}, kStart);
+  sync.OnAnswer(Whole(10), kStart);
+  sync.OnAnswer(Failed(SyncStatus::kRefused), kStart);
+  cr_assert(sync.next().relay.has_value());
+}
+
+Test(directory_sync, reads_anew_when_history_is_lost) {
+  auto sync = DirectorySync({0, false, 1}, kStart);
+  sync.OnAnswer(Whole(10), kStart);
+  sync.OnAnswer(Failed(SyncStatus::kHistoryLost), kStart);
+  cr_assert_eq(sync.next().kind, SyncCall::Kind::kReadAll);
+  cr_assert_leq(sync.next().at, kStart);
+}
+
+Test(directory_sync, never_watches_from_an_older_revision) {
+  auto sync = DirectorySync({2, false, 1}, kStart);
+  sync.OnAnswer(Whole(10), kStart);
+  sync.OnAnswer(Ok(7), kStart);
+  cr_assert_eq(sync.next().after.value(), 10U);
+}
+
+Test(directory_sync, is_lost_without_an_answer_and_back_with_one) {
+  auto sync = DirectorySync({1, false, 1}, kStart);
+  auto now = kStart;
+  sync.OnAnswer(Whole(10), now);
+  while (now < kStart + 4 * kSecond) {
+    now = std::max(now, sync.next().at) + 100 * kMillisecond;
+    sync.OnAnswer(Failed(), now);
+  }
+  cr_assert(sync.is_lost());
+  sync.OnAnswer(Ok(10), now);
+  cr_assert_not(sync.is_lost());
+}
+
+// All calls are counted, refused ones too.
+Test(directory_sync, many_instances_call_a_lost_platform_rarely) {
+  constexpr auto kInstances = 74;
+  auto calls = 0;
+  for (auto instance = 0; instance < kInstances; ++instance) {
+    auto sync =
+        DirectorySync({3, false, static_cast<std::uint64_t>(instance)}, kStart);
+    auto now = kStart;
+    sync.OnAnswer(Whole(10), now);
+    while (now < kStart + 5 * kSecond) {
+      now = std::max(now, sync.next().at) + 5 * kMillisecond;
+      if (sync.next().relay) {
+        const auto since_start = now - kStart;
+        now += sync.next().wait;
+        sync.OnAnswer(Ok(10, since_start), now);
+      } else {
+        ++calls;
+        sync.OnAnswer(Failed(SyncStatus::kRefused), now);
+      }
+    }
+  }
+  // One call in two seconds and instance, for the 2.3 s beyond the time for
+  // which a relay counts as up to date, and as much again for jitter.
+  cr_assert_leq(calls, 2 * kInstances * 2);
+}
+
+}  // namespace
+}  // namespace hemlockwick
--- /dev/null
+++ b/Tests/Edge/relay_test.cc
@@ -0,0 +1,237 @@
+#include <criterion/criterion.h>
+
+#include "Edge/directory_history.h"
+#include "Edge/relay_codec.h"
+#include "Edge/relay_server.h"
+
+namespace hemlockwick {
+namespace {
+
+constexpr TimePoint kNow{std::chrono::hours(500'000)};
+constexpr auto kSecond = std::chrono::seconds(1);
+
+auto MakeReport(std::uint64_t id, bool draining = false) -> EndpointReport {
+  auto report = EndpointReport();
+  report.id = EndpointId(id);
+  report.service = ServiceId(7);
+  report.address = {Ipv4Address(0x0A000000 + static_cast<std::uint32_t>(id)),
+                    Port(8080)};
+  report.data_centre = DataCentreId(3);
+  report.slots = 2;
+  report.draining = draining;
+  return report;
+}
+
+auto MakeRoutes(std::uint64_t version, std::uint16_t first, std::uint16_t last)
+    -> std::shared_ptr<const RouteSet> {
+  auto routes = std::make_shared<RouteSet>();
+  routes->version = Version(version);
+  for (auto port = first; port <= last; ++port) {
+    routes->routes.push_back({{Ipv4Address(1), Port(port)},
+                              {{ServiceId(7), 90}, {ServiceId(8), 10}}});
+  }
+  return routes;
+}
+
+auto Whole(std::uint64_t revision) -> DirectoryUpdate {
+  auto update = DirectoryUpdate();
+  update.is_whole = true;
+  update.revision = Revision(revision);
+  update.reports = {MakeReport(1), MakeReport(2)};
+  update.routes = MakeRoutes(1, 1, 100);
+  return update;
+}
+
+auto Removal(std::uint64_t revision, std::uint64_t id) -> DirectoryUpdate {
+  auto update = DirectoryUpdate();
+  update.revision = Revision(revision);
+  update.removed = {EndpointId(id)};
+  return update;
+}
+
+auto Change(std::uint64_t revision, const EndpointReport& report)
+    -> DirectoryUpdate {
+  auto update = DirectoryUpdate();
+  update.revision = Revision(revision);
+  update.reports = {report};
+  return update;
+}
+
+auto Decoded(const std::string& body, const RouteSet* base) -> SyncAnswer {
+  return TryOr([&] { return DecodeUpdate(body, base, kNow); },
+               [](const Error&) { return SyncAnswer(); });
+}
+
+Test(directory_update, names_each_endpoint_once_with_its_latest_state) {
+  auto update = Change(5, MakeReport(1));
+  update.Append(Removal(6, 1));
+  cr_assert(update.reports.empty());
+  cr_assert_eq(update.removed.size(), 1U);
+  update.Append(Change(7, MakeReport(1, true)));
+  cr_assert(update.removed.empty());
+  cr_assert(update.reports.at(0).draining);
+  cr_assert_eq(update.revision.value(), 7U);
+}
+
+Test(directory_history, gives_the_changes_after_a_revision) {
+  auto history = DirectoryHistory();
+  history.Add(Whole(10), kNow);
+  history.Add(Removal(12, 1), kNow);
+  history.Add(Change(14, MakeReport(3)), kNow);
+  cr_assert_eq(history.Since(Revision(10))->removed.size(), 1U);
+  cr_assert(history.Since(Revision(12))->removed.empty());
+  cr_assert_eq(history.Since(Revision(12))->reports.size(), 1U);
+  cr_assert_not(history.Since(Revision(14))->has_changes());
+  cr_assert_eq(history.Since(Revision(99))->revision.value(), 99U);
+}
+
+Test(directory_history, says_when_changes_are_no_longer_kept) {
+  auto history = DirectoryHistory();
+  history.Add(Whole(10), kNow);
+  cr_assert_not(history.Since(Revision(9)).has_value());
+  history.Add(Removal(12, 1), kNow);
+  history.Add(Change(14, MakeReport(3)), kNow + 60 * kSecond);
+  cr_assert_not(history.Since(Revision(10)).has_value());
+  cr_assert(history.Since(Revision(12)).has_value());
+}
+
+Test(directory_history, whole_directory_holds_what_is_present) {
+  auto history = DirectoryHistory();
+  history.Add(Whole(10), kNow);
+  history.Add(Removal(12, 1), kNow);
+  cr_assert(history.All().is_whole);
+  cr_assert_eq(history.All().reports.size(), 1U);
+  cr_assert(history.All().removed.empty());
+  cr_assert_not_null(history.All().routes.get());
+}
+
+Test(directory_history, ignores_what_it_already_holds) {
+  auto history = DirectoryHistory();
+  history.Add(Whole(10), kNow);
+  history.Add(Removal(9, 1), kNow);
+  cr_assert_eq(history.All().reports.size(), 2U);
+}
+
+Test(relay_codec, update_survives_the_way) {
+  auto update = Whole(10);
+  update.reports.at(0).cold_until = kNow + kSecond;
+  update.removed = {EndpointId(0xCD8C9936B8)};
+  update.unreadable = {EndpointId(5)};
+  const auto state = RelayState{kSecond, 2 * kSecond};
+  const auto answer =
+      Decoded(EncodeUpdate(update, state, nullptr, kNow), nullptr);
+  cr_assert_eq(answer.status, SyncStatus::kOk);
+  cr_assert(answer.update.is_whole);
+  cr_assert(answer.update.reports == update.reports);
+  cr_assert(answer.update.removed == update.removed);
+  cr_assert(answer.update.unreadable == update.unreadable);
+  cr_assert_eq(answer.update.routes->routes.size(), 100U);
+  cr_assert_eq(answer.age, Duration(kSecond));
+  cr_assert_eq(*answer.since_outage, Duration(2 * kSecond));
+}
+
+Test(relay_codec, routes_travel_as_a_difference) {
+  const auto base = MakeRoutes(1, 1, 1000);
+  auto update = DirectoryUpdate();
+  update.routes = MakeRoutes(2, 3, 1002);
+  const auto body = EncodeUpdate(update, {}, base.get(), kNow);
+  cr_assert_lt(body.size(), 400U);
+  const auto answer = Decoded(body, base.get());
+  cr_assert_eq(answer.update.routes->routes.size(), 1000U);
+  cr_assert_eq(answer.update.routes->version.value(), 2U);
+}
+
+Test(relay_codec, difference_to_other_routes_is_refused) {
+  const auto base = MakeRoutes(1, 1, 10);
+  const auto other = MakeRoutes(3, 1, 10);
+  auto update = DirectoryUpdate();
+  update.routes = MakeRoutes(2, 1, 11);
+  const auto body = EncodeUpdate(update, {}, base.get(), kNow);
+  cr_assert_eq(Decoded(body, other.get()).status, SyncStatus::kUnreachable);
+  cr_assert_eq(Decoded(body, nullptr).status, SyncStatus::kUnreachable);
+}
+
+Test(relay_codec, any_cut_or_changed_message_is_refused_or_read) {
+  const auto body = EncodeUpdate(Whole(10), {}, nullptr, kNow);
+  for (auto length = std::size_t{0}; length < body.size(); ++length) {
+    cr_assert_neq(Decoded(body.substr(0, length), nullptr).status,
+                  SyncStatus::kOk);
+  }
+  for (auto index = std::size_t{0}; index < body.size(); ++index) {
+    auto changed = body;
+    changed[index] = static_cast<char>(changed[index] ^ 0x40);
+    Decoded(changed, nullptr);
+  }
+}
+
+Test(relay_codec, query_survives_the_way) {
+  const auto query = RelayQuery{Revision(12), Version(3), kSecond};
+  const auto parsed = ParseQuery(FormatQuery(query));
+  cr_assert_eq(parsed->after->value(), 12U);
+  cr_assert_eq(parsed->version.value(), 3U);
+  cr_assert_eq(parsed->wait, Duration(kSecond));
+  cr_assert_not(ParseQuery(FormatQuery({}))->after.has_value());
+}
+
+Test(relay_codec, other_targets_are_no_query) {
+  for (const auto* const target :
+       {"/directory", "/readyz?after=1", "/directory?after=x", "?", "",
+        "/directory?after=", "/directory?after=-1"}) {
+    cr_assert_not(ParseQuery(target).has_value(), "%s", target);
+  }
+}
+
+// A relay and the replies that it has given.
+class Relay {
+ public:
+  void Ask(std::optional<Revision> after, Duration wait) {
+    server_.Serve(
+        {after, Version(), wait},
+        [this](HttpReply reply) { replies_.push_back(std::move(reply)); },
+        kNow);
+  }
+  auto server() -> RelayServer& { return server_; }
+  auto replies() -> std::vector<HttpReply>& { return replies_; }
+
+ private:
+  std::vector<HttpReply> replies_;
+  RelayServer server_{[](TimePoint) { return RelayState(); }};
+};
+
+Test(relay_server, refuses_without_a_directory) {
+  auto relay = Relay();
+  relay.Ask(std::nullopt, kSecond);
+  cr_assert_eq(relay.replies().at(0).status, 503);
+}
+
+Test(relay_server, holds_a_watch_until_there_is_a_change) {
+  auto relay = Relay();
+  relay.server().Add(Whole(10), kNow);
+  relay.Ask(Revision(10), kSecond);
+  cr_assert(relay.replies().empty());
+  relay.server().Add(Removal(11, 1), kNow);
+  cr_assert_eq(relay.replies().size(), 1U);
+  cr_assert_eq(
+      Decoded(relay.replies().at(0).body, nullptr).update.removed.size(), 1U);
+}
+
+Test(relay_server, answers_a_watch_when_its_time_is_over) {
+  auto relay = Relay();
+  relay.server().Add(Whole(10), kNow);
+  relay.Ask(Revision(10), kSecond);
+  relay.server().OnTick(kNow + kSecond / 2);
+  cr_assert(relay.replies().empty());
+  relay.server().OnTick(kNow + kSecond);
+  cr_assert_eq(relay.replies().size(), 1U);
+  cr_assert_eq(relay.server().waiting(), 0U);
+}
+
+Test(relay_server, tells_that_history_is_lost) {
+  auto relay = Relay();
+  relay.server().Add(Whole(10), kNow);
+  relay.Ask(Revision(5), kSecond);
+  cr_assert_eq(relay.replies().at(0).status, 410);
+}
+
+}  // namespace
+}  // namespace hemlockwick
--- /dev/null
+++ b/Tests/Flow/endpoint_directory_test.cc
@@ -0,0 +1,159 @@
+#include "Flow/endpoint_directory.h"
+
+#include <criterion/criterion.h>
+
+namespace hemlockwick {
+namespace {
+
+constexpr TimePoint kNow{std::chrono::hours(500'000)};
+constexpr auto kSecond = std::chrono::seconds(1);
+constexpr ServiceId kService{7};
+
+auto MakeReport(std::uint64_t id) -> EndpointReport {
+  auto report = EndpointReport();
+  report.id = EndpointId(id);
+  report.service = kService;
+  report.address = {Ipv4Address(static_cast<std::uint32_t>(id)), Port(80)};
+  return report;
+}
+
+auto MakeRoutes(std::uint64_t version) -> std::shared_ptr<const RouteSet> {
+  auto routes = std::make_shared<RouteSet>();
+  routes->version = Version(version);
+  routes->routes.push_back({{Ipv4Address(1), Port(443)}, {{kService, 1}}});
+  return routes;
+}
+
+auto HasEvent(const std::vector<DirectoryEvent>& events,
+              DirectoryEvent::Kind kind) -> bool {
+  for (const auto& event : events) {
+    if (event.kind == kind) {
+      return true;
+    }
+  }
+  return false;
+}
+
+Test(endpoint_directory, is_usable_with_routes_and_an_endpoint) {
+  auto directory = EndpointDirectory();
+  directory.Report(MakeReport(1));
+  cr_assert_not(directory.IsUsable());
+  cr_assert(directory.Publish(MakeRoutes(3)));
+  cr_assert(directory.IsUsable());
+}
+
+Test(endpoint_directory, never_goes_back_to_an_older_version) {
+  auto directory = EndpointDirectory();
+  cr_assert(directory.Publish(MakeRoutes(5)));
+  cr_assert_not(directory.Publish(MakeRoutes(4)));
+  cr_assert_not(directory.Publish(MakeRoutes(5)));
+  cr_assert_eq(directory.TakeSnapshot(kNow)->version().value(), 5U);
+}
+
+Test(endpoint_directory, draining_endpoint_keeps_flows_and_takes_no_new) {
+  auto directory = EndpointDirectory();
+  auto report = MakeReport(1);
+  directory.Report(report);
+  report.draining = true;
+  directory.Report(report);
+  const auto snapshot = directory.TakeSnapshot(kNow);
+  cr_assert_not_null(snapshot->Find(TokenOf(report.id)));
+  cr_assert(snapshot->TakersOf(kService).empty());
+}
+
+Test(endpoint_directory, removed_endpoint_departs_at_once_in_calm_times) {
+  auto directory = EndpointDirectory();
+  directory.Report(MakeReport(1));
+  directory.Remove(EndpointId(1), kNow);
+  directory.OnTick(kNow);
+  const auto snapshot = directory.TakeSnapshot(kNow);
+  cr_assert_null(snapshot->Find(TokenOf(EndpointId(1))));
+  cr_assert_not_null(snapshot->FindDeparted(TokenOf(EndpointId(1))));
+}
+
+// Entries lapse while the platform is away; living endpoints report again
+// within two seconds of its return.
+Test(endpoint_directory, entry_that_lapsed_in_an_outage_may_return) {
+  auto directory = EndpointDirectory();
+  directory.Report(MakeReport(1));
+  directory.OnPlatformLost();
+  directory.OnPlatformBack(kNow);
+  directory.Remove(EndpointId(1), kNow + kSecond / 10);
+  directory.OnTick(kNow + 2 * kSecond);
+  auto snapshot = directory.TakeSnapshot(kNow);
+  cr_assert_not_null(snapshot->Find(TokenOf(EndpointId(1))),
+                     "its flows are kept");
+  cr_assert(snapshot->TakersOf(kService).empty(), "it takes no new ones");
+  directory.Report(MakeReport(1));
+  cr_assert(HasEvent(directory.TakeEvents(),
+                     DirectoryEvent::Kind::kEndpointReturned));
+  directory.OnTick(kNow + 60 * kSecond);
+  cr_assert_eq(directory.TakeSnapshot(kNow)->TakersOf(kService).size(), 1U);
+}
+
+Test(endpoint_directory, entry_still_missing_after_the_outage_departs) {
+  auto directory = EndpointDirectory();
+  directory.Report(MakeReport(1));
+  directory.OnPlatformBack(kNow);
+  directory.Remove(EndpointId(1), kNow);
+  directory.OnTick(kNow + 3 * kSecond);
+  const auto snapshot = directory.TakeSnapshot(kNow);
+  cr_assert_null(snapshot->Find(TokenOf(EndpointId(1))));
+  cr_assert(HasEvent(directory.TakeEvents(),
+                     DirectoryEvent::Kind::kEndpointDeparted));
+}
+
+Test(endpoint_directory, nothing_departs_while_the_platform_is_lost) {
+  auto directory = EndpointDirectory();
+  directory.Report(MakeReport(1));
+  directory.OnPlatformLost();
+  directory.Remove(EndpointId(1), kNow);
+  directory.OnTick(kNow + 600 * kSecond);
+  cr_assert_not_null(
+      directory.TakeSnapshot(kNow)->Find(TokenOf(EndpointId(1))));
+}
+
+Test(endpoint_directory, unreadable_entry_withholds_until_the_next_report) {
+  auto directory = EndpointDirectory();
+  directory.Report(MakeReport(1));
+  directory.Withhold(EndpointId(1));
+  auto snapshot = directory.TakeSnapshot(kNow);
+  cr_assert(snapshot->TakersOf(kService).empty());
+  cr_assert_not_null(snapshot->Find(TokenOf(EndpointId(1))));
+  directory.Report(MakeReport(1));
+  snapshot = directory.TakeSnapshot(kNow);
+  cr_assert_eq(snapshot->TakersOf(kService).size(), 1U);
+}
+
+Test(endpoint_directory, full_read_removes_what_it_does_not_name) {
+  auto directory = EndpointDirectory();
+  directory.Report(MakeReport(1));
+  directory.Report(MakeReport(2));
+  directory.RemoveOthers({EndpointId(2)}, kNow);
+  directory.OnTick(kNow);
+  const auto snapshot = directory.TakeSnapshot(kNow);
+  cr_assert_null(snapshot->Find(TokenOf(EndpointId(1))));
+  cr_assert_not_null(snapshot->Find(TokenOf(EndpointId(2))));
+}
+
+Test(endpoint_directory, departed_endpoint_that_starts_again_is_known) {
+  auto directory = EndpointDirectory();
+  directory.Report(MakeReport(1));
+  directory.Remove(EndpointId(1), kNow);
+  directory.OnTick(kNow);
+  directory.Report(MakeReport(1));
+  const auto snapshot = directory.TakeSnapshot(kNow);
+  cr_assert_not_null(snapshot->Find(TokenOf(EndpointId(1))));
+  cr_assert_null(snapshot->FindDeparted(TokenOf(EndpointId(1))));
+}
+
+Test(endpoint_directory, makes_no_snapshot_without_a_change) {
+  auto directory = EndpointDirectory();
+  directory.Report(MakeReport(1));
+  cr_assert_not_null(directory.TakeSnapshot(kNow).get());
+  directory.Report(MakeReport(1));
+  cr_assert_null(directory.TakeSnapshot(kNow).get());
+}
+
+}  // namespace
+}  // namespace hemlockwick
--- /dev/null
+++ b/Tests/Flow/endpoint_signs_test.cc
@@ -0,0 +1,77 @@
+#include "Flow/endpoint_signs.h"
+
+#include <criterion/criterion.h>
+
+namespace hemlockwick {
+namespace {
+
+constexpr TimePoint kNow{std::chrono::hours(500'000)};
+constexpr auto kMillisecond = std::chrono::milliseconds(1);
+
+Test(endpoint_signs, one_lost_packet_is_no_suspicion) {
+  auto signs = EndpointSigns(kNow);
+  const auto now = kNow + 200 * kMillisecond;
+  cr_assert(
+      signs.NoteSilence(SilentPacket::kOpening, kNow + kMillisecond, now));
+  cr_assert_not(signs.IsSuspect(now));
+}
+
+Test(endpoint_signs, two_flows_make_it_suspect_and_an_answer_clears_it) {
+  auto signs = EndpointSigns(kNow);
+  const auto now = kNow + 200 * kMillisecond;
+  signs.NoteSilence(SilentPacket::kOpening, kNow + kMillisecond, now);
+  signs.NoteSilence(SilentPacket::kRepeatedData, kNow + kMillisecond, now);
+  cr_assert(signs.IsSuspect(now));
+  signs.NoteAlive(now);
+  cr_assert_not(signs.IsSuspect(now));
+}
+
+Test(endpoint_signs, packet_sent_before_the_last_answer_is_no_sign) {
+  auto signs = EndpointSigns(kNow);
+  signs.NoteAlive(kNow + 50 * kMillisecond);
+  cr_assert_not(signs.NoteSilence(SilentPacket::kOpening, kNow,
+                                  kNow + 200 * kMillisecond));
+  cr_assert_eq(signs.signs(), 0U);
+}
+
+Test(endpoint_signs, suspicion_ends_without_new_signs) {
+  auto signs = EndpointSigns(kNow);
+  const auto now = kNow + 200 * kMillisecond;
+  signs.NoteSilence(SilentPacket::kOpening, kNow + kMillisecond, now);
+  signs.NoteSilence(SilentPacket::kOpening, kNow + kMillisecond, now);
+  cr_assert(signs.IsSuspect(now));
+  cr_assert_not(signs.IsSuspect(now + 3000 * kMillisecond));
+}
+
+// Rotation changes move flows to other instances, where their further packets
+// are then seen.
+Test(endpoint_signs, openings_that_only_timed_out_never_make_it_silent) {
+  auto signs = EndpointSigns(kNow);
+  const auto now = kNow + 2000 * kMillisecond;
+  for (auto flow = 0; flow < 20; ++flow) {
+    signs.NoteSilence(SilentPacket::kOpening, kNow + kMillisecond, now);
+  }
+  cr_assert_not(signs.IsSilent(now));
+}
+
+Test(endpoint_signs, repeated_packets_make_it_silent_after_some_time) {
+  auto signs = EndpointSigns(kNow);
+  const auto soon = kNow + 300 * kMillisecond;
+  signs.NoteSilence(SilentPacket::kRepeatedOpening, kNow + kMillisecond, soon);
+  signs.NoteSilence(SilentPacket::kRepeatedData, kNow + kMillisecond, soon);
+  cr_assert_not(signs.IsSilent(soon));
+  cr_assert(signs.IsSilent(kNow + 600 * kMillisecond));
+}
+
+// Work that is seven times as long as usual holds replies up.
+Test(endpoint_signs, repeated_data_alone_waits_for_long_work) {
+  auto signs = EndpointSigns(kNow);
+  const auto soon = kNow + 300 * kMillisecond;
+  signs.NoteSilence(SilentPacket::kRepeatedData, kNow + kMillisecond, soon);
+  signs.NoteSilence(SilentPacket::kRepeatedData, kNow + kMillisecond, soon);
+  cr_assert_not(signs.IsSilent(kNow + 1000 * kMillisecond));
+  cr_assert(signs.IsSilent(kNow + 2100 * kMillisecond));
+}
+
+}  // namespace
+}  // namespace hemlockwick
--- /dev/null
+++ b/Tests/Flow/token_router_test.cc
@@ -0,0 +1,338 @@
+#include "Flow/token_router.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+
+namespace hemlockwick {
+namespace {
+
+constexpr TimePoint kStart{std::chrono::hours(500'000)};
+constexpr auto kMillisecond = std::chrono::milliseconds(1);
+constexpr ServiceId kService{7};
+constexpr DataCentreId kHere{1};
+constexpr SocketAddress kAddress{Ipv4Address(0xC6120001), Port(443)};
+
+// A router before two endpoints, 1 and 2, with a clock that tests move.
+class World {
+ public:
+  World() : router_({kHere, 256}) {
+    Put(1);
+    Put(2);
+    auto routes = std::make_shared<RouteSet>();
+    routes->version = Version(1);
+    routes->routes.push_back({kAddress, {{kService, 1}}});
+    directory_.Publish(routes);
+    Publish();
+  }
+
+  void Put(std::uint64_t id, bool draining = false) {
+    auto report = EndpointReport();
+    report.id = EndpointId(id);
+    report.service = kService;
+    report.address = {Ipv4Address(static_cast<std::uint32_t>(id)), Port(80)};
+    report.data_centre = kHere;
+    report.slots = 3;
+    report.draining = draining;
+    directory_.Report(report);
+  }
+
+  auto Publish() -> std::vector<ResetFlow> {
+    directory_.OnTick(now_);
+    return router_.Update(directory_.TakeSnapshot(now_), now_);
+  }
+
+  // Lets time pass, with ticks as the traffic thread makes them.
+  auto Pass(Duration time) -> std::vector<ResetFlow> {
+    auto resets = std::vector<ResetFlow>();
+    const auto end = now_ + time;
+    while (now_ < end) {
+      now_ = std::min(now_ + 20 * kMillisecond, end);
+      const auto more = router_.OnTick(now_);
+      resets.insert(resets.end(), more.begin(), more.end());
+    }
+    return resets;
+  }
+
+  static auto Caller(std::uint16_t port) -> SocketAddress {
+    return {Ipv4Address(0x64400007), Port(port)};
+  }
+
+  auto Opening(std::uint16_t port, std::uint32_t copy = 0) -> TokenAction {
+    auto packet = TokenPacket();
+    packet.caller = Caller(port);
+    packet.service = kAddress;
+    packet.opens = true;
+    packet.ack = copy;
+    return router_.Decide(packet, now_);
+  }
+
+  auto Packet(std::uint16_t port, FlowToken token, std::uint32_t seq,
+              std::uint32_t ack, std::uint16_t bytes) -> TokenAction {
+    auto packet = TokenPacket();
+    packet.caller = Caller(port);
+    packet.service = kAddress;
+    packet.seq = seq;
+    packet.ack = ack;
+    packet.data_bytes = bytes;
+    packet.token = token;
+    return router_.Decide(packet, now_);
+  }
+
+  // Opens a flow whose endpoint answers; returns its token.
+  auto Open(std::uint16_t port) -> FlowToken {
+    const auto token = std::get<ForwardWithToken>(Opening(port)).token;
+    Pass(8 * kMillisecond);
+    Packet(port, token, 1, 1, 0);
+    return token;
+  }
+
+  // Opens flows from `port` on until one is at `token`; returns its port.
+  auto OpenAt(FlowToken token, std::uint16_t port) -> std::uint16_t {
+    while (Open(port) != token) {
+      ++port;
+    }
+    return port;
+  }
+
+  auto router() -> TokenRouter& { return router_; }
+  auto directory() -> EndpointDirectory& { return directory_; }
+  auto now() const -> TimePoint { return now_; }
+  void Skip(Duration time) { now_ += time; }
+
+  auto Notes(RouterNote::Kind kind) -> std::size_t {
+    const auto notes = router_.TakeNotes();
+    return static_cast<std::size_t>(std::ranges::count_if(
+        notes, [kind](const auto& note) { return note.kind == kind; }));
+  }
+
+ private:
+  EndpointDirectory directory_;
+  TokenRouter router_;
+  TimePoint now_ = kStart;
+};
+
+constexpr FlowToken kFirst = TokenOf(EndpointId(1));
+
+auto ReasonOf(const TokenAction& action) -> ResetReason {
+  return std::get<ResetFlow>(action).reason;
+}
+
+Test(token_router, every_packet_follows_the_token_on_any_instance) {
+  auto world = World();
+  const auto token = world.Open(1000);
+  auto other = World();
+  const auto action = other.Packet(1000, token, 1, 1, 100);
+  cr_assert_eq(std::get<ForwardWithToken>(action).token, token);
+}
+
+Test(token_router, drops_packets_before_the_first_directory) {
+  auto router = TokenRouter({kHere, 16});
+  const auto action = router.Decide(TokenPacket(), kStart);
+  cr_assert_eq(std::get<DropPacket>(action).reason, DropReason::kNotReady);
+}
+
+Test(token_router, refuses_an_unknown_address_at_once) {
+  auto world = World();
+  auto packet = TokenPacket();
+  packet.opens = true;
+  packet.service = {Ipv4Address(1), Port(1)};
+  const auto action = world.router().Decide(packet, world.now());
+  cr_assert_eq(ReasonOf(action), ResetReason::kNoRoute);
+}
+
+Test(token_router, never_answers_a_reset_with_a_reset) {
+  auto world = World();
+  auto packet = TokenPacket();
+  packet.resets = true;
+  packet.service = {Ipv4Address(1), Port(1)};
+  const auto action = world.router().Decide(packet, world.now());
+  cr_assert(std::holds_alternative<DropPacket>(action));
+}
+
+Test(token_router, copy_of_an_opening_goes_to_another_endpoint) {
+  auto world = World();
+  const auto first = std::get<ForwardWithToken>(world.Opening(1000)).token;
+  world.Pass(200 * kMillisecond);
+  const auto second = std::get<ForwardWithToken>(world.Opening(1000, 1)).token;
+  cr_assert_neq(first, second);
+}
+
+Test(token_router, flows_of_a_drained_endpoint_are_reset_when_it_has_left) {
+  auto world = World();
+  const auto port = world.OpenAt(kFirst, 1000);
+  world.Put(1, true);
+  cr_assert(world.Publish().empty(), "draining keeps open flows");
+  world.Pass(3000 * kMillisecond);
+  world.directory().Remove(EndpointId(1), world.now());
+  const auto resets = world.Publish();
+  cr_assert(std::ranges::any_of(resets, [port](const auto& reset) {
+    return reset.caller == World::Caller(port) &&
+           reset.reason == ResetReason::kDeparted && reset.seq == 1;
+  }));
+  cr_assert_eq(ReasonOf(world.Packet(port, kFirst, 1, 1, 100)),
+               ResetReason::kDeparted);
+}
+
+// An endpoint is cut off from the platform only: its entry lapses while it
+// goes on serving.
+Test(token_router, flow_of_a_lapsed_endpoint_that_answers_is_kept) {
+  auto world = World();
+  const auto port = world.OpenAt(kFirst, 1000);
+  world.directory().Remove(EndpointId(1), world.now());
+  cr_assert(world.Publish().empty());
+  const auto action = world.Packet(port, kFirst, 1, 1, 100);
+  cr_assert(std::holds_alternative<ForwardWithToken>(action));
+}
+
+Test(token_router, flow_of_a_lapsed_endpoint_that_is_still_is_reset) {
+  auto world = World();
+  const auto port = world.OpenAt(kFirst, 1000);
+  world.Pass(4000 * kMillisecond);
+  world.directory().Remove(EndpointId(1), world.now());
+  cr_assert_geq(world.Publish().size(), 1U);
+  cr_assert_eq(ReasonOf(world.Packet(port, kFirst, 1, 1, 100)),
+               ResetReason::kDeparted);
+}
+
+// Instances learn of a new endpoint at different times.
+Test(token_router, unknown_token_is_not_reset_before_the_directory_is_newer) {
+  auto world = World();
+  const auto unknown = TokenOf(EndpointId(99));
+  const auto early = world.Packet(1000, unknown, 1, 1, 100);
+  cr_assert_eq(std::get<DropPacket>(early).reason,
+               DropReason::kUnknownEndpoint);
+  world.Pass(3000 * kMillisecond);
+  cr_assert_eq(ReasonOf(world.Packet(1000, unknown, 1, 1, 100)),
+               ResetReason::kUnknown);
+}
+
+// A quarter of a service falls dark; its entries stay for several seconds.
+Test(token_router, endpoint_that_fell_dark_gets_no_new_flows) {
+  auto world = World();
+  auto lost = 0;
+  auto is_suspected = false;
+  for (auto port = std::uint16_t{2000}; port < 2060; ++port) {
+    const auto token = std::get<ForwardWithToken>(world.Opening(port)).token;
+    cr_assert_not(is_suspected && token == kFirst);
+    lost += token == kFirst ? 1 : 0;
+    world.Pass(20 * kMillisecond);
+    if (token != kFirst) {
+      world.Packet(port, token, 1, 1, 0);
+    }
+    is_suspected =
+        is_suspected || world.Notes(RouterNote::Kind::kEndpointSuspected) > 0;
+  }
+  cr_assert(is_suspected);
+  cr_assert_leq(lost, 4);
+}
+
+Test(token_router, waiting_flows_of_a_dark_endpoint_are_reset) {
+  auto world = World();
+  const auto waiting = world.OpenAt(kFirst, 1000);
+  const auto other = world.OpenAt(kFirst, 3000);
+  world.Pass(20 * kMillisecond);
+  // Both callers send a request and send it again.
+  world.Packet(waiting, kFirst, 1, 1, 100);
+  world.Packet(other, kFirst, 1, 1, 100);
+  auto opening = std::uint16_t{5000};
+  while (std::get<ForwardWithToken>(world.Opening(opening)).token != kFirst) {
+    ++opening;
+  }
+  auto resets = world.Pass(600 * kMillisecond);
+  world.Packet(waiting, kFirst, 1, 1, 100);
+  const auto second = world.Packet(other, kFirst, 1, 1, 100);
+  const auto more = world.Pass(20 * kMillisecond);
+  resets.insert(resets.end(), more.begin(), more.end());
+  cr_assert_eq(ReasonOf(second), ResetReason::kSilent);
+  cr_assert(std::ranges::any_of(resets, [waiting](const auto& reset) {
+    return reset.caller == World::Caller(waiting);
+  }));
+}
+
+Test(token_router, long_work_on_a_living_endpoint_resets_nothing) {
+  auto world = World();
+  const auto working = world.OpenAt(kFirst, 1000);
+  const auto busy = world.OpenAt(kFirst, 3000);
+  world.Packet(working, kFirst, 1, 1, 100);
+  auto seq = std::uint32_t{1};
+  auto ack = std::uint32_t{1};
+  for (auto round = 0; round < 20; ++round) {
+    world.Packet(busy, kFirst, seq, ack, 100);
+    seq += 100;
+    cr_assert(world.Pass(100 * kMillisecond).empty());
+    ack += 100;
+    world.Packet(busy, kFirst, seq, ack, 0);
+    const auto repeated = world.Packet(working, kFirst, 1, 1, 100);
+    cr_assert(std::holds_alternative<ForwardWithToken>(repeated));
+  }
+}
+
+// A process that was stopped for seconds has seen none of the answers.
+Test(token_router, own_pause_is_no_sign_against_an_endpoint) {
+  auto world = World();
+  world.Pass(20 * kMillisecond);
+  for (auto port = std::uint16_t{1000}; port < 1020; ++port) {
+    world.Opening(port);
+  }
+  world.Skip(5000 * kMillisecond);
+  cr_assert(world.Pass(200 * kMillisecond).empty());
+  cr_assert_eq(world.router().counters().signs, 0U);
+  cr_assert_eq(world.Notes(RouterNote::Kind::kSuspended), 1U);
+}
+
+Test(token_router, loads_are_released_when_flows_end) {
+  auto world = World();
+  for (auto port = std::uint16_t{1000}; port < 1050; ++port) {
+    const auto token = world.Open(port);
+    auto packet = TokenPacket();
+    packet.caller = World::Caller(port);
+    packet.service = kAddress;
+    packet.finishes = true;
+    packet.seq = 1;
+    packet.ack = 1;
+    packet.token = token;
+    world.router().Decide(packet, world.now());
+    // The last acknowledgement must not open the flow again.
+    world.Packet(port, token, 2, 2, 0);
+  }
+  for (const auto& [token, load] : world.router().loads()) {
+    cr_assert_eq(load.open_flows, 0U);
+    cr_assert_eq(load.waiting_flows, 0U);
+  }
+}
+
+// Eviction of tracked flows, reuse of ports and lost packets must not upset
+// the counts of open work.
+Test(token_router, loads_agree_with_tracked_flows_under_random_packets) {
+  auto world = World();
+  auto random = std::uint32_t{12345};
+  const auto next = [&random] {
+    random = random * 1664525U + 1013904223U;
+    return random >> 8;
+  };
+  for (auto step = 0; step < 20'000; ++step) {
+    const auto port = static_cast<std::uint16_t>(1 + next() % 2000);
+    const auto token = TokenOf(EndpointId(1 + next() % 2));
+    if (next() % 4 == 0) {
+      world.Opening(port, next() % 3);
+    } else {
+      world.Packet(port, token, next() % 1000, next() % 1000,
+                   static_cast<std::uint16_t>(next() % 300));
+    }
+    if (next() % 8 == 0) {
+      world.Pass(5 * kMillisecond);
+    }
+  }
+  for (const auto& [token, load] : world.router().loads()) {
+    cr_assert_leq(load.open_flows, 256U);
+    cr_assert_leq(load.waiting_flows, load.open_flows);
+  }
+  world.Pass(std::chrono::seconds(30));
+  for (const auto& [token, load] : world.router().loads()) {
+    cr_assert_eq(load.open_flows, 0U);
+  }
+}
+
+}  // namespace
+}  // namespace hemlockwick
--- /dev/null
+++ b/Tests/Platform/store_items_test.cc
@@ -0,0 +1,117 @@
+#include "platform/store_items.h"
+
+#include <criterion/criterion.h>
+
+namespace hemlockwick::platform {
+namespace {
+
+constexpr TimePoint kNow{std::chrono::hours(500'000)};
+
+// {"service":"huvo11a","address":"10.128.0.9:8080","zone":"nelson-a",
+//  "version":"v1","slots":3,"state":"ready","coldRemainingMs":0,"sequence":4}
+constexpr const char* kReady =
+    "eyJzZXJ2aWNlIjoiaHV2bzExYSIsImFkZHJlc3MiOiIxMC4xMjguMC45OjgwODAiLCJ6b25lIj"
+    "oibmVsc29uLWEiLCJ2ZXJzaW9uIjoidjEiLCJzbG90cyI6Mywic3RhdGUiOiJyZWFkeSIsImNv"
+    "bGRSZW1haW5pbmdNcyI6MCwic2VxdWVuY2UiOjR9";
+// The same with "state":"leaving".
+constexpr const char* kOtherState =
+    "eyJzZXJ2aWNlIjoiaHV2bzExYSIsImFkZHJlc3MiOiIxMC4xMjguMC45OjgwODAiLCJ6b25lIj"
+    "oibmVsc29uLWEiLCJzbG90cyI6Mywic3RhdGUiOiJsZWF2aW5nIiwiY29sZFJlbWFpbmluZ01z"
+    "IjowfQ==";
+// {"version":7,"routes":[{"host":"198.18.0.1","prefix":"/8443/","service":"a"},
+//  {"host":"198.18.0.2","prefix":"/443/","trafficSplit":[{"service":"a",
+//  "weight":90},{"service":"b","weight":10}]},{"host":"x","prefix":"/1/",
+//  "service":"a"}]}
+constexpr const char* kConfig =
+    "eyJ2ZXJzaW9uIjo3LCJyb3V0ZXMiOlt7Imhvc3QiOiIxOTguMTguMC4xIiwicHJlZml4IjoiLz"
+    "g0NDMvIiwic2VydmljZSI6ImEifSx7Imhvc3QiOiIxOTguMTguMC4yIiwicHJlZml4IjoiLzQ0"
+    "My8iLCJ0cmFmZmljU3BsaXQiOlt7InNlcnZpY2UiOiJhIiwid2VpZ2h0Ijo5MH0seyJzZXJ2aW"
+    "NlIjoiYiIsIndlaWdodCI6MTB9XX0seyJob3N0IjoieCIsInByZWZpeCI6Ii8xLyIsInNlcnZp"
+    "Y2UiOiJhIn1dfQ==";
+
+auto Item(const std::string& key, const std::string& value) -> std::string {
+  return R"({"key":")" + key + R"(","value":")" + value + R"(","revision":5})";
+}
+
+auto Items(const std::string& items) -> StorePage {
+  const auto body =
+      R"({"items":[)" + items + R"(],"hasMore":true,"currentRev":530})";
+  return TryOr([&] { return DecodeItems(body, kNow); },
+               [](const Error&) { return StorePage(); });
+}
+
+auto Events(const std::string& events) -> StorePage {
+  const auto body = R"({"events":[)" + events + R"(],"currentRev":531})";
+  return TryOr([&] { return DecodeEvents(body, kNow); },
+               [](const Error&) { return StorePage(); });
+}
+
+Test(store_items, entry_becomes_a_report) {
+  const auto page = Items(Item("servers/i-7f3a91c2", kReady));
+  cr_assert_eq(page.update.revision.value(), 530U);
+  cr_assert(page.has_more);
+  cr_assert_str_eq(page.last_key.c_str(), "servers/i-7f3a91c2");
+  const auto& report = page.update.reports.at(0);
+  cr_assert_eq(report.id.value(), 0x7f3a91c2U);
+  cr_assert(report.service == IdFromName<ServiceId>("huvo11a"));
+  cr_assert(report.data_centre == IdFromName<DataCentreId>("nelson-a"));
+  cr_assert_eq(report.slots, 3U);
+  cr_assert_not(report.draining);
+}
+
+Test(store_items, configuration_becomes_routes) {
+  const auto page = Items(Item("op/config", kConfig));
+  const auto& routes = *page.update.routes;
+  cr_assert_eq(routes.version.value(), 7U);
+  cr_assert_eq(routes.routes.size(), 2U);
+  cr_assert_eq(page.update.ignored, 1U, "the host 'x' is no address");
+  cr_assert_eq(routes.routes.at(0).address.port.value(), 8443U);
+  cr_assert_eq(routes.routes.at(1).targets.at(1).weight, 10U);
+}
+
+Test(store_items, entries_of_other_writers_name_no_endpoint) {
+  const auto page = Items(
+      Item("servers/i-1", kOtherState) + "," + Item("servers/i-2", "e30=") +
+      "," + Item("servers/i-3", "%%%%") + "," + Item("servers/i-4", "e30") +
+      "," + Item("servers/nothex", kReady) + "," + Item("servers/", kReady) +
+      R"(,{"key":"servers/i-5"},{"key":7},null,"x",{})" + "," +
+      Item("servers/i-6", kReady));
+  cr_assert_eq(page.update.reports.size(), 1U);
+  cr_assert_eq(page.update.reports.at(0).id.value(), 6U);
+  cr_assert_eq(page.update.unreadable.size(), 5U);
+  cr_assert_eq(page.update.ignored, 11U);
+}
+
+Test(store_items, later_events_of_an_endpoint_replace_earlier_ones) {
+  const auto gone =
+      std::string(R"({"key":"servers/i-6","revision":9,"deleted":true})");
+  auto page = Events(Item("servers/i-6", kReady) + "," + gone);
+  cr_assert(page.update.reports.empty());
+  cr_assert_eq(page.update.removed.size(), 1U);
+  page = Events(gone + "," + Item("servers/i-6", kReady));
+  cr_assert(page.update.removed.empty());
+  cr_assert_eq(page.update.reports.size(), 1U);
+}
+
+Test(store_items, other_keys_mean_nothing) {
+  const auto page = Items(Item("my/leader", "bm9kZS0x"));
+  cr_assert_not(page.update.has_changes());
+  cr_assert_eq(page.update.ignored, 0U);
+}
+
+Test(store_items, answers_of_another_service_are_refused) {
+  for (const auto* const body :
+       {"", "{}", "[]", "hello", R"({"items":{}, "currentRev":1})",
+        R"({"items":[]})", R"({"items":[],"currentRev":"1"})"}) {
+    const auto is_refused = TryOr(
+        [&]() -> Result<bool> {
+          BOOST_LEAF_CHECK(DecodeItems(body, kNow));
+          return false;
+        },
+        [](const Error&) { return true; });
+    cr_assert(is_refused, "%s", body);
+  }
+}
+
+}  // namespace
+}  // namespace hemlockwick::platform
