Soak: Run edge processes under random faults from outside

Real edge processes run between stand-ins of the platform's store, routers, callers and endpoints. Signals, TCP proxies with faults, lost packets, crashed, draining and replaced endpoints, foreign entries and changes of routes and settings overlap at random; promises are checked from what callers and endpoints see. Clocks are not moved: the process reads the time of day only for its log and at its start.

InstanceProcess takes the subcommand and closes the starter's descriptors in the new process.

--- /dev/null
+++ b/Utilities/Soak/endpoint.cc
@@ -0,0 +1,219 @@
+#include "Soak/endpoint.h"
+
+#include <algorithm>
+#include <sstream>
+
+#include "Edge/router_log.h"
+
+namespace hemlockwick::soak {
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+
+// Work of a request; a few take several times as long.
+constexpr Duration kWork = std::chrono::milliseconds(15);
+constexpr Duration kLongWork = std::chrono::milliseconds(250);
+constexpr double kLongShare = 0.03;
+
+constexpr std::size_t kPrefixBytes = 8;
+
+auto NumberOf(std::span<const std::uint8_t> prefix) -> std::uint64_t {
+  auto number = std::uint64_t{0};
+  for (const auto byte : prefix) {
+    number = (number << 8) | byte;
+  }
+  return number;
+}
+
+}  // namespace
+
+Endpoint::Endpoint(World& world, std::uint64_t id, std::string service,
+                   std::string zone, const SocketAddress& address,
+                   RunLedger& ledger, const EndpointLinks& links)
+    : world_(world),
+      id_(id),
+      service_(std::move(service)),
+      zone_(std::move(zone)),
+      address_(address),
+      ledger_(ledger),
+      links_(links),
+      socket_(world.context(),
+              udp::endpoint(asio::ip::address_v4(address.ip.value()),
+                            address.port.value())) {
+  Receive();
+}
+
+auto Endpoint::key() const -> std::string { return "servers/i-" + HexOf(id_); }
+
+auto Endpoint::entry() const -> std::string {
+  auto text = std::ostringstream();
+  text << R"({"service":")" << service_ << R"(","address":")"
+       << ToString(address_) << R"(","zone":")" << zone_
+       << R"(","version":"v1","slots":3,"state":")"
+       << (draining_since_ ? "draining" : "ready")
+       << R"(","coldRemainingMs":0,"sequence":1})";
+  return text.str();
+}
+
+void Endpoint::End() {
+  ended_ = true;
+  flows_.clear();
+  auto ignored = boost::system::error_code();
+  socket_.close(ignored);
+}
+
+void Endpoint::Receive() {
+  socket_.async_receive_from(
+      asio::buffer(buffer_), sender_,
+      [this](const boost::system::error_code& error, std::size_t size) {
+        if (ended_) {
+          return;
+        }
+        const auto instance = Ipv4Address(sender_.address().to_v4().to_uint());
+        if (!error && !links_.is_lost(instance)) {
+          Handle(std::span(buffer_).first(size), instance);
+        }
+        Receive();
+      });
+}
+
+void Endpoint::Handle(std::span<const std::uint8_t> bytes,
+                      Ipv4Address instance) {
+  if (bytes.size() < kPrefixBytes) {
+    world_.Break("packets are unchanged", "a datagram without a prefix");
+    return;
+  }
+  const auto intended = NumberOf(bytes.first(kPrefixBytes));
+  if (intended != id_) {
+    // The address had another owner; silence is right.
+    world_.Count("packets for an earlier owner of an address");
+    return;
+  }
+  const auto packet = Decode(bytes.subspan(kPrefixBytes));
+  if (!packet || !IsIntact(*packet)) {
+    world_.Break("packets are unchanged", "at " + key());
+    return;
+  }
+  HandlePacket(*packet, instance);
+}
+
+void Endpoint::HandlePacket(const Packet& packet, Ipv4Address instance) {
+  if (links_.service_of(packet.to) != service_) {
+    world_.Break("a service's packets reach only its endpoints",
+                 ToString(packet.to) + " at " + key());
+  }
+  const auto id = FlowId(packet.from, packet.to);
+  if (packet.syn) {
+    Open(packet, instance);
+    return;
+  }
+  const auto found = flows_.find(id);
+  if (packet.rst) {
+    flows_.erase(id);
+    return;
+  }
+  if (found == flows_.end()) {
+    auto reset = Packet();
+    reset.from = packet.to;
+    reset.to = packet.from;
+    reset.rst = true;
+    reset.seq = packet.ack;
+    links_.to_caller(reset, id_);
+    return;
+  }
+  auto& flow = found->second;
+  flow.echo = packet.echo;
+  flow.open = true;
+  if (!packet.data.empty()) {
+    Run(id, flow, packet);
+  }
+  if (packet.fin) {
+    auto end = Packet();
+    end.ack_flag = true;
+    Reply(id, flow, end);
+    flows_.erase(id);
+  }
+}
+
+void Endpoint::Open(const Packet& packet, Ipv4Address instance) {
+  CheckOpening(packet, instance);
+  auto& flow = flows_[FlowId(packet.from, packet.to)];
+  if (flow.next_seq == 0) {
+    flow.next_seq = packet.seq + 1;
+    flow.seq = static_cast<std::uint32_t>(world_.random().Below(1U << 30));
+  }
+  flow.echo = packet.echo;
+  auto answer = Packet();
+  answer.from = packet.to;
+  answer.to = packet.from;
+  answer.syn = true;
+  answer.ack_flag = true;
+  answer.seq = flow.seq;
+  answer.ack = flow.next_seq;
+  answer.echo = flow.echo;
+  links_.to_caller(answer, id_);
+}
+
+// A new flow must not come long after the endpoint said that it leaves, nor
+// for a route that was removed.
+void Endpoint::CheckOpening(const Packet& packet, Ipv4Address instance) {
+  const auto now = world_.Now();
+  const auto is_late = [now](const std::optional<TimePoint>& since) {
+    return since && now - *since > kInForceTime;
+  };
+  if (!links_.is_calm(instance)) {
+    return;
+  }
+  if (is_late(draining_since_)) {
+    world_.Break("a leaving endpoint gets no new flows", key());
+  }
+  if (is_late(links_.removed_at(packet.to))) {
+    world_.Break("a removed route takes no new flows", ToString(packet.to));
+  }
+}
+
+void Endpoint::Run(const FlowId& id, Flow& flow, const Packet& packet) {
+  if (packet.seq != flow.next_seq) {
+    // Sent again: repeat the answer if there is one.
+    if (!flow.answer.data.empty()) {
+      links_.to_caller(flow.answer, id_);
+    }
+    return;
+  }
+  flow.next_seq += static_cast<std::uint32_t>(packet.data.size());
+  flow.answer = Packet();
+  const auto runs = ledger_.Note(packet.data);
+  if (runs > 1 && packet.data.starts_with("unsafe")) {
+    world_.Break("an unsafe request runs at most once", packet.data);
+  }
+  const auto work = world_.random().Chance(kLongShare) ? kLongWork : kWork;
+  world_.After(work,
+               [this, id, request = packet.data] { Answer(id, request); });
+}
+
+void Endpoint::Answer(const FlowId& id, const std::string& request) {
+  const auto found = flows_.find(id);
+  if (ended_ || found == flows_.end()) {
+    return;
+  }
+  auto answer = Packet();
+  answer.ack_flag = true;
+  answer.data = "done " + request;
+  answer.fin = is_draining();
+  Reply(id, found->second, answer);
+  found->second.seq += static_cast<std::uint32_t>(answer.data.size());
+}
+
+void Endpoint::Reply(const FlowId& id, Flow& flow, Packet packet) {
+  packet.from = id.second;
+  packet.to = id.first;
+  packet.seq = flow.seq + 1;
+  packet.ack = flow.next_seq;
+  packet.echo = flow.echo;
+  flow.answer = packet;
+  links_.to_caller(packet, id_);
+}
+
+}  // namespace hemlockwick::soak
--- /dev/null
+++ b/Utilities/Soak/run.cc
@@ -0,0 +1,444 @@
+#include "Soak/run.h"
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <iostream>
+#include <sstream>
+#include <utility>
+
+namespace hemlockwick::soak {
+
+namespace {
+
+constexpr Port kStorePort{8169};
+const auto kZones = std::array<std::string, 3>{"a", "b", "c"};
+
+constexpr Duration kWatchInterval = std::chrono::milliseconds(250);
+constexpr Duration kBeatInterval = std::chrono::milliseconds(1200);
+constexpr Duration kMeanGap = std::chrono::milliseconds(700);
+constexpr Duration kStartTime = std::chrono::seconds(30);
+// After the last fault: time to settle, and time in which all is served.
+constexpr Duration kRecoverTime = std::chrono::seconds(8);
+constexpr Duration kCheckTime = std::chrono::seconds(3);
+// A draining endpoint serves on for this long.
+constexpr Duration kDrainTime = std::chrono::milliseconds(3500);
+// An address may be used by another endpoint after this time.
+constexpr Duration kReuseTime = std::chrono::seconds(2);
+// The entry of a crashed endpoint lapses after three missed heartbeats.
+constexpr Duration kLapseTime = std::chrono::milliseconds(3600);
+
+// Share of requests that is served once all faults are over.
+constexpr double kServedAfter = 0.99;
+
+constexpr std::uint16_t kSparePort = 10'000;
+
+}  // namespace
+
+SoakRun::SoakRun(const SoakSettings& settings)
+    : settings_(settings), world_(settings.seed, settings.network) {
+  services_ = {{"feed", {Ipv4Address(0xC6120001), Port(443)}},
+               {"scan", {Ipv4Address(0xC6120002), Port(443)}}};
+  MakeLinks();
+}
+
+void SoakRun::MakeLinks() {
+  endpoint_links_.to_caller = [this](const Packet& packet,
+                                     std::uint64_t endpoint) {
+    const auto delay = std::chrono::milliseconds(1 + world_.random().Below(3));
+    world_.After(delay, [this, packet, endpoint] {
+      for (const auto& caller : callers_) {
+        if (caller->ip() == packet.to.ip && !caller->has_stopped()) {
+          caller->FromEndpoint(packet, endpoint);
+        }
+      }
+    });
+  };
+  endpoint_links_.is_calm = [this](Ipv4Address instance) {
+    const auto now = world_.Now();
+    auto* const edge = edges_->Find(instance);
+    return edge != nullptr && edge->calm.IsCalm(now) && store_calm_.IsCalm(now);
+  };
+  endpoint_links_.is_lost = [this](Ipv4Address instance) {
+    auto* const edge = edges_->Find(instance);
+    return edge != nullptr && world_.random().Chance(edge->loss);
+  };
+  endpoint_links_.service_of = [this](const SocketAddress& address) {
+    if (address.port.value() >= kSparePort) {
+      return services_.front().name;
+    }
+    const auto found = std::ranges::find(services_, address, &Service::address);
+    return found == services_.end() ? std::string() : found->name;
+  };
+  endpoint_links_.removed_at = [this](const SocketAddress& address) {
+    const auto found = removed_.find(address);
+    return found == removed_.end() ? std::nullopt
+                                   : std::optional(found->second);
+  };
+  caller_links_.route = [this](const SocketAddress& caller,
+                               const SocketAddress& service,
+                               const std::string& zone) {
+    return edges_->Route(caller, service, zone);
+  };
+  caller_links_.is_lost = endpoint_links_.is_lost;
+  caller_links_.is_wrong_reset = [this](Ipv4Address instance,
+                                        const SocketAddress& service,
+                                        std::uint64_t endpoint) {
+    const auto now = world_.Now();
+    auto* const edge = edges_->Find(instance);
+    const auto found =
+        std::ranges::find_if(endpoints_, [endpoint](const auto& candidate) {
+          return candidate->id() == endpoint;
+        });
+    return edge != nullptr && edge->calm.IsCalm(now) &&
+           !removed_.contains(service) && found != endpoints_.end() &&
+           !(*found)->has_ended() && (*found)->calm().IsCalm(now);
+  };
+  caller_links_.done = [this](bool served, bool is_first_try) {
+    ++(served ? served_ : failed_);
+    if (recovered_) {
+      ++(served ? served_after_ : failed_after_);
+    }
+    if (served && !is_first_try) {
+      world_.Count("requests served by a further try");
+    }
+  };
+}
+
+auto SoakRun::Run() -> Result<bool> {
+  const auto store = SocketAddress{world_.Address(5, 0), kStorePort};
+  BOOST_LEAF_ASSIGN(store_, StoreStandIn::Start(world_.context(), store));
+  Publish();
+  for (auto index = std::size_t{0}; index < settings_.endpoints; ++index) {
+    AddEndpoint(services_[index % 3 == 2 ? 1 : 0].name,
+                kZones[(index / 2) % kZones.size()]);
+  }
+  BOOST_LEAF_ASSIGN(edges_,
+                    Edges::Start(world_, {settings_.program, settings_.folder,
+                                          settings_.instances, store}));
+  EverySoOften(kWatchInterval, [this] { edges_->Watch(); });
+  EverySoOften(kBeatInterval, [this] {
+    for (const auto& endpoint : endpoints_) {
+      Beat(*endpoint);
+    }
+  });
+  const auto started = world_.Now();
+  while (!edges_->AllReady() && world_.Now() - started < kStartTime) {
+    world_.context().run_one();
+  }
+  if (!edges_->AllReady()) {
+    world_.Break("processes become ready", "within 30 s");
+    return false;
+  }
+  world_.Say("all instances are ready");
+  StartCallers();
+  end_ = world_.Now() + settings_.length;
+  NextAction();
+  world_.context().run();
+  Report();
+  return world_.broken().empty();
+}
+
+void SoakRun::EverySoOften(Duration time, const std::function<void()>& action) {
+  action();
+  world_.After(time, [this, time, action] { EverySoOften(time, action); });
+}
+
+void SoakRun::Publish() {
+  auto text = std::ostringstream();
+  text << R"({"version":)" << ++version_ << R"(,"routes":[)";
+  for (const auto& service : services_) {
+    text << R"({"name":"r","host":")" << ToString(service.address.ip)
+         << R"(","prefix":"/)" << service.address.port.value()
+         << R"(/","kind":"safe","service":")" << service.name << R"("},)";
+  }
+  for (const auto port : spare_ports_) {
+    text << R"({"name":"s","host":"198.18.0.9","prefix":"/)" << port
+         << R"(/","kind":"safe","service":")" << services_.front().name
+         << R"("},)";
+  }
+  auto value = text.str();
+  value.pop_back();
+  store_->Put("op/config", value + R"(],"services":[],"limits":{}})");
+}
+
+void SoakRun::AddEndpoint(const std::string& service, const std::string& zone) {
+  // Addresses of ended endpoints are used again, for either service.
+  constexpr std::size_t kAddresses = 40;
+  auto address = SocketAddress();
+  const auto is_taken = [&] {
+    return std::ranges::any_of(endpoints_, [&](const auto& endpoint) {
+      return !endpoint->has_ended() && endpoint->address() == address;
+    });
+  };
+  do {
+    address = {world_.Address(3, next_address_++ % kAddresses), Port(8080)};
+  } while (is_taken());
+  endpoints_.push_back(std::make_unique<Endpoint>(world_, next_endpoint_++,
+                                                  service, zone, address,
+                                                  ledger_, endpoint_links_));
+  Beat(*endpoints_.back());
+}
+
+void SoakRun::Beat(const Endpoint& endpoint) {
+  if (!endpoint.has_ended()) {
+    store_->Put(endpoint.key(), endpoint.entry());
+  }
+}
+
+void SoakRun::StartCallers() {
+  for (auto index = std::size_t{0}; index < settings_.callers; ++index) {
+    const auto is_feed = index % 2 == 0;
+    callers_.push_back(std::make_shared<Caller>(
+        world_, world_.Address(2, index), kZones[index % kZones.size()],
+        is_feed ? Caller::Habit::kFeed : Caller::Habit::kOrders,
+        services_[index % 4 == 3 ? 1 : 0].address, caller_links_));
+    callers_.back()->Start();
+  }
+}
+
+auto SoakRun::AnyEdge() -> std::size_t {
+  return world_.random().Below(edges_->size());
+}
+
+auto SoakRun::AnyEndpoint() -> Endpoint* {
+  auto living = std::vector<Endpoint*>();
+  for (const auto& endpoint : endpoints_) {
+    if (!endpoint->has_ended() && !endpoint->is_draining()) {
+      living.push_back(endpoint.get());
+    }
+  }
+  // Each service keeps one endpoint at least.
+  auto* const chosen = living[world_.random().Below(living.size())];
+  const auto alike = std::ranges::count_if(living, [chosen](const auto* other) {
+    return other->service() == chosen->service();
+  });
+  return alike > 1 ? chosen : nullptr;
+}
+
+void SoakRun::NextAction() {
+  if (world_.Now() >= end_) {
+    Finish();
+    return;
+  }
+  if (settings_.planned_only || world_.random().Chance(0.4)) {
+    PlannedAction();
+  } else {
+    FaultAction();
+  }
+  world_.After(world_.random().Exponential(kMeanGap), [this] { NextAction(); });
+}
+
+void SoakRun::PlannedAction() {
+  switch (world_.random().Below(5)) {
+    case 0: {
+      const auto edge = AnyEdge();
+      world_.Say("stop edge-" + std::to_string(edge));
+      edges_->End(edge, SIGTERM);
+      break;
+    }
+    case 1: {
+      const auto edge = AnyEdge();
+      world_.Say("change settings of edge-" + std::to_string(edge));
+      edges_->WriteSettings(edge,
+                            world_.random().Chance(0.5) ? "warning" : "info");
+      if (edges_->at(edge).process) {
+        edges_->at(edge).process->Signal(SIGHUP);
+      }
+      break;
+    }
+    case 2:
+    case 3:
+      DrainEndpoint();
+      break;
+    default:
+      ChangeRoutes();
+      break;
+  }
+}
+
+void SoakRun::FaultAction() {
+  switch (world_.random().Below(8)) {
+    case 0: {
+      const auto edge = AnyEdge();
+      world_.Say("kill edge-" + std::to_string(edge));
+      edges_->End(edge, SIGKILL);
+      break;
+    }
+    case 1: {
+      const auto edge = AnyEdge();
+      const auto time =
+          world_.random().DurationBelow(std::chrono::milliseconds(3500));
+      world_.Say("pause edge-" + std::to_string(edge));
+      edges_->Pause(edge, time);
+      break;
+    }
+    case 2:
+      CrashEndpoint();
+      break;
+    case 3:
+      StoreFault();
+      break;
+    case 4:
+      LossFault();
+      break;
+    case 5:
+      WriteTraps();
+      break;
+    default:
+      LinkFaultAction();
+      break;
+  }
+}
+
+void SoakRun::DrainEndpoint() {
+  auto* const endpoint = AnyEndpoint();
+  if (endpoint == nullptr) {
+    return;
+  }
+  world_.Say("drain " + endpoint->key());
+  endpoint->Drain(world_.Now());
+  Beat(*endpoint);
+  AddEndpoint(endpoint->service(), endpoint->zone());
+  world_.After(kDrainTime, [this, endpoint] {
+    if (!endpoint->has_ended()) {
+      endpoint->End();
+      store_->Delete(endpoint->key());
+    }
+  });
+}
+
+void SoakRun::CrashEndpoint() {
+  auto* const endpoint = AnyEndpoint();
+  if (endpoint == nullptr) {
+    return;
+  }
+  world_.Say("crash " + endpoint->key());
+  endpoint->End();
+  world_.After(kLapseTime,
+               [this, key = endpoint->key()] { store_->Delete(key); });
+  Replace(endpoint->service(), endpoint->zone(), kReuseTime);
+}
+
+void SoakRun::Replace(const std::string& service, const std::string& zone,
+                      Duration after) {
+  world_.After(after, [this, service, zone] { AddEndpoint(service, zone); });
+}
+
+void SoakRun::ChangeRoutes() {
+  const auto port =
+      static_cast<std::uint16_t>(kSparePort + world_.random().Below(200));
+  const auto address = SocketAddress{Ipv4Address(0xC6120009), Port(port)};
+  if (spare_ports_.erase(port) > 0) {
+    removed_[address] = world_.Now();
+  } else {
+    spare_ports_.insert(port);
+    removed_.erase(address);
+  }
+  Publish();
+}
+
+void SoakRun::StoreFault() {
+  const auto time = std::chrono::milliseconds(500) +
+                    world_.random().DurationBelow(std::chrono::seconds(4));
+  store_calm_.DisturbUntil(world_.Now() + time);
+  if (world_.random().Chance(0.4)) {
+    world_.Say("the store forgets its history");
+    store_->Compact();
+    return;
+  }
+  world_.Say("the store refuses");
+  store_->SetRefusing(true);
+  world_.After(time, [this] { store_->SetRefusing(false); });
+}
+
+void SoakRun::LinkFaultAction() {
+  const auto index = AnyEdge();
+  auto& edge = edges_->at(index);
+  const auto time = std::chrono::milliseconds(500) +
+                    world_.random().DurationBelow(std::chrono::seconds(4));
+  const auto is_store = world_.random().Chance(0.5);
+  auto* const proxy =
+      is_store ? edge.store.get()
+               : edge.relays[world_.random().Below(edge.relays.size())].get();
+  edge.calm.DisturbUntil(world_.Now() + time);
+  const auto kind = world_.random().Below(5);
+  world_.Say("link fault " + std::to_string(kind) + " on edge-" +
+             std::to_string(index));
+  if (kind == 4) {
+    proxy->SilenceOpen();
+    return;
+  }
+  constexpr auto kFaults = std::array{LinkFault::kDelay, LinkFault::kSilence,
+                                      LinkFault::kNoAnswers, LinkFault::kReset};
+  proxy->Set(kFaults.at(kind),
+             std::chrono::milliseconds(world_.random().Below(600)));
+  world_.After(time, [proxy] { proxy->Set(LinkFault::kNone); });
+}
+
+void SoakRun::LossFault() {
+  const auto index = AnyEdge();
+  auto& edge = edges_->at(index);
+  const auto time = std::chrono::milliseconds(500) +
+                    world_.random().DurationBelow(std::chrono::seconds(4));
+  edge.loss = world_.random().Chance(0.3) ? 1.0 : 0.05;
+  edge.calm.DisturbUntil(world_.Now() + time);
+  // The endpoints behind these links are disturbed too.
+  for (const auto& endpoint : endpoints_) {
+    endpoint->calm().DisturbUntil(world_.Now() + time);
+  }
+  world_.Say("packets of edge-" + std::to_string(index) + " are lost");
+  world_.After(time, [&edge] { edge.loss = 0; });
+}
+
+// Entries of another writer, and a value that cannot be read.
+void SoakRun::WriteTraps() {
+  world_.Say("foreign entries in the store");
+  store_->Put("servers/i-feedfeed", R"({"service":"feed","address":7})");
+  store_->Put("servers/unreadable", "\xff\xfe");
+  store_->Put("servers/i-1234", R"({"service":"feed","state":"ready"})");
+}
+
+// Ends all faults, lets the system settle, and looks whether all is served.
+void SoakRun::Finish() {
+  world_.Say("all faults are over");
+  store_->SetRefusing(false);
+  for (auto index = std::size_t{0}; index < edges_->size(); ++index) {
+    auto& edge = edges_->at(index);
+    edge.loss = 0;
+    edge.store->Set(LinkFault::kNone);
+    for (const auto& relay : edge.relays) {
+      relay->Set(LinkFault::kNone);
+    }
+  }
+  world_.After(kRecoverTime, [this] { recovered_ = true; });
+  world_.After(kRecoverTime + kCheckTime, [this] {
+    const auto all = static_cast<double>(served_after_ + failed_after_);
+    if (all == 0 || static_cast<double>(served_after_) < kServedAfter * all) {
+      world_.Break("all is served again after the faults",
+                   std::to_string(failed_after_) + " of " +
+                       std::to_string(served_after_ + failed_after_) +
+                       " failed");
+    }
+    if (settings_.planned_only && failed_ > 0) {
+      world_.Break("planned work costs no request", std::to_string(failed_));
+    }
+    for (const auto& caller : callers_) {
+      caller->Stop();
+    }
+    edges_->Stop();
+    world_.context().stop();
+  });
+}
+
+void SoakRun::Report() const {
+  std::cout << "seed " << settings_.seed << ": served " << served_
+            << ", failed " << failed_ << ", calls to the store "
+            << store_->calls();
+  for (const auto& [name, count] : world_.counts()) {
+    std::cout << ", " << name << " " << count;
+  }
+  std::cout << "\n";
+}
+
+}  // namespace hemlockwick::soak
--- /dev/null
+++ b/Utilities/Soak/run.h
@@ -0,0 +1,100 @@
+#ifndef HEMLOCKWICK_SOAK_RUN_H_
+#define HEMLOCKWICK_SOAK_RUN_H_
+
+#include <cstdint>
+#include <filesystem>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Soak/caller.h"
+#include "Soak/edges.h"
+#include "Soak/endpoint.h"
+#include "Soak/store_stand_in.h"
+#include "Soak/world.h"
+
+namespace hemlockwick::soak {
+
+struct SoakSettings {
+  std::string program;           // The hemlockwick binary.
+  std::filesystem::path folder;  // For settings and logs.
+  std::uint64_t seed = 1;
+  std::uint8_t network = 20;  // Second byte of all addresses.
+  Duration length = std::chrono::seconds(20);
+  std::size_t instances = 7;
+  std::size_t endpoints = 10;
+  std::size_t callers = 24;
+  bool planned_only = false;  // Only planned work, which must cost nothing.
+};
+
+// One seeded run: real edge processes between stand-ins, with faults in
+// overlapping series, and the promises checked while it lasts.
+class SoakRun {
+ public:
+  explicit SoakRun(const SoakSettings& settings);
+
+  // Returns whether every promise was kept. Fails when a process or a
+  // stand-in cannot start.
+  [[nodiscard]] auto Run() -> Result<bool>;
+
+ private:
+  struct Service {
+    std::string name;
+    SocketAddress address;
+  };
+
+  void MakeLinks();
+  void Publish();
+  void AddEndpoint(const std::string& service, const std::string& zone);
+  void Beat(const Endpoint& endpoint);
+  void StartCallers();
+  void EverySoOften(Duration time, const std::function<void()>& action);
+  [[nodiscard]] auto IsSettled(TimePoint now) const -> bool;
+
+  void NextAction();
+  void PlannedAction();
+  void FaultAction();
+  void DrainEndpoint();
+  void CrashEndpoint();
+  void ChangeRoutes();
+  void StoreFault();
+  void LinkFaultAction();
+  void LossFault();
+  void WriteTraps();
+  auto AnyEdge() -> std::size_t;
+  auto AnyEndpoint() -> Endpoint*;
+  void Replace(const std::string& service, const std::string& zone,
+               Duration after);
+  void Finish();
+  void Report() const;
+
+  const SoakSettings settings_;
+  World world_;
+  RunLedger ledger_;
+  EndpointLinks endpoint_links_;
+  CallerLinks caller_links_;
+  std::unique_ptr<StoreStandIn> store_;
+  std::unique_ptr<Edges> edges_;
+  std::vector<std::unique_ptr<Endpoint>> endpoints_;
+  std::vector<std::shared_ptr<Caller>> callers_;
+  std::vector<Service> services_;
+  std::set<std::uint16_t> spare_ports_;  // Routes without traffic.
+  std::map<SocketAddress, TimePoint> removed_;
+  Calm store_calm_;
+  std::uint64_t version_ = 10;
+  std::uint64_t next_endpoint_ = 0x10000001;
+  std::size_t next_address_ = 0;
+  TimePoint end_;
+  std::uint64_t served_ = 0;
+  std::uint64_t failed_ = 0;
+  // Counted once all faults are over.
+  bool recovered_ = false;
+  std::uint64_t served_after_ = 0;
+  std::uint64_t failed_after_ = 0;
+};
+
+}  // namespace hemlockwick::soak
+
+#endif  // HEMLOCKWICK_SOAK_RUN_H_
--- a/Utilities/StandIn/instance_process.cc
+++ b/Utilities/StandIn/instance_process.cc
@@ -20,8 +20,10 @@
     constexpr auto kMode = 0600;
     posix_spawn_file_actions_init(&actions_);
     posix_spawn_file_actions_addopen(&actions_, STDOUT_FILENO, log.c_str(),
-                                     O_WRONLY | O_CREAT | O_TRUNC, kMode);
+                                     O_WRONLY | O_CREAT | O_APPEND, kMode);
     posix_spawn_file_actions_adddup2(&actions_, STDOUT_FILENO, STDERR_FILENO);
+    // The starter's sockets stay with the starter.
+    posix_spawn_file_actions_addclosefrom_np(&actions_, STDERR_FILENO + 1);
   }
   ~FileActions() { posix_spawn_file_actions_destroy(&actions_); }
   FileActions(const FileActions&) = delete;
@@ -38,11 +40,12 @@
 }  // namespace
 
 auto InstanceProcess::Start(const std::string& program,
+                            const std::string& command,
                             const std::string& settings, const std::string& log)
     -> Result<std::unique_ptr<InstanceProcess>> {
   const auto actions = FileActions(log);
   auto arguments =
-      std::array<std::string, 4>{program, "serve", "--settings", settings};
+      std::array<std::string, 4>{program, command, "--settings", settings};
   auto argv =
       std::array<char*, 5>{arguments[0].data(), arguments[1].data(),
                            arguments[2].data(), arguments[3].data(), nullptr};
--- a/Utilities/StandIn/instance_process.h
+++ b/Utilities/StandIn/instance_process.h
@@ -12,12 +12,13 @@
 
 namespace hemlockwick {
 
-// A `hemlockwick serve` process that a test or the demo started. The
+// A hemlockwick process that a test, the demo or the soak started. The
 // destructor kills it by its id when it still runs.
 class InstanceProcess {
  public:
-  // Runs PROGRAM serve --settings SETTINGS with its output in LOG.
+  // Runs PROGRAM COMMAND --settings SETTINGS and appends its output to LOG.
   [[nodiscard]] static auto Start(const std::string& program,
+                                  const std::string& command,
                                   const std::string& settings,
                                   const std::string& log)
       -> Result<std::unique_ptr<InstanceProcess>>;
--- a/Utilities/StandIn/local_fleet.cc
+++ b/Utilities/StandIn/local_fleet.cc
@@ -80,8 +80,9 @@
   for (auto index = std::size_t{0}; index < count; ++index) {
     fleet->WriteSettings(index);
     BOOST_LEAF_AUTO(
-        process, InstanceProcess::Start(program, fleet->FileOf(index, ".yaml"),
-                                        fleet->FileOf(index, ".log")));
+        process,
+        InstanceProcess::Start(program, "serve", fleet->FileOf(index, ".yaml"),
+                               fleet->FileOf(index, ".log")));
     fleet->processes_.push_back(std::move(process));
   }
   return fleet;
