Edge: Share signs against endpoints through the relays

Change: instances report endpoints that left repeated packets unanswered to the relays. Two reporters make an endpoint suspect for new flows everywhere; one that hears from it clears it; waiting flows are reset only when nobody has objected for 1.2 s.

In a rolling restart flows move between instances and openings time out at several of them; with one long request the flow of a living endpoint was reset.

--- a/Source/Edge/directory_keeper.cc
+++ b/Source/Edge/directory_keeper.cc
@@ -31,6 +31,9 @@
   if (answer.status == SyncStatus::kOk) {
     Apply(answer.update, now);
     relay_.Add(answer.update, now);
+    if (!answer.suspects.empty()) {
+      signs_.SetShared(answer.suspects);
+    }
   }
   OnTick(now);
 }
@@ -105,7 +108,8 @@
 }
 
 auto DirectoryKeeper::RelayStateAt(TimePoint now) const -> RelayState {
-  auto state = RelayState{now - sync_.last_fresh(), std::nullopt};
+  auto state = RelayState();
+  state.age = now - sync_.last_fresh();
   if (outage_end_) {
     state.since_outage = now - *outage_end_;
   }
--- a/Source/Edge/directory_keeper.h
+++ b/Source/Edge/directory_keeper.h
@@ -9,6 +9,7 @@
 #include "Edge/directory_sync.h"
 #include "Edge/edge_metrics.h"
 #include "Edge/relay_server.h"
+#include "Edge/sign_board.h"
 #include "Flow/endpoint_directory.h"
 
 namespace hemlockwick {
@@ -41,6 +42,9 @@
     return directory_.routes();
   }
 
+  // Signs that pass between this instance's threads and other instances.
+  [[nodiscard]] auto signs() -> SignBoard& { return signs_; }
+
   // Passes the directory on to other instances.
   [[nodiscard]] auto relay() -> RelayServer& { return relay_; }
 
@@ -62,6 +66,7 @@
   EndpointDirectory directory_;
   SnapshotCell<DirectorySnapshot> snapshots_;
   RelayServer relay_;
+  SignBoard signs_;
   bool was_lost_ = false;
   bool is_failing_ = false;  // The last call had no answer.
   std::optional<TimePoint> outage_end_;
--- a/Source/Edge/directory_sync.h
+++ b/Source/Edge/directory_sync.h
@@ -12,6 +12,7 @@
 #include "Core/random.h"
 #include "Core/time.h"
 #include "Edge/directory_update.h"
+#include "Flow/endpoint_load.h"
 
 namespace hemlockwick {
 
@@ -33,6 +34,8 @@
   // last outage that it noticed, if any.
   Duration age{0};
   std::optional<Duration> since_outage;
+  // Endpoints that several instances have found not to answer.
+  std::vector<SharedSuspect> suspects;
 };
 
 // The next call for the directory.
--- a/Source/Edge/edge_forwarder.h
+++ b/Source/Edge/edge_forwarder.h
@@ -11,6 +11,7 @@
 #include "Edge/edge_metrics.h"
 #include "Edge/packet_codec.h"
 #include "Edge/router_log.h"
+#include "Edge/sign_board.h"
 #include "Flow/token_router.h"
 #include "Runtime/datagram_batch.h"
 #include "Runtime/socket.h"
@@ -31,13 +32,14 @@
   // `socket` is a bound UDP socket with a receive timeout. Everything passed
   // by reference must outlive the forwarder.
   EdgeForwarder(FileDescriptor socket, const TokenRouterSettings& settings,
-                const Directories& directories, EdgeMetrics& metrics,
-                const SystemClock& clock)
+                const Directories& directories, SignBoard& signs,
+                EdgeMetrics& metrics, const SystemClock& clock)
       : socket_(std::move(socket)),
         local_(LocalAddress(socket_)),
         metrics_(metrics),
         clock_(clock),
         directories_(directories),
+        signs_(signs),
         router_(settings),
         batch_(kEdgeBatch, Codec::kMaxDatagramBytes) {}
 
@@ -60,6 +62,7 @@
     }
     Flush();
     if (arrived < batch_.capacity()) {
+      router_.NoteShared(signs_.TakeShared(), now);
       SendResets(router_.OnTick(now));
     }
     Report(now);
@@ -123,6 +126,10 @@
   }
 
   void Report(TimePoint now) {
+    const auto news = router_.TakeNews();
+    if (!news.empty()) {
+      signs_.AddLocal(news);
+    }
     for (const auto& note : router_.TakeNotes()) {
       LogNote(note, router_.directory(), now);
     }
@@ -136,6 +143,7 @@
   EdgeMetrics& metrics_;
   const SystemClock& clock_;
   const Directories& directories_;
+  SignBoard& signs_;
   std::uint64_t seen_generation_ = 0;
   TokenRouter router_;
   DatagramBatch batch_;
--- a/Source/Edge/edge_process.h
+++ b/Source/Edge/edge_process.h
@@ -60,7 +60,7 @@
         source_(context_, settings.platform, clock_),
         forwarder_(std::move(sockets.packet),
                    {IdFromName<DataCentreId>(settings.data_centre)},
-                   keeper_.snapshots(), metrics_, clock_),
+                   keeper_.snapshots(), keeper_.signs(), metrics_, clock_),
         http_(context_, std::move(sockets.http), StatusHandler()),
         call_timer_(context_),
         tick_timer_(context_),
@@ -129,10 +129,29 @@
     }
   }
 
+  // Reports this instance's signs to all relays, itself included.
+  void ExchangeSigns(TimePoint now) {
+    auto news = keeper_.signs().TakeLocal();
+    if (!news.empty()) {
+      const auto report =
+          SignReport{IdFromName<InstanceId>(settings_.name), std::move(news)};
+      for (const auto& relay : relays_) {
+        relay->Report(report);
+      }
+      keeper_.relay().TakeReport(report, now);
+    }
+    auto suspects = keeper_.relay().Suspects(now);
+    if (!suspects.empty()) {
+      keeper_.signs().SetShared(std::move(suspects));
+    }
+  }
+
   void ServeRelay(const std::string& target, const HttpListener::Reply& reply) {
-    const auto query = ParseQuery(target);
-    if (query) {
+    if (const auto query = ParseQuery(target)) {
       keeper_.relay().Serve(*query, reply, clock_.Now());
+    } else if (const auto report = ParseReport(target)) {
+      keeper_.relay().TakeReport(*report, clock_.Now());
+      reply({200, "text/plain", ""});
     } else {
       reply(Answer(target));
     }
@@ -162,6 +181,7 @@
     const auto now = clock_.Now();
     keeper_.OnTick(now);
     settings_watch_.OnTick(now);
+    ExchangeSigns(now);
     metrics_.SetLogLinesDropped(DroppedLogLines());
     FlushLog();
     if (LeaveDone(now)) {
--- a/Source/Edge/relay_client.cc
+++ b/Source/Edge/relay_client.cc
@@ -1,9 +1,6 @@
 #include "Edge/relay_client.h"
 
 #include <utility>
-
-#include "Edge/relay_codec.h"
-
 namespace hemlockwick {
 
 namespace {
@@ -11,11 +8,24 @@
 constexpr int kOk = 200;
 constexpr int kGone = 410;
 
+constexpr Duration kReportTimeout = std::chrono::milliseconds(500);
+
 }  // namespace
 
 RelayClient::RelayClient(boost::asio::io_context& context,
                          const SocketAddress& address, const SystemClock& clock)
-    : connection_(context, address), clock_(clock) {}
+    : connection_(context, address),
+      reports_(context, address),
+      clock_(clock) {}
+
+void RelayClient::Report(const SignReport& report) {
+  if (is_reporting_) {
+    return;
+  }
+  is_reporting_ = true;
+  reports_.Get(FormatReport(report), kReportTimeout,
+               [this](const HttpAnswer&) { is_reporting_ = false; });
+}
 
 void RelayClient::Call(const SyncCall& call,
                        std::shared_ptr<const RouteSet> routes,
--- a/Source/Edge/relay_client.h
+++ b/Source/Edge/relay_client.h
@@ -9,6 +9,7 @@
 #include "Core/net_address.h"
 #include "Edge/directory_sync.h"
 #include "Edge/http_connection.h"
+#include "Edge/relay_codec.h"
 #include "Runtime/system_clock.h"
 
 namespace hemlockwick {
@@ -24,6 +25,10 @@
   RelayClient(boost::asio::io_context& context, const SocketAddress& address,
               const SystemClock& clock);
 
+  // Reports signs; the answer does not matter. Left out while an earlier
+  // report has had none.
+  void Report(const SignReport& report);
+
   // `routes` are those that the caller holds; null when it holds none.
   void Call(const SyncCall& call, std::shared_ptr<const RouteSet> routes,
             OnAnswer on_answer);
@@ -33,6 +38,8 @@
               std::string& error) const -> SyncAnswer;
 
   HttpConnection connection_;
+  HttpConnection reports_;
+  bool is_reporting_ = false;
   const SystemClock& clock_;
 };
 
--- a/Source/Edge/relay_codec.cc
+++ b/Source/Edge/relay_codec.cc
@@ -12,9 +12,13 @@
 using Json = nlohmann::json;
 
 constexpr std::string_view kPath = "/directory";
+constexpr std::string_view kSignsPath = "/signs";
+
+// Endpoints that one report may name, of each kind.
+constexpr std::size_t kMaxTokens = 64;
 
 // Longest time for which a relay holds a call.
-constexpr std::int64_t kMaxWaitMillis = 30'000;
+constexpr std::uint64_t kMaxWaitMillis = 30'000;
 
 auto MillisOf(Duration time) -> std::int64_t {
   return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
@@ -148,14 +152,42 @@
   return result;
 }
 
+auto EncodeSuspects(const std::vector<SharedSuspect>& suspects, TimePoint now)
+    -> Json {
+  auto result = Json::array();
+  for (const auto& suspect : suspects) {
+    result.push_back(
+        Json::array({suspect.token.value(), MillisOf(now - suspect.since),
+                     MillisOf(now - suspect.at)}));
+  }
+  return result;
+}
+
+auto DecodeSuspects(const Json& items, TimePoint now)
+    -> std::vector<SharedSuspect> {
+  auto result = std::vector<SharedSuspect>();
+  const auto before = [now](const Json& age) {
+    return now - std::chrono::milliseconds(age.get<std::int64_t>());
+  };
+  for (const auto& item : items) {
+    result.push_back({FlowToken(item.at(0).get<std::uint32_t>()),
+                      before(item.at(1)), before(item.at(2))});
+  }
+  return result;
+}
+
 auto DecodeMessage(const Json& message, const RouteSet* base, TimePoint now)
     -> SyncAnswer {
-  auto answer = SyncAnswer{SyncStatus::kOk, {}, {}, {}};
+  auto answer = SyncAnswer();
+  answer.status = SyncStatus::kOk;
   answer.age = std::chrono::milliseconds(message.at("age_ms").get<int>());
   if (message.contains("outage_ms")) {
     answer.since_outage =
         std::chrono::milliseconds(message.at("outage_ms").get<std::int64_t>());
   }
+  if (message.contains("suspects")) {
+    answer.suspects = DecodeSuspects(message.at("suspects"), now);
+  }
   auto& update = answer.update;
   update.is_whole = message.at("whole").get<bool>();
   update.revision = Revision(message.at("revision").get<std::uint64_t>());
@@ -178,6 +210,33 @@
   return is_whole ? std::optional(value) : std::nullopt;
 }
 
+using QueryFields = std::vector<std::pair<std::string_view, std::uint64_t>>;
+
+// The fields of a query whose values are all numbers; nothing when the path is
+// another one or a value is no number.
+auto ParseFields(std::string_view target, std::string_view path)
+    -> std::optional<QueryFields> {
+  const auto mark = target.find('?');
+  if (mark == std::string_view::npos || target.substr(0, mark) != path) {
+    return std::nullopt;
+  }
+  auto fields = QueryFields();
+  auto rest = target.substr(mark + 1);
+  while (!rest.empty()) {
+    const auto end = std::min(rest.find('&'), rest.size());
+    const auto field = rest.substr(0, end);
+    rest.remove_prefix(std::min(end + 1, rest.size()));
+    const auto equals = std::min(field.find('='), field.size());
+    const auto value =
+        ParseNumber(field.substr(std::min(equals + 1, field.size())));
+    if (!value) {
+      return std::nullopt;
+    }
+    fields.emplace_back(field.substr(0, equals), *value);
+  }
+  return fields;
+}
+
 }  // namespace
 
 auto EncodeUpdate(const DirectoryUpdate& update, const RelayState& state,
@@ -195,6 +254,9 @@
   if (state.since_outage) {
     message["outage_ms"] = MillisOf(*state.since_outage);
   }
+  if (!state.suspects.empty()) {
+    message["suspects"] = EncodeSuspects(state.suspects, now);
+  }
   if (update.routes != nullptr) {
     message["routes"] = EncodeRoutes(*update.routes, base);
   }
@@ -225,33 +287,52 @@
 }
 
 auto ParseQuery(std::string_view target) -> std::optional<RelayQuery> {
-  const auto mark = target.find('?');
-  if (mark == std::string_view::npos || target.substr(0, mark) != kPath) {
+  const auto fields = ParseFields(target, kPath);
+  if (!fields) {
     return std::nullopt;
   }
   auto query = RelayQuery();
-  auto rest = target.substr(mark + 1);
-  while (!rest.empty()) {
-    const auto end = std::min(rest.find('&'), rest.size());
-    const auto field = rest.substr(0, end);
-    rest.remove_prefix(std::min(end + 1, rest.size()));
-    const auto equals = std::min(field.find('='), field.size());
-    const auto name = field.substr(0, equals);
-    const auto value =
-        ParseNumber(field.substr(std::min(equals + 1, field.size())));
-    if (!value) {
-      return std::nullopt;
-    }
+  for (const auto& [name, value] : *fields) {
     if (name == "after") {
-      query.after = Revision(*value);
+      query.after = Revision(value);
     } else if (name == "version") {
-      query.version = Version(*value);
+      query.version = Version(value);
     } else if (name == "wait") {
-      query.wait = std::chrono::milliseconds(std::min<std::int64_t>(
-          static_cast<std::int64_t>(*value & INT64_MAX), kMaxWaitMillis));
+      query.wait = std::chrono::milliseconds(std::min(value, kMaxWaitMillis));
     }
   }
   return query;
 }
 
+auto FormatReport(const SignReport& report) -> std::string {
+  auto target = std::string(kSignsPath) +
+                "?from=" + std::to_string(report.reporter.value());
+  for (const auto token : report.news.silent) {
+    target += "&silent=" + std::to_string(token.value());
+  }
+  for (const auto token : report.news.alive) {
+    target += "&alive=" + std::to_string(token.value());
+  }
+  return target;
+}
+
+auto ParseReport(std::string_view target) -> std::optional<SignReport> {
+  const auto fields = ParseFields(target, kSignsPath);
+  if (!fields) {
+    return std::nullopt;
+  }
+  auto report = SignReport();
+  for (const auto& [name, value] : *fields) {
+    if (name == "from") {
+      report.reporter = InstanceId(value);
+    } else if (name == "silent" || name == "alive") {
+      auto& tokens = name == "alive" ? report.news.alive : report.news.silent;
+      if (tokens.size() < kMaxTokens) {
+        tokens.emplace_back(static_cast<std::uint32_t>(value));
+      }
+    }
+  }
+  return report;
+}
+
 }  // namespace hemlockwick
--- a/Source/Edge/relay_codec.h
+++ b/Source/Edge/relay_codec.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "Core/error.h"
 #include "Core/time.h"
@@ -19,6 +20,7 @@
 struct RelayState {
   Duration age{0};  // Since the platform's last answer.
   std::optional<Duration> since_outage;
+  std::vector<SharedSuspect> suspects;
 };
 
 // Encodes an update. Routes are sent as the difference to `base`, the routes
@@ -45,6 +47,18 @@
 [[nodiscard]] auto ParseQuery(std::string_view target)
     -> std::optional<RelayQuery>;
 
+// A report about endpoints to a relay, as its path and query.
+struct SignReport {
+  InstanceId reporter;
+  EndpointNews news;
+};
+
+[[nodiscard]] auto FormatReport(const SignReport& report) -> std::string;
+
+// Nothing when `target` is not such a report.
+[[nodiscard]] auto ParseReport(std::string_view target)
+    -> std::optional<SignReport>;
+
 }  // namespace hemlockwick
 
 #endif  // HEMLOCKWICK_EDGE_RELAY_CODEC_H_
--- a/Source/Edge/relay_server.cc
+++ b/Source/Edge/relay_server.cc
@@ -8,6 +8,9 @@
 constexpr int kGone = 410;
 constexpr int kUnavailable = 503;
 
+// Calls are answered for the sake of new suspects no more often than this.
+constexpr Duration kSignAnswerInterval = std::chrono::milliseconds(200);
+
 }  // namespace
 
 RelayServer::RelayServer(StateNow state) : state_(std::move(state)) {}
@@ -33,7 +36,18 @@
   reply(AnswerTo(query, encoded, now));
 }
 
+void RelayServer::TakeReport(const SignReport& report, TimePoint now) {
+  suspects_changed_ =
+      signs_.Report(report.reporter, report.news, now) || suspects_changed_;
+}
+
 void RelayServer::OnTick(TimePoint now) {
+  if (suspects_changed_ && now >= next_sign_answer_) {
+    suspects_changed_ = false;
+    next_sign_answer_ = now + kSignAnswerInterval;
+    AnswerAll(now);
+    return;
+  }
   auto encoded = Encoded();
   for (auto entry = waiting_.begin(); entry != waiting_.end();) {
     if (now < entry->until) {
@@ -73,11 +87,17 @@
   return reply;
 }
 
+auto RelayServer::StateAt(TimePoint now) const -> RelayState {
+  auto state = state_(now);
+  state.suspects = signs_.Suspects(now);
+  return state;
+}
+
 auto RelayServer::Encode(const DirectoryUpdate& update, const RelayQuery& query,
                          TimePoint now) const -> HttpReply {
   const auto base = history_.RoutesOf(query.version);
   return {kOk, "application/cbor",
-          EncodeUpdate(update, state_(now), base.get(), now)};
+          EncodeUpdate(update, StateAt(now), base.get(), now)};
 }
 
 }  // namespace hemlockwick
--- a/Source/Edge/relay_server.h
+++ b/Source/Edge/relay_server.h
@@ -7,11 +7,13 @@
 #include <map>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "Core/time.h"
 #include "Edge/directory_history.h"
 #include "Edge/http_listener.h"
 #include "Edge/relay_codec.h"
+#include "Edge/sign_exchange.h"
 
 namespace hemlockwick {
 
@@ -31,6 +33,15 @@
   // Answers a call, now or when there is a change or its time is over.
   void Serve(const RelayQuery& query, HttpListener::Reply reply, TimePoint now);
 
+  // Takes a report about endpoints; the calls that wait are answered soon when
+  // that changes the set of suspects. Those who call later are told too.
+  void TakeReport(const SignReport& report, TimePoint now);
+
+  [[nodiscard]] auto Suspects(TimePoint now) const
+      -> std::vector<SharedSuspect> {
+    return signs_.Suspects(now);
+  }
+
   // Answers the calls whose time is over.
   void OnTick(TimePoint now);
 
@@ -47,6 +58,7 @@
   using Encoded = std::map<EncodedKey, std::string>;
 
   void AnswerAll(TimePoint now);
+  [[nodiscard]] auto StateAt(TimePoint now) const -> RelayState;
   [[nodiscard]] auto AnswerTo(const RelayQuery& query, Encoded& encoded,
                               TimePoint now) const -> HttpReply;
   [[nodiscard]] auto Encode(const DirectoryUpdate& update,
@@ -55,6 +67,9 @@
 
   const StateNow state_;
   DirectoryHistory history_;
+  SignExchange signs_;
+  TimePoint next_sign_answer_;
+  bool suspects_changed_ = false;
   bool has_directory_ = false;
   std::list<Waiting> waiting_;
 };
--- /dev/null
+++ b/Source/Edge/sign_board.h
@@ -0,0 +1,58 @@
+#ifndef HEMLOCKWICK_EDGE_SIGN_BOARD_H_
+#define HEMLOCKWICK_EDGE_SIGN_BOARD_H_
+
+#include <algorithm>
+#include <mutex>
+#include <utility>
+#include <vector>
+
+#include "Flow/endpoint_load.h"
+#include "Flow/flow_token.h"
+
+namespace hemlockwick {
+
+// Passes news of endpoints between the traffic thread, which sees them, and the
+// control thread, which talks to other instances. Bounded by the number of
+// endpoints, since each is named once.
+class SignBoard {
+ public:
+  void AddLocal(const EndpointNews& news) {
+    const auto lock = std::lock_guard(mutex_);
+    Merge(local_.silent, news.silent);
+    Merge(local_.alive, news.alive);
+  }
+
+  auto TakeLocal() -> EndpointNews {
+    const auto lock = std::lock_guard(mutex_);
+    return std::exchange(local_, {});
+  }
+
+  // Replaces what the traffic thread has not taken yet.
+  void SetShared(std::vector<SharedSuspect> suspects) {
+    const auto lock = std::lock_guard(mutex_);
+    shared_ = std::move(suspects);
+  }
+
+  auto TakeShared() -> std::vector<SharedSuspect> {
+    const auto lock = std::lock_guard(mutex_);
+    return std::exchange(shared_, {});
+  }
+
+ private:
+  static void Merge(std::vector<FlowToken>& all,
+                    const std::vector<FlowToken>& more) {
+    for (const auto token : more) {
+      if (std::ranges::find(all, token) == all.end()) {
+        all.push_back(token);
+      }
+    }
+  }
+
+  std::mutex mutex_;
+  EndpointNews local_;
+  std::vector<SharedSuspect> shared_;
+};
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_EDGE_SIGN_BOARD_H_
--- /dev/null
+++ b/Source/Edge/sign_exchange.cc
@@ -0,0 +1,81 @@
+#include "Edge/sign_exchange.h"
+
+#include <algorithm>
+
+namespace hemlockwick {
+
+namespace {
+
+// Instances that have to report an endpoint, and for how long a report counts.
+constexpr std::ptrdiff_t kReportersNeeded = 2;
+constexpr Duration kReportTime = std::chrono::milliseconds(1500);
+
+// Bounds the memory: endpoints reported at a time.
+constexpr std::size_t kMaxEndpoints = 4096;
+
+constexpr Duration kCleanInterval = std::chrono::seconds(5);
+
+}  // namespace
+
+auto SignExchange::Report(InstanceId reporter, const EndpointNews& news,
+                          TimePoint now) -> bool {
+  ForgetOld(now);
+  auto has_changed = false;
+  for (const auto token : news.silent) {
+    has_changed = NoteSilent(reporter, token, now) || has_changed;
+  }
+  for (const auto token : news.alive) {
+    has_changed = reports_.erase(token) > 0 || has_changed;
+  }
+  return has_changed;
+}
+
+auto SignExchange::NoteSilent(InstanceId reporter, FlowToken token,
+                              TimePoint now) -> bool {
+  if (reports_.size() >= kMaxEndpoints && !reports_.contains(token)) {
+    return false;
+  }
+  auto& reports = reports_[token];
+  const auto was_suspect = IsSuspect(reports, now);
+  reports.latest[reporter] = now;
+  if (was_suspect || !IsSuspect(reports, now)) {
+    return false;
+  }
+  reports.suspect_since = now;
+  return true;
+}
+
+auto SignExchange::Suspects(TimePoint now) const -> std::vector<SharedSuspect> {
+  auto result = std::vector<SharedSuspect>();
+  for (const auto& [token, reports] : reports_) {
+    if (IsSuspect(reports, now)) {
+      const auto latest = std::ranges::max_element(
+          reports.latest, {}, [](const auto& report) { return report.second; });
+      result.push_back({token, reports.suspect_since, latest->second});
+    }
+  }
+  return result;
+}
+
+auto SignExchange::IsSuspect(const Reports& reports, TimePoint now) -> bool {
+  const auto recent = std::ranges::count_if(
+      reports.latest,
+      [now](const auto& report) { return now - report.second < kReportTime; });
+  return recent >= kReportersNeeded;
+}
+
+void SignExchange::ForgetOld(TimePoint now) {
+  if (now < next_clean_) {
+    return;
+  }
+  next_clean_ = now + kCleanInterval;
+  for (auto& [token, reports] : reports_) {
+    std::erase_if(reports.latest, [now](const auto& report) {
+      return now - report.second >= kReportTime;
+    });
+  }
+  std::erase_if(reports_,
+                [](const auto& entry) { return entry.second.latest.empty(); });
+}
+
+}  // namespace hemlockwick
--- /dev/null
+++ b/Source/Edge/sign_exchange.h
@@ -0,0 +1,45 @@
+#ifndef HEMLOCKWICK_EDGE_SIGN_EXCHANGE_H_
+#define HEMLOCKWICK_EDGE_SIGN_EXCHANGE_H_
+
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+#include "Core/ids.h"
+#include "Core/time.h"
+#include "Flow/endpoint_load.h"
+#include "Flow/flow_token.h"
+
+namespace hemlockwick {
+
+// Gathers what instances report to a relay about endpoints. A relay sees more
+// flows of an endpoint than each of them, so it finds a dead one sooner. One
+// instance alone never makes an endpoint suspect, and one that hears from the
+// endpoint clears it.
+class SignExchange {
+ public:
+  // Takes a report. Returns whether the set of suspects has changed.
+  auto Report(InstanceId reporter, const EndpointNews& news, TimePoint now)
+      -> bool;
+
+  // Endpoints that several instances have reported lately.
+  [[nodiscard]] auto Suspects(TimePoint now) const
+      -> std::vector<SharedSuspect>;
+
+ private:
+  struct Reports {
+    std::map<InstanceId, TimePoint> latest;  // By reporter.
+    TimePoint suspect_since;                 // Zero while it is not suspect.
+  };
+
+  static auto IsSuspect(const Reports& reports, TimePoint now) -> bool;
+  auto NoteSilent(InstanceId reporter, FlowToken token, TimePoint now) -> bool;
+  void ForgetOld(TimePoint now);
+
+  std::unordered_map<FlowToken, Reports> reports_;
+  TimePoint next_clean_;
+};
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_EDGE_SIGN_EXCHANGE_H_
--- a/Source/Flow/endpoint_load.h
+++ b/Source/Flow/endpoint_load.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <unordered_map>
+#include <vector>
 
 #include "Core/ids.h"
 #include "Core/time.h"
@@ -11,6 +12,24 @@
 
 namespace hemlockwick {
 
+// An endpoint that several instances have found not to answer, without another
+// instance having heard from it.
+struct SharedSuspect {
+  FlowToken token;
+  TimePoint since;
+  TimePoint at;  // Of the latest report.
+};
+
+// What an instance tells others about endpoints.
+struct EndpointNews {
+  std::vector<FlowToken> silent;  // Left packets unanswered.
+  std::vector<FlowToken> alive;   // Suspect to others, but answered here.
+
+  [[nodiscard]] auto empty() const -> bool {
+    return silent.empty() && alive.empty();
+  }
+};
+
 // What this instance knows of an endpoint from the flows it forwards.
 struct EndpointLoad {
   explicit EndpointLoad(TimePoint now) : signs(now) {}
--- a/Source/Flow/endpoint_signs.cc
+++ b/Source/Flow/endpoint_signs.cc
@@ -14,7 +14,11 @@
 // Packets sent again that make an endpoint silent, and the time without proof
 // of life.
 constexpr std::uint32_t kRepeatsToSilence = 2;
+// The same when other instances get no answer either.
+constexpr std::uint32_t kRepeatsWithOthers = 1;
 constexpr Duration kSilenceWithOpening = std::chrono::milliseconds(500);
+// Time in which an instance that hears from the endpoint would have told so.
+constexpr Duration kSharedSilence = std::chrono::milliseconds(1200);
 // Data alone may wait for long work; openings never do.
 constexpr Duration kSilenceOfData = std::chrono::milliseconds(2000);
 
@@ -47,22 +51,38 @@
   return repeated_data_;
 }
 
+void EndpointSigns::NoteShared(TimePoint since, TimePoint at) {
+  if (at > last_alive_) {
+    shared_since_ = since;
+    shared_at_ = at;
+  }
+}
+
+auto EndpointSigns::IsSharedSuspect(TimePoint now) const -> bool {
+  return now - shared_at_ < kRetryTime;
+}
+
 void EndpointSigns::Clear() {
+  shared_at_ = TimePoint();
   openings_ = 0;
   repeated_openings_ = 0;
   repeated_data_ = 0;
 }
 
 auto EndpointSigns::IsSuspect(TimePoint now) const -> bool {
-  return signs() >= kSignsToSuspect && now - last_sign_ < kRetryTime;
+  return IsSharedSuspect(now) ||
+         (signs() >= kSignsToSuspect && now - last_sign_ < kRetryTime);
 }
 
 auto EndpointSigns::IsSilent(TimePoint now) const -> bool {
-  if (repeated_openings_ + repeated_data_ < kRepeatsToSilence) {
+  const auto is_shared =
+      IsSharedSuspect(now) && now - shared_since_ >= kSharedSilence;
+  const auto repeats = repeated_openings_ + repeated_data_;
+  if (repeats < (is_shared ? kRepeatsWithOthers : kRepeatsToSilence)) {
     return false;
   }
-  const auto needed =
-      openings_ + repeated_openings_ > 0 ? kSilenceWithOpening : kSilenceOfData;
+  const auto has_openings = is_shared || openings_ + repeated_openings_ > 0;
+  const auto needed = has_openings ? kSilenceWithOpening : kSilenceOfData;
   return now - last_alive_ >= needed;
 }
 
--- a/Source/Flow/endpoint_signs.h
+++ b/Source/Flow/endpoint_signs.h
@@ -35,6 +35,13 @@
   auto NoteSilence(SilentPacket packet, TimePoint sent_at, TimePoint now)
       -> bool;
 
+  // Notes that several instances have had signs from `since` until `at`. Weighs
+  // less than anything that the endpoint has answered here since.
+  void NoteShared(TimePoint since, TimePoint at);
+
+  // Whether other instances suspect the endpoint.
+  [[nodiscard]] auto IsSharedSuspect(TimePoint now) const -> bool;
+
   // Forgets all signs, for example after this process was suspended.
   void Clear();
 
@@ -55,6 +62,8 @@
 
   TimePoint last_alive_;
   TimePoint last_sign_;
+  TimePoint shared_since_;
+  TimePoint shared_at_;
   std::uint32_t openings_ = 0;
   std::uint32_t repeated_openings_ = 0;
   std::uint32_t repeated_data_ = 0;
--- a/Source/Flow/token_router.cc
+++ b/Source/Flow/token_router.cc
@@ -1,5 +1,6 @@
 #include "Flow/token_router.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "Core/hash.h"
@@ -45,6 +46,12 @@
   return static_cast<std::int32_t>(left - right) < 0;
 }
 
+void AddOnce(std::vector<FlowToken>& tokens, FlowToken token) {
+  if (std::ranges::find(tokens, token) == tokens.end()) {
+    tokens.push_back(token);
+  }
+}
+
 }  // namespace
 
 auto FlowKeyOf(const SocketAddress& caller, const SocketAddress& service)
@@ -407,6 +414,9 @@
              now - signs.last_alive(),
              ""});
   }
+  if (signs.IsSharedSuspect(now)) {
+    AddOnce(news_.alive, token);
+  }
   signs.NoteAlive(now);
 }
 
@@ -423,6 +433,10 @@
     return;
   }
   ++counters_.signs;
+  // A flow that only fell quiet here may have moved to another instance.
+  if (packet != SilentPacket::kOpening) {
+    AddOnce(news_.silent, flow.token);
+  }
   const auto age = now - signs.last_alive();
   if (!was_suspect && signs.IsSuspect(now)) {
     AddNote({RouterNote::Kind::kEndpointSuspected, flow.caller, flow.service,
@@ -507,6 +521,19 @@
   return resets;
 }
 
+void TokenRouter::NoteShared(const std::vector<SharedSuspect>& suspects,
+                             TimePoint now) {
+  for (const auto& suspect : suspects) {
+    if (directory_ != nullptr && directory_->Find(suspect.token) != nullptr) {
+      LoadOf(suspect.token, now).signs.NoteShared(suspect.since, suspect.at);
+    }
+  }
+}
+
+auto TokenRouter::TakeNews() -> EndpointNews {
+  return std::exchange(news_, {});
+}
+
 auto TokenRouter::TakeNotes() -> std::vector<RouterNote> {
   return std::exchange(notes_, {});
 }
--- a/Source/Flow/token_router.h
+++ b/Source/Flow/token_router.h
@@ -132,6 +132,12 @@
   // endpoints found silent.
   auto OnTick(TimePoint now) -> std::vector<ResetFlow>;
 
+  // Takes what other instances have found.
+  void NoteShared(const std::vector<SharedSuspect>& suspects, TimePoint now);
+
+  // What other instances should know since the last call.
+  [[nodiscard]] auto TakeNews() -> EndpointNews;
+
   // Notes since the last call.
   [[nodiscard]] auto TakeNotes() -> std::vector<RouterNote>;
   [[nodiscard]] auto TakeReplies() -> std::vector<ReplySample>;
@@ -191,6 +197,7 @@
   EndpointLoads loads_;
   std::deque<PendingOpening> pending_;
   std::vector<FlowToken> newly_silent_;
+  EndpointNews news_;
   std::unordered_map<FlowToken, TimePoint> unknown_since_;
   std::vector<RouterNote> notes_;
   std::vector<ReplySample> replies_;
--- a/Tests/Edge/relay_test.cc
+++ b/Tests/Edge/relay_test.cc
@@ -117,7 +117,9 @@
   update.reports.at(0).cold_until = kNow + kSecond;
   update.removed = {EndpointId(0xCD8C9936B8)};
   update.unreadable = {EndpointId(5)};
-  const auto state = RelayState{kSecond, 2 * kSecond};
+  const auto suspect =
+      SharedSuspect{FlowToken(9), kNow - 2 * kSecond, kNow - kSecond};
+  const auto state = RelayState{kSecond, 2 * kSecond, {suspect}};
   const auto answer =
       Decoded(EncodeUpdate(update, state, nullptr, kNow), nullptr);
   cr_assert_eq(answer.status, SyncStatus::kOk);
@@ -128,6 +130,9 @@
   cr_assert_eq(answer.update.routes->routes.size(), 100U);
   cr_assert_eq(answer.age, Duration(kSecond));
   cr_assert_eq(*answer.since_outage, Duration(2 * kSecond));
+  cr_assert(answer.suspects.at(0).token == suspect.token);
+  cr_assert(answer.suspects.at(0).since == suspect.since);
+  cr_assert(answer.suspects.at(0).at == suspect.at);
 }
 
 Test(relay_codec, routes_travel_as_a_difference) {
@@ -173,6 +178,18 @@
   cr_assert_not(ParseQuery(FormatQuery({}))->after.has_value());
 }
 
+Test(relay_codec, report_survives_the_way) {
+  const auto report =
+      SignReport{InstanceId(0xFFFFFFFFFFFFFFFF),
+                 {{FlowToken(1), FlowToken(0xFFFFFFFF)}, {FlowToken(2)}}};
+  const auto parsed = ParseReport(FormatReport(report));
+  cr_assert(parsed->reporter == report.reporter);
+  cr_assert(parsed->news.silent == report.news.silent);
+  cr_assert(parsed->news.alive == report.news.alive);
+  cr_assert_not(ParseReport("/signs?from=1&silent=x").has_value());
+  cr_assert_not(ParseReport("/directory?from=1").has_value());
+}
+
 Test(relay_codec, other_targets_are_no_query) {
   for (const auto* const target :
        {"/directory", "/readyz?after=1", "/directory?after=x", "?", "",
@@ -226,6 +243,20 @@
   cr_assert_eq(relay.server().waiting(), 0U);
 }
 
+Test(relay_server, tells_of_new_suspects_soon) {
+  auto relay = Relay();
+  relay.server().Add(Whole(10), kNow);
+  relay.Ask(Revision(10), kSecond);
+  const auto news = EndpointNews{{FlowToken(9)}, {}};
+  relay.server().TakeReport({InstanceId(1), news}, kNow);
+  relay.server().OnTick(kNow);
+  cr_assert(relay.replies().empty(), "one instance alone is no suspicion");
+  relay.server().TakeReport({InstanceId(2), news}, kNow);
+  relay.server().OnTick(kNow);
+  const auto answer = Decoded(relay.replies().at(0).body, nullptr);
+  cr_assert_eq(answer.suspects.size(), 1U);
+}
+
 Test(relay_server, tells_that_history_is_lost) {
   auto relay = Relay();
   relay.server().Add(Whole(10), kNow);
--- /dev/null
+++ b/Tests/Edge/sign_exchange_test.cc
@@ -0,0 +1,60 @@
+#include "Edge/sign_exchange.h"
+
+#include <criterion/criterion.h>
+
+namespace hemlockwick {
+namespace {
+
+constexpr TimePoint kNow{std::chrono::hours(500'000)};
+constexpr auto kSecond = std::chrono::seconds(1);
+constexpr FlowToken kToken{7};
+
+auto Silent() -> EndpointNews { return {{kToken}, {}}; }
+auto Alive() -> EndpointNews { return {{}, {kToken}}; }
+
+Test(sign_exchange, one_instance_alone_makes_no_suspect) {
+  auto exchange = SignExchange();
+  for (auto report = 0; report < 10; ++report) {
+    cr_assert_not(exchange.Report(InstanceId(1), Silent(), kNow));
+  }
+  cr_assert(exchange.Suspects(kNow).empty());
+}
+
+Test(sign_exchange, two_instances_make_a_suspect_for_a_while) {
+  auto exchange = SignExchange();
+  exchange.Report(InstanceId(1), Silent(), kNow);
+  cr_assert(exchange.Report(InstanceId(2), Silent(), kNow + kSecond));
+  const auto suspects = exchange.Suspects(kNow + kSecond);
+  cr_assert_eq(suspects.size(), 1U);
+  cr_assert(suspects.at(0).token == kToken);
+  cr_assert(suspects.at(0).since == kNow + kSecond);
+  cr_assert(exchange.Suspects(kNow + 3 * kSecond).empty());
+}
+
+Test(sign_exchange, reports_far_apart_make_no_suspect) {
+  auto exchange = SignExchange();
+  exchange.Report(InstanceId(1), Silent(), kNow);
+  cr_assert_not(exchange.Report(InstanceId(2), Silent(), kNow + 2 * kSecond));
+}
+
+Test(sign_exchange, instance_that_hears_from_it_clears_a_suspect) {
+  auto exchange = SignExchange();
+  exchange.Report(InstanceId(1), Silent(), kNow);
+  exchange.Report(InstanceId(2), Silent(), kNow);
+  cr_assert(exchange.Report(InstanceId(3), Alive(), kNow));
+  cr_assert(exchange.Suspects(kNow).empty());
+}
+
+Test(sign_exchange, keeps_the_time_since_when_it_is_suspect) {
+  auto exchange = SignExchange();
+  exchange.Report(InstanceId(1), Silent(), kNow);
+  exchange.Report(InstanceId(2), Silent(), kNow);
+  cr_assert_not(exchange.Report(InstanceId(1), Silent(), kNow + kSecond));
+  cr_assert_not(exchange.Report(InstanceId(2), Silent(), kNow + kSecond));
+  const auto suspect = exchange.Suspects(kNow + kSecond).at(0);
+  cr_assert(suspect.since == kNow);
+  cr_assert(suspect.at == kNow + kSecond);
+}
+
+}  // namespace
+}  // namespace hemlockwick
--- a/Tests/Flow/token_router_test.cc
+++ b/Tests/Flow/token_router_test.cc
@@ -268,6 +268,28 @@
   }
 }
 
+// The instance that hears from an endpoint tells those that do not.
+Test(token_router, answer_of_a_shared_suspect_is_news) {
+  auto world = World();
+  const auto port = world.OpenAt(kFirst, 1000);
+  world.Pass(100 * kMillisecond);
+  world.router().NoteShared({{kFirst, world.now(), world.now()}}, world.now());
+  cr_assert(world.router().TakeNews().empty());
+  world.Packet(port, kFirst, 1, 1, 100);
+  world.Pass(30 * kMillisecond);
+  world.Packet(port, kFirst, 101, 500, 0);
+  cr_assert(world.router().TakeNews().alive == std::vector{kFirst});
+}
+
+Test(token_router, only_repeated_packets_are_told_to_others) {
+  auto world = World();
+  world.Opening(1000);
+  world.Pass(150 * kMillisecond);
+  cr_assert(world.router().TakeNews().empty());
+  world.Opening(1000, 1);
+  cr_assert_eq(world.router().TakeNews().silent.size(), 1U);
+}
+
 // A process that was stopped for seconds has seen none of the answers.
 Test(token_router, own_pause_is_no_sign_against_an_endpoint) {
   auto world = World();
--- a/Utilities/Soak/edges.cc
+++ b/Utilities/Soak/edges.cc
@@ -139,7 +139,7 @@
 
 void Edges::End(std::size_t index, int signal) {
   auto& edge = *edges_[index];
-  if (edge.paused) {
+  if (edge.paused || !edge.process) {
     return;
   }
   edge.may_end = true;
@@ -149,15 +149,17 @@
 
 void Edges::Pause(std::size_t index, Duration time) {
   auto& edge = *edges_[index];
-  if (edge.paused || edge.may_end) {
+  if (edge.paused || edge.may_end || !edge.process) {
     return;
   }
   edge.paused = true;
   edge.process->Signal(SIGSTOP);
   edge.calm.DisturbUntil(world_.Now() + time);
   world_.After(time, [&edge] {
-    edge.process->Signal(SIGCONT);
     edge.paused = false;
+    if (edge.process) {
+      edge.process->Signal(SIGCONT);
+    }
   });
 }
 
