Flow: Count the first opening to an endpoint as a sign too

Cause: an endpoint counts as alive from the moment of its first opening, and a packet sent at that moment was taken for an earlier one.

--- a/Source/Flow/endpoint_signs.cc
+++ b/Source/Flow/endpoint_signs.cc
@@ -31,7 +31,7 @@
 
 auto EndpointSigns::NoteSilence(SilentPacket packet, TimePoint sent_at,
                                 TimePoint now) -> bool {
-  if (sent_at <= last_alive_) {
+  if (sent_at < last_alive_) {
     return false;
   }
   ++CountOf(packet);
