Edge: Let others' signs move new flows only

Reports that an endpoint is alive were left out while an earlier report waited for its answer, so a false suspicion lasted longer than the 1.2 s that others had to object.

Change: a flow is reset only by what the instance has seen itself, as before signs were shared; others' signs steer new flows only. News of endpoints that come while a report is under way are kept and sent after it.

Ruled out: a longer time to object; it would rest on messages that may be lost.

--- a/Source/Edge/http_connection.cc
+++ b/Source/Edge/http_connection.cc
@@ -43,7 +43,7 @@
 
   [[nodiscard]] auto is_usable() const -> bool { return is_open_; }
 
-  void Get(std::string target, Duration timeout, OnAnswer on_answer) {
+  void Get(const std::string& target, Duration timeout, OnAnswer on_answer) {
     on_answer_ = std::move(on_answer);
     request_ =
         http::request<http::empty_body>(http::verb::get, target, kHttp11);
@@ -158,12 +158,12 @@
   }
 }
 
-void HttpConnection::Get(std::string target, Duration timeout,
+void HttpConnection::Get(const std::string& target, Duration timeout,
                          OnAnswer on_answer) {
   if (session_ == nullptr || !session_->is_usable()) {
     session_ = std::make_shared<Session>(context_, address_);
   }
-  session_->Get(std::move(target), timeout, std::move(on_answer));
+  session_->Get(target, timeout, std::move(on_answer));
 }
 
 }  // namespace hemlockwick
--- a/Source/Edge/http_connection.h
+++ b/Source/Edge/http_connection.h
@@ -32,7 +32,7 @@
 
   // Gets `target`, a path with its query. Connects first where needed; a call
   // that fails closes the connection. `timeout` covers the whole call.
-  void Get(std::string target, Duration timeout, OnAnswer on_answer);
+  void Get(const std::string& target, Duration timeout, OnAnswer on_answer);
 
  private:
   class Session;
--- a/Source/Edge/relay_client.cc
+++ b/Source/Edge/relay_client.cc
@@ -19,12 +19,23 @@
       clock_(clock) {}
 
 void RelayClient::Report(const SignReport& report) {
-  if (is_reporting_) {
-    return;
+  waiting_.reporter = report.reporter;
+  waiting_.news.Merge(report.news);
+  if (!is_reporting_) {
+    SendReport();
   }
+}
+
+void RelayClient::SendReport() {
   is_reporting_ = true;
-  reports_.Get(FormatReport(report), kReportTimeout,
-               [this](const HttpAnswer&) { is_reporting_ = false; });
+  const auto target = FormatReport(waiting_);
+  waiting_.news = {};
+  reports_.Get(target, kReportTimeout, [this](const HttpAnswer&) {
+    is_reporting_ = false;
+    if (!waiting_.news.empty()) {
+      SendReport();
+    }
+  });
 }
 
 void RelayClient::Call(const SyncCall& call,
--- a/Source/Edge/relay_client.h
+++ b/Source/Edge/relay_client.h
@@ -25,8 +25,8 @@
   RelayClient(boost::asio::io_context& context, const SocketAddress& address,
               const SystemClock& clock);
 
-  // Reports signs; the answer does not matter. Left out while an earlier
-  // report has had none.
+  // Reports news of endpoints; the answer does not matter. News that come while
+  // an earlier report has had none are sent together after it.
   void Report(const SignReport& report);
 
   // `routes` are those that the caller holds; null when it holds none.
@@ -34,11 +34,13 @@
             OnAnswer on_answer);
 
  private:
+  void SendReport();
   auto Decode(const HttpAnswer& answer, const RouteSet* routes,
               std::string& error) const -> SyncAnswer;
 
   HttpConnection connection_;
   HttpConnection reports_;
+  SignReport waiting_;
   bool is_reporting_ = false;
   const SystemClock& clock_;
 };
--- a/Source/Edge/relay_codec.cc
+++ b/Source/Edge/relay_codec.cc
@@ -157,8 +157,7 @@
   auto result = Json::array();
   for (const auto& suspect : suspects) {
     result.push_back(
-        Json::array({suspect.token.value(), MillisOf(now - suspect.since),
-                     MillisOf(now - suspect.at)}));
+        Json::array({suspect.token.value(), MillisOf(now - suspect.at)}));
   }
   return result;
 }
@@ -170,8 +169,8 @@
     return now - std::chrono::milliseconds(age.get<std::int64_t>());
   };
   for (const auto& item : items) {
-    result.push_back({FlowToken(item.at(0).get<std::uint32_t>()),
-                      before(item.at(1)), before(item.at(2))});
+    result.push_back(
+        {FlowToken(item.at(0).get<std::uint32_t>()), before(item.at(1))});
   }
   return result;
 }
--- a/Source/Edge/sign_board.h
+++ b/Source/Edge/sign_board.h
@@ -1,13 +1,11 @@
 #ifndef HEMLOCKWICK_EDGE_SIGN_BOARD_H_
 #define HEMLOCKWICK_EDGE_SIGN_BOARD_H_
 
-#include <algorithm>
 #include <mutex>
 #include <utility>
 #include <vector>
 
 #include "Flow/endpoint_load.h"
-#include "Flow/flow_token.h"
 
 namespace hemlockwick {
 
@@ -18,8 +16,7 @@
  public:
   void AddLocal(const EndpointNews& news) {
     const auto lock = std::lock_guard(mutex_);
-    Merge(local_.silent, news.silent);
-    Merge(local_.alive, news.alive);
+    local_.Merge(news);
   }
 
   auto TakeLocal() -> EndpointNews {
@@ -39,15 +36,6 @@
   }
 
  private:
-  static void Merge(std::vector<FlowToken>& all,
-                    const std::vector<FlowToken>& more) {
-    for (const auto token : more) {
-      if (std::ranges::find(all, token) == all.end()) {
-        all.push_back(token);
-      }
-    }
-  }
-
   std::mutex mutex_;
   EndpointNews local_;
   std::vector<SharedSuspect> shared_;
--- a/Source/Edge/sign_exchange.cc
+++ b/Source/Edge/sign_exchange.cc
@@ -37,12 +37,8 @@
   }
   auto& reports = reports_[token];
   const auto was_suspect = IsSuspect(reports, now);
-  reports.latest[reporter] = now;
-  if (was_suspect || !IsSuspect(reports, now)) {
-    return false;
-  }
-  reports.suspect_since = now;
-  return true;
+  reports[reporter] = now;
+  return !was_suspect && IsSuspect(reports, now);
 }
 
 auto SignExchange::Suspects(TimePoint now) const -> std::vector<SharedSuspect> {
@@ -50,17 +46,17 @@
   for (const auto& [token, reports] : reports_) {
     if (IsSuspect(reports, now)) {
       const auto latest = std::ranges::max_element(
-          reports.latest, {}, [](const auto& report) { return report.second; });
-      result.push_back({token, reports.suspect_since, latest->second});
+          reports, {}, [](const auto& report) { return report.second; });
+      result.push_back({token, latest->second});
     }
   }
   return result;
 }
 
 auto SignExchange::IsSuspect(const Reports& reports, TimePoint now) -> bool {
-  const auto recent = std::ranges::count_if(
-      reports.latest,
-      [now](const auto& report) { return now - report.second < kReportTime; });
+  const auto recent = std::ranges::count_if(reports, [now](const auto& report) {
+    return now - report.second < kReportTime;
+  });
   return recent >= kReportersNeeded;
 }
 
@@ -70,12 +66,12 @@
   }
   next_clean_ = now + kCleanInterval;
   for (auto& [token, reports] : reports_) {
-    std::erase_if(reports.latest, [now](const auto& report) {
+    std::erase_if(reports, [now](const auto& report) {
       return now - report.second >= kReportTime;
     });
   }
   std::erase_if(reports_,
-                [](const auto& entry) { return entry.second.latest.empty(); });
+                [](const auto& entry) { return entry.second.empty(); });
 }
 
 }  // namespace hemlockwick
--- a/Source/Edge/sign_exchange.h
+++ b/Source/Edge/sign_exchange.h
@@ -27,10 +27,8 @@
       -> std::vector<SharedSuspect>;
 
  private:
-  struct Reports {
-    std::map<InstanceId, TimePoint> latest;  // By reporter.
-    TimePoint suspect_since;                 // Zero while it is not suspect.
-  };
+  // The latest report of each instance about an endpoint.
+  using Reports = std::map<InstanceId, TimePoint>;
 
   static auto IsSuspect(const Reports& reports, TimePoint now) -> bool;
   auto NoteSilent(InstanceId reporter, FlowToken token, TimePoint now) -> bool;
--- a/Source/Flow/endpoint_load.h
+++ b/Source/Flow/endpoint_load.h
@@ -1,6 +1,7 @@
 #ifndef HEMLOCKWICK_FLOW_ENDPOINT_LOAD_H_
 #define HEMLOCKWICK_FLOW_ENDPOINT_LOAD_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <unordered_map>
 #include <vector>
@@ -16,7 +17,6 @@
 // instance having heard from it.
 struct SharedSuspect {
   FlowToken token;
-  TimePoint since;
   TimePoint at;  // Of the latest report.
 };
 
@@ -28,6 +28,22 @@
   [[nodiscard]] auto empty() const -> bool {
     return silent.empty() && alive.empty();
   }
+
+  // Adds other news; each endpoint is named once.
+  void Merge(const EndpointNews& more) {
+    MergeTokens(silent, more.silent);
+    MergeTokens(alive, more.alive);
+  }
+
+ private:
+  static void MergeTokens(std::vector<FlowToken>& all,
+                          const std::vector<FlowToken>& more) {
+    for (const auto token : more) {
+      if (std::ranges::find(all, token) == all.end()) {
+        all.push_back(token);
+      }
+    }
+  }
 };
 
 // What this instance knows of an endpoint from the flows it forwards.
--- a/Source/Flow/endpoint_signs.cc
+++ b/Source/Flow/endpoint_signs.cc
@@ -14,11 +14,7 @@
 // Packets sent again that make an endpoint silent, and the time without proof
 // of life.
 constexpr std::uint32_t kRepeatsToSilence = 2;
-// The same when other instances get no answer either.
-constexpr std::uint32_t kRepeatsWithOthers = 1;
 constexpr Duration kSilenceWithOpening = std::chrono::milliseconds(500);
-// Time in which an instance that hears from the endpoint would have told so.
-constexpr Duration kSharedSilence = std::chrono::milliseconds(1200);
 // Data alone may wait for long work; openings never do.
 constexpr Duration kSilenceOfData = std::chrono::milliseconds(2000);
 
@@ -51,9 +47,8 @@
   return repeated_data_;
 }
 
-void EndpointSigns::NoteShared(TimePoint since, TimePoint at) {
+void EndpointSigns::NoteShared(TimePoint at) {
   if (at > last_alive_) {
-    shared_since_ = since;
     shared_at_ = at;
   }
 }
@@ -75,13 +70,10 @@
 }
 
 auto EndpointSigns::IsSilent(TimePoint now) const -> bool {
-  const auto is_shared =
-      IsSharedSuspect(now) && now - shared_since_ >= kSharedSilence;
-  const auto repeats = repeated_openings_ + repeated_data_;
-  if (repeats < (is_shared ? kRepeatsWithOthers : kRepeatsToSilence)) {
+  if (repeated_openings_ + repeated_data_ < kRepeatsToSilence) {
     return false;
   }
-  const auto has_openings = is_shared || openings_ + repeated_openings_ > 0;
+  const auto has_openings = openings_ + repeated_openings_ > 0;
   const auto needed = has_openings ? kSilenceWithOpening : kSilenceOfData;
   return now - last_alive_ >= needed;
 }
--- a/Source/Flow/endpoint_signs.h
+++ b/Source/Flow/endpoint_signs.h
@@ -35,9 +35,9 @@
   auto NoteSilence(SilentPacket packet, TimePoint sent_at, TimePoint now)
       -> bool;
 
-  // Notes that several instances have had signs from `since` until `at`. Weighs
-  // less than anything that the endpoint has answered here since.
-  void NoteShared(TimePoint since, TimePoint at);
+  // Notes that several instances have had signs until `at`. Weighs less than
+  // anything that the endpoint has answered here since.
+  void NoteShared(TimePoint at);
 
   // Whether other instances suspect the endpoint.
   [[nodiscard]] auto IsSharedSuspect(TimePoint now) const -> bool;
@@ -50,6 +50,7 @@
   [[nodiscard]] auto IsSuspect(TimePoint now) const -> bool;
 
   // Whether the endpoint counts as dead, so that waiting flows may be reset.
+  // Only what this instance has seen counts.
   [[nodiscard]] auto IsSilent(TimePoint now) const -> bool;
 
   [[nodiscard]] auto signs() const -> std::uint32_t {
@@ -62,7 +63,6 @@
 
   TimePoint last_alive_;
   TimePoint last_sign_;
-  TimePoint shared_since_;
   TimePoint shared_at_;
   std::uint32_t openings_ = 0;
   std::uint32_t repeated_openings_ = 0;
--- a/Source/Flow/token_router.cc
+++ b/Source/Flow/token_router.cc
@@ -525,7 +525,7 @@
                              TimePoint now) {
   for (const auto& suspect : suspects) {
     if (directory_ != nullptr && directory_->Find(suspect.token) != nullptr) {
-      LoadOf(suspect.token, now).signs.NoteShared(suspect.since, suspect.at);
+      LoadOf(suspect.token, now).signs.NoteShared(suspect.at);
     }
   }
 }
--- a/Source/Runtime/log_sink.cc
+++ b/Source/Runtime/log_sink.cc
@@ -11,7 +11,7 @@
 namespace {
 
 // Text kept for a reader that does not keep up, in bytes.
-constexpr std::size_t kMaxWaitingBytes = 64 * 1024;
+constexpr std::size_t kMaxWaitingBytes = 65'536;
 
 // Whether standard output takes PIPE_BUF bytes without waiting.
 auto TakesText() -> bool {
