Flow: Take no old or queued packet for a sign

An instance that started while the platform was away served 2.5 s later, and found all copies of each opening in its socket: it took them for repeated ones and the endpoint for silent (10.803 s). No flow tried the endpoint afterwards, so the signs stayed; at 16.315 s the next request of an idle flow was answered with a reset (age_ms 5546), though the endpoint served.

Change: a packet counts as sent again only 100 ms after the first; signs no longer count when the last is 2 s old, for resets too.

Tests, which failed first: token_router copies_that_waited_in_the_socket_are_no_signs, endpoint_signs old_signs_make_nothing_silent.

--- a/Source/Flow/endpoint_signs.cc
+++ b/Source/Flow/endpoint_signs.cc
@@ -8,7 +8,8 @@
 // lost by chance.
 constexpr std::uint32_t kSignsToSuspect = 2;
 
-// After this time without a new sign a new flow tries the endpoint again.
+// After this time without a new sign the earlier ones no longer count, and a
+// new flow tries the endpoint again.
 constexpr Duration kRetryTime = std::chrono::seconds(2);
 
 // Packets sent again that make an endpoint silent, and the time without proof
@@ -70,7 +71,8 @@
 }
 
 auto EndpointSigns::IsSilent(TimePoint now) const -> bool {
-  if (repeated_openings_ + repeated_data_ < kRepeatsToSilence) {
+  const auto is_recent = now - last_sign_ < kRetryTime;
+  if (!is_recent || repeated_openings_ + repeated_data_ < kRepeatsToSilence) {
     return false;
   }
   const auto has_openings = openings_ + repeated_openings_ > 0;
--- a/Source/Flow/token_router.cc
+++ b/Source/Flow/token_router.cc
@@ -14,6 +14,10 @@
 // the caller; well above the round trips and below the caller's first copy.
 constexpr Duration kOpeningReplyTime = std::chrono::milliseconds(100);
 
+// Callers send a packet again after a longer time. Packets that follow each
+// other sooner have waited in the socket.
+constexpr Duration kShortestResend = std::chrono::milliseconds(100);
+
 // A flow that waits this long for a silent endpoint is reset.
 constexpr Duration kResetWait = std::chrono::milliseconds(100);
 
@@ -422,7 +426,8 @@
 
 void TokenRouter::NoteSilence(TrackedFlow& flow, SilentPacket packet,
                               TimePoint now) {
-  if (!flow.waiting || flow.gave_sign) {
+  const auto was_queued = now - flow.waiting_since < kShortestResend;
+  if (!flow.waiting || flow.gave_sign || was_queued) {
     return;
   }
   flow.gave_sign = true;
--- a/Tests/Flow/endpoint_signs_test.cc
+++ b/Tests/Flow/endpoint_signs_test.cc
@@ -73,6 +73,17 @@
   cr_assert(signs.IsSilent(kNow + 2100 * kMillisecond));
 }
 
+// No flow has tried the endpoint since; an idle flow's next request must not
+// pay for it (kauri-roll-grown, own day cut-and-outage 403956537829).
+Test(endpoint_signs, old_signs_make_nothing_silent) {
+  auto signs = EndpointSigns(kNow);
+  const auto soon = kNow + 300 * kMillisecond;
+  signs.NoteSilence(SilentPacket::kRepeatedOpening, kNow, soon);
+  signs.NoteSilence(SilentPacket::kRepeatedOpening, kNow, soon);
+  cr_assert(signs.IsSilent(kNow + 600 * kMillisecond));
+  cr_assert_not(signs.IsSilent(kNow + 5000 * kMillisecond));
+}
+
 Test(endpoint_signs, others_suspicion_moves_new_flows_at_once) {
   auto signs = EndpointSigns(kNow);
   const auto now = kNow + 100 * kMillisecond;
--- a/Tests/Flow/token_router_test.cc
+++ b/Tests/Flow/token_router_test.cc
@@ -268,6 +268,23 @@
   }
 }
 
+// A process that starts while the platform is away finds packets of seconds in
+// its socket (kauri-roll-grown, own day cut-and-outage 403956537829).
+Test(token_router, copies_that_waited_in_the_socket_are_no_signs) {
+  auto world = World();
+  world.Pass(20 * kMillisecond);
+  for (auto port = std::uint16_t{1000}; port < 1010; ++port) {
+    world.Opening(port, 0);
+    world.Opening(port, 1);
+    world.Opening(port, 2);
+  }
+  cr_assert_eq(world.router().counters().signs, 0U);
+  const auto port = world.OpenAt(kFirst, 2000);
+  world.Packet(port, kFirst, 1, 1, 100);
+  world.Packet(port, kFirst, 1, 1, 100);
+  cr_assert_eq(world.router().counters().signs, 0U);
+}
+
 // The instance that hears from an endpoint tells those that do not.
 Test(token_router, answer_of_a_shared_suspect_is_news) {
   auto world = World();
