Platform: Test the store client before a stand-in with faults

Pages, watches, lost history, refusals, silent and reset connections, lost and late answers, on loopback. The types of the token router stand in files of their own; the first failed call for the directory and the next good one are logged, and notes beyond the bound.

--- a/Source/Edge/directory_keeper.cc
+++ b/Source/Edge/directory_keeper.cc
@@ -25,6 +25,7 @@
 void DirectoryKeeper::OnAnswer(const SyncAnswer& answer,
                                const std::string& error, TimePoint called_at,
                                TimePoint now) {
+  LogCall(answer, error);
   NoteOutage(answer, called_at, now);
   sync_.OnAnswer(answer, now);
   LogConnection(answer, error);
@@ -89,6 +90,29 @@
   }
 }
 
+// Logs the first of several failed calls, and the next one that succeeds.
+void DirectoryKeeper::LogCall(const SyncAnswer& answer,
+                              const std::string& error) {
+  const auto is_ok = answer.status == SyncStatus::kOk ||
+                     answer.status == SyncStatus::kHistoryLost;
+  if (is_ok != is_failing_) {
+    return;
+  }
+  const auto& relay = sync_.next().relay;
+  const auto upstream =
+      relay ? "relay " + std::to_string(*relay) : std::string("platform");
+  if (is_ok) {
+    LogSoon(LogLevel::kInfo, "directory_call_succeeded",
+            {{"upstream", upstream}});
+  } else {
+    LogSoon(LogLevel::kWarning, "directory_call_failed",
+            {{"upstream", upstream},
+             {"status", std::string(ToString(answer.status))},
+             {"error", error},
+             {"revision", std::to_string(sync_.revision().value())}});
+  }
+}
+
 void DirectoryKeeper::LogConnection(const SyncAnswer& answer,
                                     const std::string& error) {
   if (answer.status == SyncStatus::kHistoryLost) {
--- a/Source/Edge/directory_keeper.h
+++ b/Source/Edge/directory_keeper.h
@@ -56,6 +56,7 @@
  private:
   void Apply(const DirectoryUpdate& update, TimePoint now);
   void NoteOutage(const SyncAnswer& answer, TimePoint called_at, TimePoint now);
+  void LogCall(const SyncAnswer& answer, const std::string& error);
   void LogConnection(const SyncAnswer& answer, const std::string& error);
   [[nodiscard]] auto RelayStateAt(TimePoint now) const -> RelayState;
   void LogEvents();
--- a/Source/Edge/edge_forwarder.h
+++ b/Source/Edge/edge_forwarder.h
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <span>
+#include <string>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -14,6 +15,7 @@
 #include "Edge/sign_board.h"
 #include "Flow/token_router.h"
 #include "Runtime/datagram_batch.h"
+#include "Runtime/log.h"
 #include "Runtime/socket.h"
 #include "Runtime/system_clock.h"
 
@@ -133,6 +135,11 @@
     for (const auto& note : router_.TakeNotes()) {
       LogNote(note, router_.directory(), now);
     }
+    if (router_.counters().notes_lost != notes_lost_) {
+      notes_lost_ = router_.counters().notes_lost;
+      LogSoon(LogLevel::kWarning, "notes_lost",
+              {{"total", std::to_string(notes_lost_)}});
+    }
     for (const auto& sample : router_.TakeReplies()) {
       metrics_.Observe(sample);
     }
@@ -147,6 +154,7 @@
   std::uint64_t seen_generation_ = 0;
   TokenRouter router_;
   DatagramBatch batch_;
+  std::uint64_t notes_lost_ = 0;
   std::atomic<TimePoint> last_packet_{TimePoint()};
 };
 
--- a/Source/Flow/token_router.cc
+++ b/Source/Flow/token_router.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "Core/hash.h"
 #include "Flow/opening_choice.h"
 
 namespace hemlockwick {
@@ -58,52 +57,6 @@
 
 }  // namespace
 
-auto FlowKeyOf(const SocketAddress& caller, const SocketAddress& service)
-    -> FlowKey {
-  const auto word = [](const SocketAddress& address) {
-    constexpr auto kPortBits = 16;
-    return (static_cast<std::uint64_t>(address.ip.value()) << kPortBits) |
-           address.port.value();
-  };
-  return FlowKey(MixWords(word(caller), word(service)));
-}
-
-auto ToString(ResetReason reason) -> std::string_view {
-  switch (reason) {
-    case ResetReason::kNoRoute:
-      return "no_route";
-    case ResetReason::kDeparted:
-      return "endpoint_departed";
-    case ResetReason::kSilent:
-      return "endpoint_silent";
-    case ResetReason::kUnknown:
-      return "endpoint_unknown";
-  }
-  return "unknown";
-}
-
-auto ToString(RouterNote::Kind kind) -> std::string_view {
-  switch (kind) {
-    case RouterNote::Kind::kFlowOpened:
-      return "flow_opened";
-    case RouterNote::Kind::kFlowReset:
-      return "flow_reset";
-    case RouterNote::Kind::kPacketDropped:
-      return "packet_dropped";
-    case RouterNote::Kind::kTokenChanged:
-      return "flow_token_changed";
-    case RouterNote::Kind::kEndpointSuspected:
-      return "endpoint_suspected";
-    case RouterNote::Kind::kEndpointSilent:
-      return "endpoint_silent";
-    case RouterNote::Kind::kEndpointAlive:
-      return "endpoint_alive";
-    case RouterNote::Kind::kSuspended:
-      return "process_suspended";
-  }
-  return "unknown";
-}
-
 TokenRouter::TokenRouter(const TokenRouterSettings& settings)
     : settings_(settings), flows_(settings.tracked_flows) {}
 
--- /dev/null
+++ b/Source/Flow/token_types.h
@@ -0,0 +1,98 @@
+#ifndef HEMLOCKWICK_FLOW_TOKEN_TYPES_H_
+#define HEMLOCKWICK_FLOW_TOKEN_TYPES_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+#include <variant>
+
+#include "Core/ids.h"
+#include "Core/net_address.h"
+#include "Core/time.h"
+#include "Flow/flow_token.h"
+#include "Flow/flow_types.h"
+
+namespace hemlockwick {
+
+// The facts about a packet whose flow carries its endpoint's token.
+struct TokenPacket {
+  SocketAddress caller;
+  SocketAddress service;
+  bool opens = false;     // Asks to open a flow.
+  bool finishes = false;  // The caller sends nothing more.
+  bool resets = false;
+  std::uint32_t seq = 0;         // Position of the first byte of data.
+  std::uint32_t ack = 0;         // Bytes received; of an opening: its copy.
+  std::uint16_t data_bytes = 0;  // Bytes of data in the packet.
+  FlowToken token;
+};
+
+// Identifies the flow of a packet.
+[[nodiscard]] auto FlowKeyOf(const SocketAddress& caller,
+                             const SocketAddress& service) -> FlowKey;
+
+// Why a flow is reset.
+enum class ResetReason : std::uint8_t {
+  kNoRoute,   // Its service address is not published.
+  kDeparted,  // Its endpoint has left.
+  kSilent,    // Its endpoint does not answer.
+  kUnknown,   // No instance has heard of its endpoint for long.
+};
+inline constexpr std::size_t kResetReasonCount = 4;
+
+// Name of the reason in logs and metrics, for example "endpoint_departed".
+[[nodiscard]] auto ToString(ResetReason reason) -> std::string_view;
+
+struct ForwardWithToken {
+  EndpointId endpoint;
+  SocketAddress address;
+  FlowToken token;  // Written into the packet.
+};
+
+// Tells the caller that its flow has ended.
+struct ResetFlow {
+  SocketAddress caller;
+  SocketAddress service;
+  std::uint32_t seq = 0;  // Acceptable to the caller.
+  ResetReason reason = ResetReason::kNoRoute;
+};
+
+using TokenAction = std::variant<ForwardWithToken, ResetFlow, DropPacket>;
+
+// A decision or a change of belief of the router, for the log.
+struct RouterNote {
+  enum class Kind : std::uint8_t {
+    kFlowOpened,
+    kFlowReset,
+    kPacketDropped,
+    kTokenChanged,       // A flow named another endpoint than before.
+    kEndpointSuspected,  // It left packets of several flows unanswered.
+    kEndpointSilent,     // It counts as dead.
+    kEndpointAlive,      // A suspect endpoint answered again.
+    kSuspended,          // This process did not run for a while.
+  };
+
+  Kind kind = Kind::kFlowOpened;
+  SocketAddress caller;
+  SocketAddress service;
+  FlowToken token;
+  std::uint32_t copy = 0;   // Of an opening: copies sent before this one.
+  std::uint32_t signs = 0;  // Of the endpoint.
+  std::uint32_t waiting = 0;
+  Duration age{0};          // Of the decisive input.
+  std::string_view detail;  // Reason, with static lifetime.
+};
+
+// Name of the kind as it appears in the log, for example "flow_opened".
+[[nodiscard]] auto ToString(RouterNote::Kind kind) -> std::string_view;
+
+// Latencies that callers see, as measured from their packets.
+struct ReplySample {
+  enum class Kind : std::uint8_t { kOpening, kData };
+  Kind kind = Kind::kOpening;
+  Duration time{0};
+};
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_FLOW_TOKEN_TYPES_H_
--- /dev/null
+++ b/Tests/Platform/store_client_test.cc
@@ -0,0 +1,177 @@
+// The client of the platform's store before a stand-in, on loopback.
+#include "platform/store_client.h"
+
+#include <criterion/criterion.h>
+
+#include <optional>
+
+#include "Edge/directory_source.h"
+#include "Soak/fault_proxy.h"
+#include "Soak/store_stand_in.h"
+#include "Soak/world.h"
+
+namespace hemlockwick::platform {
+namespace {
+
+static_assert(DirectorySource<StoreClient>);
+
+using soak::FaultProxy;
+using soak::LinkFault;
+using soak::StoreStandIn;
+using soak::World;
+
+constexpr Port kPort{8169};
+
+// Short, so that calls that cannot be answered do not hold up the test.
+constexpr Duration kTimeout = std::chrono::milliseconds(300);
+
+auto EntryOf(int number) -> std::string {
+  return R"({"service":"a","address":"10.0.0.)" + std::to_string(number) +
+         R"(:80","zone":"z","slots":1,"state":"ready","coldRemainingMs":0})";
+}
+
+// A client, a proxy with faults, and a store with seven entries.
+class Setting {
+ public:
+  // Each test has a network of its own, so that they may run at once.
+  explicit Setting(std::uint8_t network)
+      : world_(1, network),
+        store_(StoreStandIn::Start(world_.context(), StoreAddress()).value()),
+        proxy_(world_.context(), ProxyAddress(), StoreAddress()),
+        client_(world_.context(), ProxyAddress(), clock_) {
+    for (auto number = 1; number <= 7; ++number) {
+      store_->Put("servers/i-" + std::to_string(number), EntryOf(number));
+    }
+  }
+
+  auto Call(const SyncCall& call) -> SyncAnswer {
+    auto result = std::optional<SyncAnswer>();
+    client_.Call(call, [&result](SyncAnswer answer, const std::string&) {
+      result = std::move(answer);
+    });
+    while (!result) {
+      world_.context().run_one();
+    }
+    return *result;
+  }
+
+  auto ReadAll() -> SyncAnswer {
+    auto call = SyncCall();
+    call.timeout = kTimeout;
+    return Call(call);
+  }
+
+  auto Watch(Revision after, Duration wait = {}) -> SyncAnswer {
+    auto call = SyncCall();
+    call.kind = SyncCall::Kind::kWatch;
+    call.after = after;
+    call.wait = wait;
+    call.timeout = wait + kTimeout;
+    return Call(call);
+  }
+
+  auto store() -> StoreStandIn& { return *store_; }
+  auto proxy() -> FaultProxy& { return proxy_; }
+  auto world() -> World& { return world_; }
+
+ private:
+  auto StoreAddress() const -> SocketAddress {
+    return {world_.Address(5, 0), kPort};
+  }
+  auto ProxyAddress() const -> SocketAddress {
+    return {world_.Address(4, 0), kPort};
+  }
+
+  const SystemClock clock_;
+  World world_;
+  std::unique_ptr<StoreStandIn> store_;
+  FaultProxy proxy_;
+  StoreClient client_;
+};
+
+Test(store_client, reads_all_pages) {
+  auto setting = Setting(101);
+  const auto answer = setting.ReadAll();
+  cr_assert_eq(answer.status, SyncStatus::kOk);
+  cr_assert(answer.update.is_whole);
+  cr_assert_eq(answer.update.reports.size(), 7U);
+  cr_assert_eq(setting.store().calls(), 2U);
+}
+
+Test(store_client, watch_returns_what_has_changed) {
+  auto setting = Setting(102);
+  const auto revision = setting.ReadAll().update.revision;
+  setting.store().Delete("servers/i-3");
+  setting.store().Put("servers/i-9", EntryOf(9));
+  const auto answer = setting.Watch(revision);
+  cr_assert_eq(answer.update.removed.size(), 1U);
+  cr_assert_eq(answer.update.reports.size(), 1U);
+  cr_assert_gt(answer.update.revision.value(), revision.value());
+}
+
+Test(store_client, watch_waits_for_a_change) {
+  auto setting = Setting(103);
+  const auto revision = setting.ReadAll().update.revision;
+  setting.world().After(std::chrono::milliseconds(50),
+                        [&setting] { setting.store().Delete("servers/i-3"); });
+  const auto answer = setting.Watch(revision, std::chrono::seconds(20));
+  cr_assert_eq(answer.update.removed.size(), 1U);
+}
+
+Test(store_client, watch_without_a_change_is_no_failure) {
+  auto setting = Setting(104);
+  const auto revision = setting.ReadAll().update.revision;
+  const auto answer = setting.Watch(revision, std::chrono::milliseconds(50));
+  cr_assert_eq(answer.status, SyncStatus::kOk);
+  cr_assert_not(answer.update.has_changes());
+}
+
+Test(store_client, lost_history_is_told) {
+  auto setting = Setting(105);
+  const auto revision = setting.ReadAll().update.revision;
+  setting.store().Put("servers/i-9", EntryOf(9));
+  setting.store().Compact();
+  cr_assert_eq(setting.Watch(revision).status, SyncStatus::kHistoryLost);
+}
+
+Test(store_client, refusal_is_told_apart_from_silence) {
+  auto setting = Setting(106);
+  setting.store().SetRefusing(true);
+  cr_assert_eq(setting.ReadAll().status, SyncStatus::kRefused);
+  setting.store().SetRefusing(false);
+  cr_assert_eq(setting.ReadAll().status, SyncStatus::kOk);
+}
+
+Test(store_client, connection_that_went_silent_is_left_for_a_new_one) {
+  auto setting = Setting(107);
+  cr_assert_eq(setting.ReadAll().status, SyncStatus::kOk);
+  setting.proxy().SilenceOpen();
+  cr_assert_eq(setting.ReadAll().status, SyncStatus::kUnreachable);
+  cr_assert_eq(setting.ReadAll().status, SyncStatus::kOk);
+}
+
+Test(store_client, lost_answer_ends_the_call_and_the_next_one_works) {
+  auto setting = Setting(108);
+  setting.proxy().Set(LinkFault::kNoAnswers);
+  cr_assert_eq(setting.ReadAll().status, SyncStatus::kUnreachable);
+  setting.proxy().Set(LinkFault::kNone);
+  cr_assert_eq(setting.ReadAll().status, SyncStatus::kOk);
+}
+
+Test(store_client, reset_connection_ends_the_call_and_the_next_one_works) {
+  auto setting = Setting(109);
+  cr_assert_eq(setting.ReadAll().status, SyncStatus::kOk);
+  setting.proxy().Set(LinkFault::kReset);
+  cr_assert_eq(setting.ReadAll().status, SyncStatus::kUnreachable);
+  setting.proxy().Set(LinkFault::kNone);
+  cr_assert_eq(setting.ReadAll().status, SyncStatus::kOk);
+}
+
+Test(store_client, late_answer_within_the_time_is_taken) {
+  auto setting = Setting(110);
+  setting.proxy().Set(LinkFault::kDelay, std::chrono::milliseconds(30));
+  cr_assert_eq(setting.ReadAll().status, SyncStatus::kOk);
+}
+
+}  // namespace
+}  // namespace hemlockwick::platform
