Flow: Refuse an opening at once when its service has no endpoint

Cause: such an opening was dropped, and its caller waited 1.4 s for nothing.

Change: it is reset while the platform is in touch. For 2.5 s after an outage it is still dropped: endpoints whose entries lapsed are back by then, and the caller's next copy finds them.

Tests, which failed first: token_router refuses_an_opening_when_the_service_has_no_endpoint, keeps_silent_while_endpoints_may_return.

--- a/Source/Flow/endpoint_directory.cc
+++ b/Source/Flow/endpoint_directory.cc
@@ -19,10 +19,12 @@
 DirectorySnapshot::DirectorySnapshot(std::vector<DirectoryEndpoint> endpoints,
                                      std::vector<DepartedEndpoint> departed,
                                      std::shared_ptr<const RouteSet> routes,
-                                     std::uint64_t sequence, TimePoint made_at)
+                                     bool is_settled, std::uint64_t sequence,
+                                     TimePoint made_at)
     : endpoints_(std::move(endpoints)),
       departed_(std::move(departed)),
       routes_(std::move(routes)),
+      is_settled_(is_settled),
       sequence_(sequence),
       made_at_(made_at) {
   for (auto index = std::uint32_t{0}; index < endpoints_.size(); ++index) {
@@ -169,15 +171,17 @@
 
 auto EndpointDirectory::MayStillReturn(const Entry& entry, TimePoint now) const
     -> bool {
-  if (platform_lost_) {
-    return true;
-  }
-  const auto is_after_outage =
-      had_outage_ && entry.missing_since < outage_end_ + kReturnTime;
-  return is_after_outage && now < outage_end_ + kReturnTime;
+  return !IsSettled(now) &&
+         (platform_lost_ || entry.missing_since < outage_end_ + kReturnTime);
+}
+
+auto EndpointDirectory::IsSettled(TimePoint now) const -> bool {
+  return !platform_lost_ && (!had_outage_ || now >= outage_end_ + kReturnTime);
 }
 
 void EndpointDirectory::OnTick(TimePoint now) {
+  const auto was_settled = std::exchange(is_settled_, IsSettled(now));
+  changed_ = changed_ || was_settled != is_settled_;
   for (auto entry = entries_.begin(); entry != entries_.end();) {
     if (!entry->second.missing || MayStillReturn(entry->second, now)) {
       ++entry;
@@ -211,7 +215,7 @@
   std::ranges::sort(endpoints, {},
                     [](const auto& item) { return item.report.id; });
   return std::make_shared<const DirectorySnapshot>(
-      std::move(endpoints), departed_, routes_, ++sequence_, now);
+      std::move(endpoints), departed_, routes_, is_settled_, ++sequence_, now);
 }
 
 auto EndpointDirectory::TakeEvents() -> std::vector<DirectoryEvent> {
--- a/Source/Flow/endpoint_directory.h
+++ b/Source/Flow/endpoint_directory.h
@@ -72,7 +72,7 @@
  public:
   DirectorySnapshot(std::vector<DirectoryEndpoint> endpoints,
                     std::vector<DepartedEndpoint> departed,
-                    std::shared_ptr<const RouteSet> routes,
+                    std::shared_ptr<const RouteSet> routes, bool is_settled,
                     std::uint64_t sequence, TimePoint made_at);
 
   // The endpoint that a token names; null when it is not known.
@@ -97,6 +97,9 @@
     return departed_;
   }
   [[nodiscard]] auto version() const -> Version;
+  // Whether endpoints that are missing will not return: the platform has been
+  // in touch for long enough.
+  [[nodiscard]] auto is_settled() const -> bool { return is_settled_; }
   // Counts the snapshots of this process.
   [[nodiscard]] auto sequence() const -> std::uint64_t { return sequence_; }
   [[nodiscard]] auto made_at() const -> TimePoint { return made_at_; }
@@ -105,6 +108,7 @@
   std::vector<DirectoryEndpoint> endpoints_;
   std::vector<DepartedEndpoint> departed_;
   std::shared_ptr<const RouteSet> routes_;
+  bool is_settled_;
   std::uint64_t sequence_;
   TimePoint made_at_;
   std::unordered_map<FlowToken, std::uint32_t> by_token_;
@@ -195,6 +199,7 @@
   };
 
   void Note(DirectoryEvent::Kind kind, EndpointId endpoint);
+  [[nodiscard]] auto IsSettled(TimePoint now) const -> bool;
   [[nodiscard]] auto MayStillReturn(const Entry& entry, TimePoint now) const
       -> bool;
 
@@ -204,6 +209,7 @@
   std::vector<DirectoryEvent> events_;
   bool platform_lost_ = false;
   bool had_outage_ = false;
+  bool is_settled_ = true;
   TimePoint outage_end_;
   bool changed_ = false;
   std::uint64_t sequence_ = 0;
--- a/Source/Flow/token_router.cc
+++ b/Source/Flow/token_router.cc
@@ -106,7 +106,9 @@
                      {flow.key, route, settings_.data_centre, tried}, now);
   if (endpoint == nullptr) {
     Forget(flow);
-    return Drop(packet, DropReason::kNoEndpoint);
+    return directory_->is_settled()
+               ? Reset(packet, ResetReason::kNoEndpoint, Duration(0))
+               : Drop(packet, DropReason::kNoEndpoint);
   }
   flow.closed = false;
   flow.established = false;
--- a/Source/Flow/token_types.cc
+++ b/Source/Flow/token_types.cc
@@ -24,6 +24,8 @@
       return "endpoint_silent";
     case ResetReason::kUnknown:
       return "endpoint_unknown";
+    case ResetReason::kNoEndpoint:
+      return "no_endpoint";
   }
   return "unknown";
 }
--- a/Source/Flow/token_types.h
+++ b/Source/Flow/token_types.h
@@ -33,12 +33,13 @@
 
 // Why a flow is reset.
 enum class ResetReason : std::uint8_t {
-  kNoRoute,   // Its service address is not published.
-  kDeparted,  // Its endpoint has left.
-  kSilent,    // Its endpoint does not answer.
-  kUnknown,   // No instance has heard of its endpoint for long.
+  kNoRoute,     // Its service address is not published.
+  kDeparted,    // Its endpoint has left.
+  kSilent,      // Its endpoint does not answer.
+  kUnknown,     // No instance has heard of its endpoint for long.
+  kNoEndpoint,  // Its service has no endpoint that takes new flows.
 };
-inline constexpr std::size_t kResetReasonCount = 4;
+inline constexpr std::size_t kResetReasonCount = 5;
 
 // Name of the reason in logs and metrics, for example "endpoint_departed".
 [[nodiscard]] auto ToString(ResetReason reason) -> std::string_view;
--- a/Tests/Flow/token_router_test.cc
+++ b/Tests/Flow/token_router_test.cc
@@ -141,6 +141,30 @@
   cr_assert_eq(ReasonOf(action), ResetReason::kNoRoute);
 }
 
+// What cannot be served is refused at once, so that the caller need not wait.
+Test(token_router, refuses_an_opening_when_the_service_has_no_endpoint) {
+  auto world = World();
+  world.Put(1, true);
+  world.Put(2, true);
+  world.Publish();
+  cr_assert_eq(ReasonOf(world.Opening(1000)), ResetReason::kNoEndpoint);
+}
+
+// Endpoints whose entries lapsed in an outage are back within two seconds; the
+// caller's next copy may find them.
+Test(token_router, keeps_silent_while_endpoints_may_return) {
+  auto world = World();
+  world.directory().OnPlatformBack(world.now());
+  world.directory().Remove(EndpointId(1), world.now());
+  world.directory().Remove(EndpointId(2), world.now());
+  world.Publish();
+  const auto action = world.Opening(1000);
+  cr_assert_eq(std::get<DropPacket>(action).reason, DropReason::kNoEndpoint);
+  world.Pass(3000 * kMillisecond);
+  world.Publish();
+  cr_assert_eq(ReasonOf(world.Opening(1001)), ResetReason::kNoEndpoint);
+}
+
 Test(token_router, never_answers_a_reset_with_a_reset) {
   auto world = World();
   auto packet = TokenPacket();
