--- a/Tests/Platform/store_client_test.cc
+++ b/Tests/Platform/store_client_test.cc
@@ -98,6 +98,35 @@
   cr_assert_eq(setting.store().calls(), 2U);
 }
 
+// Three hundred instances that start at once exceed the store's rate; a read
+// that begins anew after each refusal never ends (sweep, 300 machines).
+Test(store_client, read_goes_on_where_it_was_refused) {
+  auto setting = Setting(111);
+  for (auto number = 8; number <= 20; ++number) {
+    setting.store().Put("servers/i-" + std::to_string(number), EntryOf(number));
+  }
+  setting.store().RefuseAfter(2);
+  cr_assert_eq(setting.ReadAll().status, SyncStatus::kRefused);
+  setting.store().SetRefusing(false);
+  const auto calls = setting.store().calls();
+  const auto answer = setting.ReadAll();
+  cr_assert_eq(answer.status, SyncStatus::kOk);
+  cr_assert_eq(answer.update.reports.size(), 20U);
+  cr_assert_eq(setting.store().calls() - calls, 2U);
+}
+
+Test(store_client, change_during_an_interrupted_read_is_not_lost) {
+  auto setting = Setting(112);
+  setting.store().RefuseAfter(1);
+  cr_assert_eq(setting.ReadAll().status, SyncStatus::kRefused);
+  setting.store().SetRefusing(false);
+  setting.store().Delete("servers/i-1");
+  const auto whole = setting.ReadAll();
+  cr_assert_eq(whole.status, SyncStatus::kOk);
+  const auto later = setting.Watch(whole.update.revision);
+  cr_assert(later.update.removed == std::vector{EndpointId(1)});
+}
+
 Test(store_client, watch_returns_what_has_changed) {
   auto setting = Setting(102);
   const auto revision = setting.ReadAll().update.revision;
--- a/Utilities/Soak/store_stand_in.cc
+++ b/Utilities/Soak/store_stand_in.cc
@@ -110,7 +110,7 @@
 
 void StoreStandIn::Serve(const std::string& target, HttpListener::Reply reply) {
   ++calls_;
-  if (refusing_) {
+  if (refusing_ || calls_ >= refuse_from_) {
     reply({503, "text/plain", ""});
     return;
   }
--- a/Utilities/Soak/store_stand_in.h
+++ b/Utilities/Soak/store_stand_in.h
@@ -31,7 +31,13 @@
   void Compact();
 
   // While refusing, every call is answered 503.
-  void SetRefusing(bool refusing) { refusing_ = refusing; }
+  void SetRefusing(bool refusing) {
+    refusing_ = refusing;
+    refuse_from_ = UINT64_MAX;
+  }
+
+  // Answers `calls` more calls and refuses those after them.
+  void RefuseAfter(std::uint64_t calls) { refuse_from_ = calls_ + calls + 1; }
 
   [[nodiscard]] auto calls() const -> std::uint64_t { return calls_; }
 
@@ -72,6 +78,7 @@
   std::uint64_t compacted_ = 0;
   std::uint64_t next_watch_ = 1;
   std::uint64_t calls_ = 0;
+  std::uint64_t refuse_from_ = UINT64_MAX;
   bool refusing_ = false;
 };
 
