Edge: Change the log level in place, and watch from where a full read ends

A changed log level replaced the logger while the traffic thread might write with it. After lost history, a full read from a relay that is behind was followed by a watch from the newer revision known before, so that the changes between were never taken again.

Test: directory_sync watches_from_where_a_full_read_ends, which failed first. The race was not seen to do harm in the soak, which changes levels.

--- a/Source/Edge/directory_sync.cc
+++ b/Source/Edge/directory_sync.cc
@@ -85,7 +85,9 @@
                               TimePoint now) {
   upstream.failures = 0;
   has_read_ = true;
-  revision_ = std::max(revision_, answer.update.revision);
+  revision_ = answer.update.is_whole
+                  ? answer.update.revision
+                  : std::max(revision_, answer.update.revision);
   last_fresh_ = std::max(last_fresh_, now - answer.age);
   if (answer.age > kMaxRelayAge) {
     upstream.retry_at = now + Jitter(kRelayBackoff);
--- a/Source/Edge/settings_watch.cc
+++ b/Source/Edge/settings_watch.cc
@@ -59,7 +59,7 @@
 
 void SettingsWatch::Compare(const ServeSettings& next, std::string_view cause) {
   if (next.log_level != settings_.log_level) {
-    StartLog(next.name, next.log_level);
+    SetLogLevel(next.log_level);
   }
   const auto needs_restart = NeedsRestart(settings_, next);
   Log(needs_restart ? LogLevel::kWarning : LogLevel::kInfo, "settings_reloaded",
--- a/Source/Runtime/log.cc
+++ b/Source/Runtime/log.cc
@@ -98,6 +98,13 @@
       spdlog::pattern_time_type::utc));
 }
 
+void SetLogLevel(LogLevel level) {
+  const auto& logger = TheLog().logger;
+  if (logger != nullptr) {
+    logger->set_level(ToSpdlog(level));
+  }
+}
+
 void Log(LogLevel level, std::string_view message,
          const std::map<std::string, std::string>& fields) {
   LogSoon(level, message, fields);
--- a/Source/Runtime/log.h
+++ b/Source/Runtime/log.h
@@ -17,6 +17,9 @@
 // the reader of standard output.
 void StartLog(std::string_view instance, LogLevel level);
 
+// Changes the level from which on lines are written. Any thread may call it.
+void SetLogLevel(LogLevel level);
+
 // Writes one line at once. Does nothing before StartLog. Any thread may call
 // it.
 void Log(LogLevel level, std::string_view message,
--- a/Tests/Edge/directory_sync_test.cc
+++ b/Tests/Edge/directory_sync_test.cc
@@ -133,6 +133,18 @@
   cr_assert_eq(sync.next().after.value(), 10U);
 }
 
+// After lost history a relay that is behind may give the full read; what came
+// after its revision has to be watched again.
+Test(directory_sync, watches_from_where_a_full_read_ends) {
+  auto sync = DirectorySync({1, false, 1}, kStart);
+  sync.OnAnswer(Whole(10), kStart);
+  sync.OnAnswer(Failed(SyncStatus::kHistoryLost), kStart);
+  sync.OnAnswer(Failed(SyncStatus::kRefused), kStart);
+  cr_assert(sync.next().relay.has_value());
+  sync.OnAnswer(Whole(8), kStart);
+  cr_assert_eq(sync.next().after.value(), 8U);
+}
+
 Test(directory_sync, is_lost_without_an_answer_and_back_with_one) {
   auto sync = DirectorySync({1, false, 1}, kStart);
   auto now = kStart;
