--- a/Source/Edge/edge_forwarder.h
+++ b/Source/Edge/edge_forwarder.h
@@ -135,8 +135,8 @@
     for (const auto& note : router_.TakeNotes()) {
       LogNote(note, router_.directory(), now);
     }
-    if (router_.counters().notes_lost != notes_lost_) {
-      notes_lost_ = router_.counters().notes_lost;
+    if (router_.notes_lost() != notes_lost_) {
+      notes_lost_ = router_.notes_lost();
       LogSoon(LogLevel::kWarning, "notes_lost",
               {{"total", std::to_string(notes_lost_)}});
     }
--- a/Source/Edge/packet_codec.h
+++ b/Source/Edge/packet_codec.h
@@ -18,7 +18,7 @@
 template <typename T>
 concept PacketCodec = requires(std::span<const std::uint8_t> datagram,
                                std::span<std::uint8_t> writable,
-                               FlowToken token, EndpointId endpoint,
+                               WireToken token, EndpointId endpoint,
                                const ResetFlow& reset,
                                const SocketAddress& local) {
   { T::kMaxDatagramBytes } -> std::convertible_to<std::size_t>;
--- a/Source/Flow/endpoint_directory.cc
+++ b/Source/Flow/endpoint_directory.cc
@@ -14,6 +14,29 @@
 // How long departed endpoints are remembered: their flows have then ended.
 constexpr Duration kDepartedMemory = std::chrono::seconds(60);
 
+auto IsTarget(const Route& route, ServiceId service) -> bool {
+  return std::ranges::any_of(route.targets, [service](const auto& target) {
+    return target.service == service;
+  });
+}
+
+// The item with the token whose endpoint is of the route's targets, otherwise
+// any with the token; null when there is none.
+template <typename Item, typename Index>
+auto BestOf(const std::vector<Item>& items, const Index& index, FlowToken token,
+            const Route& route) -> const Item* {
+  const Item* best = nullptr;
+  const auto [begin, end] = index.equal_range(token);
+  for (auto found = begin; found != end; ++found) {
+    const auto& item = items[found->second];
+    const auto is_target = IsTarget(route, item.report.service);
+    if (best == nullptr || is_target) {
+      best = &item;
+    }
+  }
+  return best;
+}
+
 }  // namespace
 
 DirectorySnapshot::DirectorySnapshot(std::vector<DirectoryEndpoint> endpoints,
@@ -28,11 +51,7 @@
       sequence_(sequence),
       made_at_(made_at) {
   for (auto index = std::uint32_t{0}; index < endpoints_.size(); ++index) {
-    const auto& endpoint = endpoints_[index];
-    by_token_.emplace(endpoint.token, index);
-    if (endpoint.takes_new) {
-      takers_[endpoint.report.service].push_back(index);
-    }
+    AddEndpoint(index);
   }
   for (auto index = std::uint32_t{0}; index < departed_.size(); ++index) {
     departed_by_token_.emplace(departed_[index].token, index);
@@ -44,6 +63,39 @@
   }
 }
 
+void DirectorySnapshot::AddEndpoint(std::uint32_t index) {
+  auto& endpoint = endpoints_[index];
+  const auto service = endpoint.report.service;
+  const auto [begin, end] = by_token_.equal_range(endpoint.token);
+  const auto is_shadowed = std::any_of(begin, end, [&](const auto& earlier) {
+    return endpoints_[earlier.second].report.service == service;
+  });
+  by_token_.emplace(endpoint.token, index);
+  if (is_shadowed) {
+    endpoint.takes_new = false;
+    shadowed_.push_back(endpoint.report.id);
+  }
+  if (endpoint.takes_new) {
+    takers_[service].push_back(index);
+  }
+}
+
+auto DirectorySnapshot::Resolve(FlowToken token, const Route& route) const
+    -> ResolvedToken {
+  const auto* const present = BestOf(endpoints_, by_token_, token, route);
+  const auto* const departed =
+      BestOf(departed_, departed_by_token_, token, route);
+  if (departed == nullptr) {
+    return present == nullptr ? ResolvedToken() : ResolvedToken(present);
+  }
+  const auto departed_fits = IsTarget(route, departed->report.service);
+  if (present == nullptr ||
+      (departed_fits && !IsTarget(route, present->report.service))) {
+    return departed;
+  }
+  return present;
+}
+
 auto DirectorySnapshot::Find(FlowToken token) const
     -> const DirectoryEndpoint* {
   const auto found = by_token_.find(token);
@@ -90,6 +142,8 @@
       return "endpoint_returned";
     case DirectoryEvent::Kind::kEndpointDeparted:
       return "endpoint_departed";
+    case DirectoryEvent::Kind::kEndpointShadowed:
+      return "endpoint_shadowed";
     case DirectoryEvent::Kind::kRoutesInForce:
       return "routes_in_force";
   }
@@ -102,7 +156,7 @@
   if (is_new) {
     entry.report = report;
     std::erase_if(departed_, [&report](const auto& endpoint) {
-      return endpoint.token == TokenOf(report.id);
+      return endpoint.report.id == report.id;
     });
     Note(DirectoryEvent::Kind::kEndpointAdded, report.id);
   }
@@ -214,8 +268,20 @@
   }
   std::ranges::sort(endpoints, {},
                     [](const auto& item) { return item.report.id; });
-  return std::make_shared<const DirectorySnapshot>(
+  auto snapshot = std::make_shared<const DirectorySnapshot>(
       std::move(endpoints), departed_, routes_, is_settled_, ++sequence_, now);
+  NoteShadowed(snapshot->shadowed());
+  return snapshot;
+}
+
+void EndpointDirectory::NoteShadowed(const std::vector<EndpointId>& shadowed) {
+  for (const auto endpoint : shadowed) {
+    if (std::ranges::find(shadowed_, endpoint) == shadowed_.end()) {
+      events_.push_back(
+          {DirectoryEvent::Kind::kEndpointShadowed, endpoint, Version()});
+    }
+  }
+  shadowed_ = shadowed;
 }
 
 auto EndpointDirectory::TakeEvents() -> std::vector<DirectoryEvent> {
--- a/Source/Flow/endpoint_directory.h
+++ b/Source/Flow/endpoint_directory.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
+#include <variant>
 #include <vector>
 
 #include "Core/ids.h"
@@ -67,6 +68,10 @@
   TimePoint since;
 };
 
+// What a token names; monostate when nothing is known of it.
+using ResolvedToken = std::variant<std::monostate, const DirectoryEndpoint*,
+                                   const DepartedEndpoint*>;
+
 // The directory at one moment, as read by traffic threads. Immutable.
 class DirectorySnapshot {
  public:
@@ -75,13 +80,19 @@
                     std::shared_ptr<const RouteSet> routes, bool is_settled,
                     std::uint64_t sequence, TimePoint made_at);
 
-  // The endpoint that a token names; null when it is not known.
+  // An endpoint with the token; null when there is none.
   [[nodiscard]] auto Find(FlowToken token) const -> const DirectoryEndpoint*;
 
-  // The departed endpoint that a token names; null when there is none.
+  // A departed endpoint with the token; null when there is none.
   [[nodiscard]] auto FindDeparted(FlowToken token) const
       -> const DepartedEndpoint*;
 
+  // The endpoint of an open flow of the route. Among endpoints with one token
+  // those of the route's targets go first; an endpoint that is not of them may
+  // belong to an earlier target.
+  [[nodiscard]] auto Resolve(FlowToken token, const Route& route) const
+      -> ResolvedToken;
+
   [[nodiscard]] auto FindRoute(const SocketAddress& address) const
       -> const Route*;
 
@@ -96,6 +107,11 @@
   [[nodiscard]] auto departed() const -> const std::vector<DepartedEndpoint>& {
     return departed_;
   }
+  // Endpoints that take no new flows because an earlier one of their service
+  // has the same token.
+  [[nodiscard]] auto shadowed() const -> const std::vector<EndpointId>& {
+    return shadowed_;
+  }
   [[nodiscard]] auto version() const -> Version;
   // Whether endpoints that are missing will not return: the platform has been
   // in touch for long enough.
@@ -105,14 +121,19 @@
   [[nodiscard]] auto made_at() const -> TimePoint { return made_at_; }
 
  private:
+  using TokenIndex = std::unordered_multimap<FlowToken, std::uint32_t>;
+
+  void AddEndpoint(std::uint32_t index);
+
   std::vector<DirectoryEndpoint> endpoints_;
   std::vector<DepartedEndpoint> departed_;
   std::shared_ptr<const RouteSet> routes_;
   bool is_settled_;
   std::uint64_t sequence_;
   TimePoint made_at_;
-  std::unordered_map<FlowToken, std::uint32_t> by_token_;
-  std::unordered_map<FlowToken, std::uint32_t> departed_by_token_;
+  std::vector<EndpointId> shadowed_;
+  TokenIndex by_token_;
+  TokenIndex departed_by_token_;
   std::unordered_map<SocketAddress, const Route*> by_address_;
   std::unordered_map<ServiceId, std::vector<std::uint32_t>> takers_;
 };
@@ -126,6 +147,7 @@
     kEndpointMissing,   // Gone from the platform; may come back.
     kEndpointReturned,  // Reported again after it was missing.
     kEndpointDeparted,  // Gone for certain.
+    kEndpointShadowed,  // Another one of its service has its token.
     kRoutesInForce,
   };
 
@@ -199,6 +221,7 @@
   };
 
   void Note(DirectoryEvent::Kind kind, EndpointId endpoint);
+  void NoteShadowed(const std::vector<EndpointId>& shadowed);
   [[nodiscard]] auto IsSettled(TimePoint now) const -> bool;
   [[nodiscard]] auto MayStillReturn(const Entry& entry, TimePoint now) const
       -> bool;
@@ -207,6 +230,7 @@
   std::vector<DepartedEndpoint> departed_;
   std::shared_ptr<const RouteSet> routes_;
   std::vector<DirectoryEvent> events_;
+  std::vector<EndpointId> shadowed_;
   bool platform_lost_ = false;
   bool had_outage_ = false;
   bool is_settled_ = true;
--- a/Source/Flow/flow_token.h
+++ b/Source/Flow/flow_token.h
@@ -3,12 +3,14 @@
 
 #include <cstdint>
 
+#include "Core/hash.h"
 #include "Core/ids.h"
+#include "Core/net_address.h"
 #include "Core/strong_id.h"
 
 namespace hemlockwick {
 
-// Names a flow's endpoint in each of the flow's packets. Zero names none.
+// Names an endpoint. Zero names none; two endpoints may have the same one.
 using FlowToken = StrongId<struct FlowTokenTag, std::uint32_t>;
 
 inline constexpr FlowToken kNoToken{0};
@@ -21,6 +23,31 @@
   return FlowToken(folded == 0 ? 1 : folded);
 }
 
+// Names a flow's endpoint in each of the flow's packets; good at the flow's
+// service address only.
+using WireToken = StrongId<struct WireTokenTag, std::uint32_t>;
+
+// Pattern that ties tokens to a service address.
+[[nodiscard]] constexpr auto TokenPattern(const SocketAddress& service)
+    -> std::uint32_t {
+  return static_cast<std::uint32_t>(
+      MixWords(service.ip.value(), service.port.value()));
+}
+
+// The token as packets to `service` carry it.
+[[nodiscard]] constexpr auto ToWire(FlowToken token,
+                                    const SocketAddress& service) -> WireToken {
+  return WireToken(token.value() ^ TokenPattern(service));
+}
+
+// The token in a packet to `service`. One that was given at another address
+// names, almost certainly, no endpoint.
+[[nodiscard]] constexpr auto FromWire(WireToken token,
+                                      const SocketAddress& service)
+    -> FlowToken {
+  return FlowToken(token.value() ^ TokenPattern(service));
+}
+
 }  // namespace hemlockwick
 
 #endif  // HEMLOCKWICK_FLOW_FLOW_TOKEN_H_
--- /dev/null
+++ b/Source/Flow/flow_watch.cc
@@ -0,0 +1,384 @@
+#include "Flow/flow_watch.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hemlockwick {
+
+namespace {
+
+// Time in which an endpoint's reply to an opening comes back as a packet of
+// the caller; well above the round trips and below the caller's first copy.
+constexpr Duration kOpeningReplyTime = std::chrono::milliseconds(100);
+
+// Callers send a packet again after a longer time. Packets that follow each
+// other sooner have waited in the socket.
+constexpr Duration kShortestResend = std::chrono::milliseconds(100);
+
+// A flow that waits this long for a silent endpoint is reset.
+constexpr Duration kResetWait = std::chrono::milliseconds(100);
+
+// An endpoint that answered this recently is alive.
+constexpr Duration kAliveTime = std::chrono::seconds(1);
+
+// A longer pause between two ticks means that this process was suspended, and
+// that replies may have passed unseen.
+constexpr Duration kLongestTick = std::chrono::milliseconds(400);
+
+// Packets that a caller sends ahead of acknowledgements.
+constexpr std::uint16_t kSendWindowPackets = 16;
+
+// Flows without a packet for this long are no longer tracked, and how often
+// they are looked for.
+constexpr Duration kIdleTime = std::chrono::seconds(20);
+constexpr Duration kSweepInterval = std::chrono::seconds(1);
+
+// Reply times kept between two collections.
+constexpr std::size_t kMaxReplies = 512;
+
+// Whether sequence position `left` lies before `right`, across the wrap.
+auto IsBefore(std::uint32_t left, std::uint32_t right) -> bool {
+  return static_cast<std::int32_t>(left - right) < 0;
+}
+
+void AddOnce(std::vector<FlowToken>& tokens, FlowToken token) {
+  if (std::ranges::find(tokens, token) == tokens.end()) {
+    tokens.push_back(token);
+  }
+}
+
+}  // namespace
+
+FlowWatch::FlowWatch(std::size_t capacity, RouterNotes& notes)
+    : flows_(capacity), notes_(notes) {}
+
+auto FlowWatch::OnOpening(const TokenPacket& packet, TimePoint now)
+    -> FlowToken {
+  auto& flow = Track(packet, now);
+  const auto is_copy = packet.ack > 0;
+  if (!is_copy) {
+    return kNoToken;
+  }
+  // The caller would not send it again had the endpoint answered.
+  flow.gave_sign = false;
+  NoteSilence(flow, SilentPacket::kRepeatedOpening, now);
+  return flow.token;
+}
+
+void FlowWatch::OnOpened(const TokenPacket& packet, FlowToken token,
+                         TimePoint now) {
+  auto& flow = Track(packet, now);
+  flow.closed = false;
+  flow.established = false;
+  SetToken(flow, token, now);
+  StopWaiting(flow);
+  StartWaiting(flow, now);
+  pending_.push_back({flow.key, token, now});
+}
+
+auto FlowWatch::OnPacket(const TokenPacket& packet, FlowToken token,
+                         TimePoint now) -> std::optional<Duration> {
+  auto& flow = Track(packet, now);
+  if (flow.closed) {
+    return std::nullopt;
+  }
+  if (flow.established && flow.token != token) {
+    notes_.Add({RouterNote::Kind::kTokenChanged, packet.caller, packet.service,
+                token, 0, 0, 0, Duration(0), ""});
+  }
+  SetToken(flow, token, now);
+  NotePacket(flow, packet, now);
+  const auto& signs = LoadOf(token, now).signs;
+  if (packet.data_bytes > 0 && flow.waiting && signs.IsSilent(now)) {
+    return now - signs.last_alive();
+  }
+  if (packet.finishes || packet.resets) {
+    Release(flow);
+    flow.closed = true;
+  }
+  return std::nullopt;
+}
+
+void FlowWatch::OnEnded(FlowKey key) {
+  auto* const flow = flows_.Find(key);
+  if (flow != nullptr) {
+    Forget(*flow);
+  }
+}
+
+auto FlowWatch::IsAlive(FlowToken token, TimePoint now) const -> bool {
+  const auto load = loads_.find(token);
+  return load != loads_.end() &&
+         now - load->second.signs.last_alive() < kAliveTime;
+}
+
+auto FlowWatch::Track(const TokenPacket& packet, TimePoint now)
+    -> TrackedFlow& {
+  auto& flow = flows_.FindOrAdd(FlowKeyOf(packet.caller, packet.service),
+                                [this](TrackedFlow& idle) { Forget(idle); });
+  flow.caller = packet.caller;
+  flow.service = packet.service;
+  flow.last_seen = now;
+  return flow;
+}
+
+void FlowWatch::NotePacket(TrackedFlow& flow, const TokenPacket& packet,
+                           TimePoint now) {
+  if (!flow.established) {
+    Establish(flow, packet, now);
+  } else if (IsBefore(flow.last_ack, packet.ack)) {
+    flow.last_ack = packet.ack;
+    NoteAlive(flow.token, now);
+    if (flow.waiting) {
+      const auto time = now - flow.waiting_since;
+      LoadOf(flow.token, now).NoteReplyTime(time);
+      if (replies_.size() < kMaxReplies) {
+        replies_.push_back({ReplySample::Kind::kData, time});
+      }
+    }
+    StopWaiting(flow);
+  }
+  if (packet.data_bytes > 0) {
+    NoteData(flow, packet, now);
+  }
+}
+
+// Takes the first packet after the handshake: the endpoint has answered, unless
+// the flow was opened through another instance long ago.
+void FlowWatch::Establish(TrackedFlow& flow, const TokenPacket& packet,
+                          TimePoint now) {
+  if (flow.waiting) {
+    const auto time = now - flow.waiting_since;
+    if (replies_.size() < kMaxReplies) {
+      replies_.push_back({ReplySample::Kind::kOpening, time});
+    }
+    NoteAlive(flow.token, now);
+    StopWaiting(flow);
+  }
+  flow.established = true;
+  flow.last_ack = packet.ack;
+  flow.next_seq = packet.seq;
+}
+
+void FlowWatch::NoteData(TrackedFlow& flow, const TokenPacket& packet,
+                         TimePoint now) {
+  const auto end = packet.seq + packet.data_bytes;
+  if (!IsBefore(flow.next_seq, end)) {
+    NoteSilence(flow, SilentPacket::kRepeatedData, now);
+    return;
+  }
+  flow.next_seq = end;
+  StartWaiting(flow, now);
+  if (++flow.waiting_packets > kSendWindowPackets) {
+    // The caller could not have sent more without acknowledgements.
+    NoteAlive(flow.token, now);
+  }
+}
+
+auto FlowWatch::LoadOf(FlowToken token, TimePoint now) -> EndpointLoad& {
+  return loads_.try_emplace(token, now).first->second;
+}
+
+void FlowWatch::SetToken(TrackedFlow& flow, FlowToken token, TimePoint now) {
+  if (flow.token == token) {
+    return;
+  }
+  const auto was_waiting = flow.waiting;
+  Release(flow);
+  flow.token = token;
+  auto& load = LoadOf(token, now);
+  ++load.open_flows;
+  if (was_waiting) {
+    flow.waiting = true;
+    ++load.waiting_flows;
+  }
+}
+
+void FlowWatch::StartWaiting(TrackedFlow& flow, TimePoint now) {
+  if (flow.waiting) {
+    return;
+  }
+  flow.waiting = true;
+  flow.waiting_since = now;
+  flow.waiting_packets = 0;
+  flow.gave_sign = false;
+  ++LoadOf(flow.token, now).waiting_flows;
+}
+
+void FlowWatch::StopWaiting(TrackedFlow& flow) {
+  if (!flow.waiting) {
+    return;
+  }
+  flow.waiting = false;
+  --loads_.at(flow.token).waiting_flows;
+}
+
+// Takes the flow out of its endpoint's load.
+void FlowWatch::Release(TrackedFlow& flow) {
+  StopWaiting(flow);
+  if (flow.token != kNoToken) {
+    --loads_.at(flow.token).open_flows;
+    flow.token = kNoToken;
+  }
+}
+
+void FlowWatch::Forget(TrackedFlow& flow) {
+  Release(flow);
+  TrackedFlows::Remove(flow);
+}
+
+void FlowWatch::ForgetIdle(const DirectorySnapshot* directory, TimePoint now) {
+  if (now < next_sweep_) {
+    return;
+  }
+  next_sweep_ = now + kSweepInterval;
+  flows_.ForEach([this, now](TrackedFlow& flow) {
+    if (now - flow.last_seen >= kIdleTime) {
+      Forget(flow);
+    }
+  });
+  std::erase_if(loads_, [directory](const auto& entry) {
+    const auto& [token, load] = entry;
+    return load.open_flows == 0 && directory != nullptr &&
+           directory->Find(token) == nullptr &&
+           directory->FindDeparted(token) == nullptr;
+  });
+}
+
+void FlowWatch::NoteAlive(FlowToken token, TimePoint now) {
+  auto& signs = LoadOf(token, now).signs;
+  if (signs.IsSuspect(now) || signs.IsSilent(now)) {
+    notes_.Add({RouterNote::Kind::kEndpointAlive,
+                {},
+                {},
+                token,
+                0,
+                signs.signs(),
+                0,
+                now - signs.last_alive(),
+                ""});
+  }
+  if (signs.IsSharedSuspect(now)) {
+    AddOnce(news_.alive, token);
+  }
+  signs.NoteAlive(now);
+}
+
+void FlowWatch::NoteSilence(TrackedFlow& flow, SilentPacket packet,
+                            TimePoint now) {
+  const auto was_queued = now - flow.waiting_since < kShortestResend;
+  if (!flow.waiting || flow.gave_sign || was_queued) {
+    return;
+  }
+  flow.gave_sign = true;
+  auto& signs = LoadOf(flow.token, now).signs;
+  const auto was_suspect = signs.IsSuspect(now);
+  const auto was_silent = signs.IsSilent(now);
+  if (!signs.NoteSilence(packet, flow.waiting_since, now)) {
+    return;
+  }
+  ++signs_;
+  // A flow that only fell quiet here may have moved to another instance.
+  if (packet != SilentPacket::kOpening) {
+    AddOnce(news_.silent, flow.token);
+  }
+  const auto age = now - signs.last_alive();
+  if (!was_suspect && signs.IsSuspect(now)) {
+    notes_.Add({RouterNote::Kind::kEndpointSuspected, flow.caller, flow.service,
+                flow.token, 0, signs.signs(), 0, age, ""});
+  }
+  if (!was_silent && signs.IsSilent(now)) {
+    notes_.Add({RouterNote::Kind::kEndpointSilent, flow.caller, flow.service,
+                flow.token, 0, signs.signs(), 0, age, ""});
+    newly_silent_.push_back(flow.token);
+  }
+}
+
+auto FlowWatch::OnTick(const DirectorySnapshot* directory, TimePoint now)
+    -> std::vector<ResetFlow> {
+  CheckSuspension(now);
+  ForgetIdle(directory, now);
+  while (!pending_.empty() &&
+         now - pending_.front().sent_at >= kOpeningReplyTime) {
+    const auto opening = pending_.front();
+    pending_.pop_front();
+    auto* const flow = flows_.Find(opening.flow);
+    if (flow != nullptr && !flow->established && flow->waiting &&
+        flow->token == opening.token &&
+        flow->waiting_since == opening.sent_at) {
+      NoteSilence(*flow, SilentPacket::kOpening, now);
+    }
+  }
+  auto resets = std::vector<ResetFlow>();
+  for (const auto token : std::exchange(newly_silent_, {})) {
+    auto ended = ResetTracked(token, ResetReason::kSilent, now - kResetWait);
+    resets.insert(resets.end(), ended.begin(), ended.end());
+  }
+  return resets;
+}
+
+// A process that did not run for a while has missed replies: what it takes for
+// silence may be its own.
+void FlowWatch::CheckSuspension(TimePoint now) {
+  const auto previous = std::exchange(last_tick_, now);
+  if (previous == TimePoint() || now - previous <= kLongestTick) {
+    return;
+  }
+  notes_.Add({RouterNote::Kind::kSuspended,
+              {},
+              {},
+              kNoToken,
+              0,
+              0,
+              0,
+              now - previous,
+              ""});
+  pending_.clear();
+  newly_silent_.clear();
+  for (auto& [token, load] : loads_) {
+    load.signs.Clear();
+  }
+  flows_.ForEach([](TrackedFlow& flow) { flow.gave_sign = true; });
+}
+
+// Ends the flows of an endpoint that have waited since `silent_since` or
+// earlier; of a departed endpoint all of them.
+auto FlowWatch::ResetTracked(FlowToken token, ResetReason reason,
+                             TimePoint silent_since) -> std::vector<ResetFlow> {
+  auto resets = std::vector<ResetFlow>();
+  flows_.ForEach([&](TrackedFlow& flow) {
+    if (flow.token != token) {
+      return;
+    }
+    const auto is_departed = reason == ResetReason::kDeparted;
+    const auto is_stuck = flow.waiting && flow.waiting_since <= silent_since;
+    if (!flow.established || !(is_departed || is_stuck)) {
+      if (is_departed) {
+        Forget(flow);
+      }
+      return;
+    }
+    resets.push_back({flow.caller, flow.service, flow.last_ack, reason});
+    notes_.Add({RouterNote::Kind::kFlowReset, flow.caller, flow.service, token,
+                0, 0, 0, Duration(0), ToString(reason)});
+    Forget(flow);
+  });
+  return resets;
+}
+
+void FlowWatch::NoteShared(const std::vector<SharedSuspect>& suspects,
+                           const DirectorySnapshot& directory, TimePoint now) {
+  for (const auto& suspect : suspects) {
+    if (directory.Find(suspect.token) != nullptr) {
+      LoadOf(suspect.token, now).signs.NoteShared(suspect.at);
+    }
+  }
+}
+
+auto FlowWatch::TakeNews() -> EndpointNews { return std::exchange(news_, {}); }
+
+auto FlowWatch::TakeReplies() -> std::vector<ReplySample> {
+  return std::exchange(replies_, {});
+}
+
+}  // namespace hemlockwick
--- a/Source/Flow/token_router.cc
+++ b/Source/Flow/token_router.cc
@@ -1,7 +1,7 @@
 #include "Flow/token_router.h"
 
-#include <algorithm>
 #include <utility>
+#include <variant>
 
 #include "Flow/opening_choice.h"
 
@@ -9,56 +9,15 @@
 
 namespace {
 
-// Time in which an endpoint's reply to an opening comes back as a packet of
-// the caller; well above the round trips and below the caller's first copy.
-constexpr Duration kOpeningReplyTime = std::chrono::milliseconds(100);
-
-// Callers send a packet again after a longer time. Packets that follow each
-// other sooner have waited in the socket.
-constexpr Duration kShortestResend = std::chrono::milliseconds(100);
-
-// A flow that waits this long for a silent endpoint is reset.
-constexpr Duration kResetWait = std::chrono::milliseconds(100);
-
-// An endpoint that answered this recently is alive, whatever the platform says.
-constexpr Duration kAliveTime = std::chrono::seconds(1);
-
-// A longer pause between two ticks means that this process was suspended, and
-// that replies may have passed unseen.
-constexpr Duration kLongestTick = std::chrono::milliseconds(400);
-
 // Time for which the token of an endpoint that is not in the directory may be
 // newer than the directory.
 constexpr Duration kUnknownTime = std::chrono::milliseconds(2500);
 constexpr std::size_t kMaxUnknownTokens = 256;
 
-// Packets that a caller sends ahead of acknowledgements.
-constexpr std::uint16_t kSendWindowPackets = 16;
-
-// Flows without a packet for this long are no longer tracked, and how often
-// they are looked for.
-constexpr Duration kIdleTime = std::chrono::seconds(20);
-constexpr Duration kSweepInterval = std::chrono::seconds(1);
-
-// Notes kept between two collections.
-constexpr std::size_t kMaxNotes = 512;
-constexpr std::size_t kMaxReplies = 512;
-
-// Whether sequence position `left` lies before `right`, across the wrap.
-auto IsBefore(std::uint32_t left, std::uint32_t right) -> bool {
-  return static_cast<std::int32_t>(left - right) < 0;
-}
-
-void AddOnce(std::vector<FlowToken>& tokens, FlowToken token) {
-  if (std::ranges::find(tokens, token) == tokens.end()) {
-    tokens.push_back(token);
-  }
-}
-
 }  // namespace
 
 TokenRouter::TokenRouter(const TokenRouterSettings& settings)
-    : settings_(settings), flows_(settings.tracked_flows) {}
+    : settings_(settings), watch_(settings.tracked_flows, notes_) {}
 
 auto TokenRouter::Update(std::shared_ptr<const DirectorySnapshot> directory,
                          TimePoint now) -> std::vector<ResetFlow> {
@@ -70,7 +29,8 @@
     if (was_departed || !IsGone(departed, now)) {
       continue;
     }
-    auto ended = ResetTracked(departed.token, ResetReason::kDeparted, now);
+    auto ended =
+        watch_.ResetTracked(departed.token, ResetReason::kDeparted, now);
     resets.insert(resets.end(), ended.begin(), ended.end());
   }
   std::erase_if(unknown_since_, [this](const auto& unknown) {
@@ -88,51 +48,42 @@
   if (route == nullptr) {
     return Reset(packet, ResetReason::kNoRoute, Duration(0));
   }
-  return packet.opens ? Open(packet, *route, now) : Continue(packet, now);
+  return packet.opens ? Open(packet, *route, now)
+                      : Continue(packet, *route, now);
 }
 
 auto TokenRouter::Open(const TokenPacket& packet, const Route& route,
                        TimePoint now) -> TokenAction {
-  auto& flow = Track(packet, now);
-  const auto is_copy = packet.ack > 0;
-  const auto tried = is_copy ? flow.token : kNoToken;
-  if (is_copy) {
-    // The caller would not send it again had the endpoint answered.
-    flow.gave_sign = false;
-    NoteSilence(flow, SilentPacket::kRepeatedOpening, now);
-  }
+  const auto flow = FlowKeyOf(packet.caller, packet.service);
+  const auto tried = watch_.OnOpening(packet, now);
   const auto* const endpoint =
-      ChooseEndpoint(*directory_, loads_,
-                     {flow.key, route, settings_.data_centre, tried}, now);
+      ChooseEndpoint(*directory_, watch_.loads(),
+                     {flow, route, settings_.data_centre, tried}, now);
   if (endpoint == nullptr) {
-    Forget(flow);
+    watch_.OnEnded(flow);
     return directory_->is_settled()
                ? Reset(packet, ResetReason::kNoEndpoint, Duration(0))
                : Drop(packet, DropReason::kNoEndpoint);
   }
-  flow.closed = false;
-  flow.established = false;
-  SetToken(flow, endpoint->token, now);
-  StopWaiting(flow);
-  StartWaiting(flow, now);
-  pending_.push_back({flow.key, endpoint->token, now});
-  ++counters_.opened;
-  counters_.reopened += is_copy ? 1 : 0;
-  const auto& load = LoadOf(endpoint->token, now);
-  AddNote({RouterNote::Kind::kFlowOpened, packet.caller, packet.service,
-           endpoint->token, packet.ack, load.signs.signs(), load.waiting_flows,
-           Duration(0), ""});
+  watch_.OnOpened(packet, endpoint->token, now);
+  const auto& load = watch_.LoadOf(endpoint->token, now);
+  notes_.Add({RouterNote::Kind::kFlowOpened, packet.caller, packet.service,
+              endpoint->token, packet.ack, load.signs.signs(),
+              load.waiting_flows, Duration(0), ""});
   return ForwardWithToken{endpoint->report.id, endpoint->report.address,
-                          endpoint->token};
+                          ToWire(endpoint->token, packet.service)};
 }
 
-auto TokenRouter::Continue(const TokenPacket& packet, TimePoint now)
-    -> TokenAction {
-  if (const auto* const endpoint = directory_->Find(packet.token)) {
-    return Forward(packet, endpoint->report, now);
+auto TokenRouter::Continue(const TokenPacket& packet, const Route& route,
+                           TimePoint now) -> TokenAction {
+  const auto resolved = directory_->Resolve(TokenOf(packet), route);
+  if (const auto* const present =
+          std::get_if<const DirectoryEndpoint*>(&resolved)) {
+    return Forward(packet, (*present)->report, now);
   }
-  if (const auto* const departed = directory_->FindDeparted(packet.token)) {
-    return ToDeparted(packet, *departed, now);
+  if (const auto* const departed =
+          std::get_if<const DepartedEndpoint*>(&resolved)) {
+    return ToDeparted(packet, **departed, now);
   }
   return ToUnknown(packet, now);
 }
@@ -140,39 +91,18 @@
 auto TokenRouter::Forward(const TokenPacket& packet,
                           const EndpointReport& endpoint, TimePoint now)
     -> TokenAction {
-  const auto forward =
-      ForwardWithToken{endpoint.id, endpoint.address, packet.token};
-  auto& flow = Track(packet, now);
-  if (flow.closed) {
-    return forward;
-  }
-  if (flow.established && flow.token != packet.token) {
-    AddNote({RouterNote::Kind::kTokenChanged, packet.caller, packet.service,
-             packet.token, 0, 0, 0, Duration(0), ""});
+  const auto silent_for = watch_.OnPacket(packet, TokenOf(packet), now);
+  if (silent_for) {
+    return Reset(packet, ResetReason::kSilent, *silent_for);
   }
-  SetToken(flow, packet.token, now);
-  NotePacket(flow, packet, now);
-  const auto& signs = LoadOf(packet.token, now).signs;
-  if (packet.data_bytes > 0 && flow.waiting && signs.IsSilent(now)) {
-    return Reset(packet, ResetReason::kSilent, now - signs.last_alive());
-  }
-  if (packet.finishes || packet.resets) {
-    Release(flow);
-    flow.closed = true;
-  }
-  return forward;
+  return ForwardWithToken{endpoint.id, endpoint.address, packet.token};
 }
 
 // Whether a departed endpoint has ended. One that left without notice may be
 // cut off from the platform only and still serve its flows.
 auto TokenRouter::IsGone(const DepartedEndpoint& endpoint, TimePoint now) const
     -> bool {
-  if (endpoint.report.draining) {
-    return true;
-  }
-  const auto load = loads_.find(endpoint.token);
-  return load == loads_.end() ||
-         now - load->second.signs.last_alive() >= kAliveTime;
+  return endpoint.report.draining || !watch_.IsAlive(endpoint.token, now);
 }
 
 auto TokenRouter::ToDeparted(const TokenPacket& packet,
@@ -196,7 +126,8 @@
   if (unknown_since_.size() >= kMaxUnknownTokens) {
     unknown_since_.clear();
   }
-  const auto since = unknown_since_.try_emplace(packet.token, now).first;
+  const auto token = TokenOf(packet);
+  const auto since = unknown_since_.try_emplace(token, now).first;
   const auto age = now - since->second;
   if (age >= kUnknownTime) {
     return Reset(packet, ResetReason::kUnknown, age);
@@ -209,305 +140,29 @@
   if (packet.resets) {
     return DropPacket{DropReason::kUnknownService};
   }
-  auto* const flow = flows_.Find(FlowKeyOf(packet.caller, packet.service));
-  if (flow != nullptr) {
-    Forget(*flow);
-  }
-  AddNote({RouterNote::Kind::kFlowReset, packet.caller, packet.service,
-           packet.token, 0, 0, 0, age, ToString(reason)});
+  watch_.OnEnded(FlowKeyOf(packet.caller, packet.service));
+  notes_.Add({RouterNote::Kind::kFlowReset, packet.caller, packet.service,
+              TokenOf(packet), 0, 0, 0, age, ToString(reason)});
   const auto seq = packet.opens ? 0 : packet.ack;
   return ResetFlow{packet.caller, packet.service, seq, reason};
 }
 
 auto TokenRouter::Drop(const TokenPacket& packet, DropReason reason)
     -> TokenAction {
-  AddNote({RouterNote::Kind::kPacketDropped, packet.caller, packet.service,
-           packet.token, 0, 0, 0, Duration(0), ToString(reason)});
+  notes_.Add({RouterNote::Kind::kPacketDropped, packet.caller, packet.service,
+              TokenOf(packet), 0, 0, 0, Duration(0), ToString(reason)});
   return DropPacket{reason};
 }
 
-auto TokenRouter::Track(const TokenPacket& packet, TimePoint now)
-    -> TrackedFlow& {
-  auto& flow = flows_.FindOrAdd(FlowKeyOf(packet.caller, packet.service),
-                                [this](TrackedFlow& idle) { Forget(idle); });
-  flow.caller = packet.caller;
-  flow.service = packet.service;
-  flow.last_seen = now;
-  return flow;
-}
-
-void TokenRouter::NotePacket(TrackedFlow& flow, const TokenPacket& packet,
-                             TimePoint now) {
-  if (!flow.established) {
-    Establish(flow, packet, now);
-  } else if (IsBefore(flow.last_ack, packet.ack)) {
-    flow.last_ack = packet.ack;
-    NoteAlive(flow.token, now);
-    if (flow.waiting) {
-      const auto time = now - flow.waiting_since;
-      LoadOf(flow.token, now).NoteReplyTime(time);
-      if (replies_.size() < kMaxReplies) {
-        replies_.push_back({ReplySample::Kind::kData, time});
-      }
-    }
-    StopWaiting(flow);
-  }
-  if (packet.data_bytes > 0) {
-    NoteData(flow, packet, now);
-  }
-}
-
-// Takes the first packet after the handshake: the endpoint has answered, unless
-// the flow was opened through another instance long ago.
-void TokenRouter::Establish(TrackedFlow& flow, const TokenPacket& packet,
-                            TimePoint now) {
-  if (flow.waiting) {
-    const auto time = now - flow.waiting_since;
-    if (replies_.size() < kMaxReplies) {
-      replies_.push_back({ReplySample::Kind::kOpening, time});
-    }
-    NoteAlive(flow.token, now);
-    StopWaiting(flow);
-  }
-  flow.established = true;
-  flow.last_ack = packet.ack;
-  flow.next_seq = packet.seq;
-  ++counters_.established;
-}
-
-void TokenRouter::NoteData(TrackedFlow& flow, const TokenPacket& packet,
-                           TimePoint now) {
-  const auto end = packet.seq + packet.data_bytes;
-  if (!IsBefore(flow.next_seq, end)) {
-    NoteSilence(flow, SilentPacket::kRepeatedData, now);
-    return;
-  }
-  flow.next_seq = end;
-  StartWaiting(flow, now);
-  if (++flow.waiting_packets > kSendWindowPackets) {
-    // The caller could not have sent more without acknowledgements.
-    NoteAlive(flow.token, now);
-  }
-}
-
-auto TokenRouter::LoadOf(FlowToken token, TimePoint now) -> EndpointLoad& {
-  return loads_.try_emplace(token, now).first->second;
-}
-
-void TokenRouter::SetToken(TrackedFlow& flow, FlowToken token, TimePoint now) {
-  if (flow.token == token) {
-    return;
-  }
-  const auto was_waiting = flow.waiting;
-  Release(flow);
-  flow.token = token;
-  auto& load = LoadOf(token, now);
-  ++load.open_flows;
-  if (was_waiting) {
-    flow.waiting = true;
-    ++load.waiting_flows;
-  }
-}
-
-void TokenRouter::StartWaiting(TrackedFlow& flow, TimePoint now) {
-  if (flow.waiting) {
-    return;
-  }
-  flow.waiting = true;
-  flow.waiting_since = now;
-  flow.waiting_packets = 0;
-  flow.gave_sign = false;
-  ++LoadOf(flow.token, now).waiting_flows;
-}
-
-void TokenRouter::StopWaiting(TrackedFlow& flow) {
-  if (!flow.waiting) {
-    return;
-  }
-  flow.waiting = false;
-  --loads_.at(flow.token).waiting_flows;
-}
-
-// Takes the flow out of its endpoint's load.
-void TokenRouter::Release(TrackedFlow& flow) {
-  StopWaiting(flow);
-  if (flow.token != kNoToken) {
-    --loads_.at(flow.token).open_flows;
-    flow.token = kNoToken;
-  }
-}
-
-void TokenRouter::Forget(TrackedFlow& flow) {
-  Release(flow);
-  TrackedFlows::Remove(flow);
-}
-
-void TokenRouter::ForgetIdle(TimePoint now) {
-  if (now < next_sweep_) {
-    return;
-  }
-  next_sweep_ = now + kSweepInterval;
-  flows_.ForEach([this, now](TrackedFlow& flow) {
-    if (now - flow.last_seen >= kIdleTime) {
-      Forget(flow);
-    }
-  });
-  std::erase_if(loads_, [this](const auto& entry) {
-    const auto& [token, load] = entry;
-    return load.open_flows == 0 && directory_ != nullptr &&
-           directory_->Find(token) == nullptr &&
-           directory_->FindDeparted(token) == nullptr;
-  });
-}
-
-void TokenRouter::NoteAlive(FlowToken token, TimePoint now) {
-  auto& signs = LoadOf(token, now).signs;
-  if (signs.IsSuspect(now) || signs.IsSilent(now)) {
-    AddNote({RouterNote::Kind::kEndpointAlive,
-             {},
-             {},
-             token,
-             0,
-             signs.signs(),
-             0,
-             now - signs.last_alive(),
-             ""});
-  }
-  if (signs.IsSharedSuspect(now)) {
-    AddOnce(news_.alive, token);
-  }
-  signs.NoteAlive(now);
-}
-
-void TokenRouter::NoteSilence(TrackedFlow& flow, SilentPacket packet,
-                              TimePoint now) {
-  const auto was_queued = now - flow.waiting_since < kShortestResend;
-  if (!flow.waiting || flow.gave_sign || was_queued) {
-    return;
-  }
-  flow.gave_sign = true;
-  auto& signs = LoadOf(flow.token, now).signs;
-  const auto was_suspect = signs.IsSuspect(now);
-  const auto was_silent = signs.IsSilent(now);
-  if (!signs.NoteSilence(packet, flow.waiting_since, now)) {
-    return;
-  }
-  ++counters_.signs;
-  // A flow that only fell quiet here may have moved to another instance.
-  if (packet != SilentPacket::kOpening) {
-    AddOnce(news_.silent, flow.token);
-  }
-  const auto age = now - signs.last_alive();
-  if (!was_suspect && signs.IsSuspect(now)) {
-    AddNote({RouterNote::Kind::kEndpointSuspected, flow.caller, flow.service,
-             flow.token, 0, signs.signs(), 0, age, ""});
-  }
-  if (!was_silent && signs.IsSilent(now)) {
-    AddNote({RouterNote::Kind::kEndpointSilent, flow.caller, flow.service,
-             flow.token, 0, signs.signs(), 0, age, ""});
-    newly_silent_.push_back(flow.token);
-  }
-}
-
 auto TokenRouter::OnTick(TimePoint now) -> std::vector<ResetFlow> {
-  CheckSuspension(now);
-  ForgetIdle(now);
-  while (!pending_.empty() &&
-         now - pending_.front().sent_at >= kOpeningReplyTime) {
-    const auto opening = pending_.front();
-    pending_.pop_front();
-    auto* const flow = flows_.Find(opening.flow);
-    if (flow != nullptr && !flow->established && flow->waiting &&
-        flow->token == opening.token &&
-        flow->waiting_since == opening.sent_at) {
-      NoteSilence(*flow, SilentPacket::kOpening, now);
-    }
-  }
-  auto resets = std::vector<ResetFlow>();
-  for (const auto token : std::exchange(newly_silent_, {})) {
-    auto ended = ResetTracked(token, ResetReason::kSilent, now - kResetWait);
-    resets.insert(resets.end(), ended.begin(), ended.end());
-  }
-  return resets;
-}
-
-// A process that did not run for a while has missed replies: what it takes for
-// silence may be its own.
-void TokenRouter::CheckSuspension(TimePoint now) {
-  const auto previous = std::exchange(last_tick_, now);
-  if (previous == TimePoint() || now - previous <= kLongestTick) {
-    return;
-  }
-  AddNote({RouterNote::Kind::kSuspended,
-           {},
-           {},
-           kNoToken,
-           0,
-           0,
-           0,
-           now - previous,
-           ""});
-  pending_.clear();
-  newly_silent_.clear();
-  for (auto& [token, load] : loads_) {
-    load.signs.Clear();
-  }
-  flows_.ForEach([](TrackedFlow& flow) { flow.gave_sign = true; });
-}
-
-// Ends the flows of an endpoint that have waited since `silent_since` or
-// earlier; of a departed endpoint all of them.
-auto TokenRouter::ResetTracked(FlowToken token, ResetReason reason,
-                               TimePoint silent_since)
-    -> std::vector<ResetFlow> {
-  auto resets = std::vector<ResetFlow>();
-  flows_.ForEach([&](TrackedFlow& flow) {
-    if (flow.token != token) {
-      return;
-    }
-    const auto is_departed = reason == ResetReason::kDeparted;
-    const auto is_stuck = flow.waiting && flow.waiting_since <= silent_since;
-    if (!flow.established || !(is_departed || is_stuck)) {
-      if (is_departed) {
-        Forget(flow);
-      }
-      return;
-    }
-    resets.push_back({flow.caller, flow.service, flow.last_ack, reason});
-    AddNote({RouterNote::Kind::kFlowReset, flow.caller, flow.service, token, 0,
-             0, 0, Duration(0), ToString(reason)});
-    Forget(flow);
-  });
-  return resets;
+  return watch_.OnTick(directory_.get(), now);
 }
 
 void TokenRouter::NoteShared(const std::vector<SharedSuspect>& suspects,
                              TimePoint now) {
-  for (const auto& suspect : suspects) {
-    if (directory_ != nullptr && directory_->Find(suspect.token) != nullptr) {
-      LoadOf(suspect.token, now).signs.NoteShared(suspect.at);
-    }
-  }
-}
-
-auto TokenRouter::TakeNews() -> EndpointNews {
-  return std::exchange(news_, {});
-}
-
-auto TokenRouter::TakeNotes() -> std::vector<RouterNote> {
-  return std::exchange(notes_, {});
-}
-
-auto TokenRouter::TakeReplies() -> std::vector<ReplySample> {
-  return std::exchange(replies_, {});
-}
-
-void TokenRouter::AddNote(const RouterNote& note) {
-  if (notes_.size() >= kMaxNotes) {
-    ++counters_.notes_lost;
-    return;
+  if (directory_ != nullptr) {
+    watch_.NoteShared(suspects, *directory_, now);
   }
-  notes_.push_back(note);
 }
 
 }  // namespace hemlockwick
--- a/Source/Flow/token_router.h
+++ b/Source/Flow/token_router.h
@@ -3,7 +3,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <memory>
 #include <unordered_map>
 #include <vector>
@@ -13,19 +12,12 @@
 #include "Flow/endpoint_directory.h"
 #include "Flow/endpoint_load.h"
 #include "Flow/flow_token.h"
+#include "Flow/flow_watch.h"
+#include "Flow/router_notes.h"
 #include "Flow/token_types.h"
-#include "Flow/tracked_flows.h"
 
 namespace hemlockwick {
 
-struct TokenRouterCounters {
-  std::uint64_t opened = 0;       // Openings forwarded, copies included.
-  std::uint64_t reopened = 0;     // Copies among them.
-  std::uint64_t established = 0;  // First packets of open flows.
-  std::uint64_t signs = 0;        // Unanswered packets that counted.
-  std::uint64_t notes_lost = 0;   // Notes beyond the bound.
-};
-
 struct TokenRouterSettings {
   DataCentreId data_centre;
   // Flows watched for signs of dead endpoints; about 100 bytes each.
@@ -33,10 +25,14 @@
 };
 
 // Decides packets of flows that carry their endpoint. Needs no state shared
-// with other instances and none that outlives the process; what it tracks
-// only improves the choice of endpoints. One traffic thread owns it.
+// with other instances and none that outlives the process; what it watches
+// only improves the choice of endpoints. One traffic thread owns it. A model
+// of FlowAffinity.
 class TokenRouter {
  public:
+  using Packet = TokenPacket;
+  using Action = TokenAction;
+
   explicit TokenRouter(const TokenRouterSettings& settings);
 
   // Takes a new directory; returns the resets of flows whose endpoint left.
@@ -54,32 +50,35 @@
   void NoteShared(const std::vector<SharedSuspect>& suspects, TimePoint now);
 
   // What other instances should know since the last call.
-  [[nodiscard]] auto TakeNews() -> EndpointNews;
+  [[nodiscard]] auto TakeNews() -> EndpointNews { return watch_.TakeNews(); }
 
   // Notes since the last call.
-  [[nodiscard]] auto TakeNotes() -> std::vector<RouterNote>;
-  [[nodiscard]] auto TakeReplies() -> std::vector<ReplySample>;
+  [[nodiscard]] auto TakeNotes() -> std::vector<RouterNote> {
+    return notes_.Take();
+  }
+  [[nodiscard]] auto TakeReplies() -> std::vector<ReplySample> {
+    return watch_.TakeReplies();
+  }
 
   // What decisions are based on; null before the first Update.
   [[nodiscard]] auto directory() const -> const DirectorySnapshot* {
     return directory_.get();
   }
-  [[nodiscard]] auto counters() const -> const TokenRouterCounters& {
-    return counters_;
+  // Unanswered packets that counted as signs.
+  [[nodiscard]] auto signs() const -> std::uint64_t { return watch_.signs(); }
+  // Notes beyond the bound.
+  [[nodiscard]] auto notes_lost() const -> std::uint64_t {
+    return notes_.lost();
+  }
+  [[nodiscard]] auto loads() const -> const EndpointLoads& {
+    return watch_.loads();
   }
-  [[nodiscard]] auto loads() const -> const EndpointLoads& { return loads_; }
 
  private:
-  // An opening whose reply is due.
-  struct PendingOpening {
-    FlowKey flow;
-    FlowToken token;
-    TimePoint sent_at;
-  };
-
   auto Open(const TokenPacket& packet, const Route& route, TimePoint now)
       -> TokenAction;
-  auto Continue(const TokenPacket& packet, TimePoint now) -> TokenAction;
+  auto Continue(const TokenPacket& packet, const Route& route, TimePoint now)
+      -> TokenAction;
   auto ToDeparted(const TokenPacket& packet, const DepartedEndpoint& endpoint,
                   TimePoint now) -> TokenAction;
   auto ToUnknown(const TokenPacket& packet, TimePoint now) -> TokenAction;
@@ -91,37 +90,11 @@
       -> TokenAction;
   auto Drop(const TokenPacket& packet, DropReason reason) -> TokenAction;
 
-  auto Track(const TokenPacket& packet, TimePoint now) -> TrackedFlow&;
-  void Establish(TrackedFlow& flow, const TokenPacket& packet, TimePoint now);
-  void NotePacket(TrackedFlow& flow, const TokenPacket& packet, TimePoint now);
-  void NoteData(TrackedFlow& flow, const TokenPacket& packet, TimePoint now);
-  auto LoadOf(FlowToken token, TimePoint now) -> EndpointLoad&;
-  void SetToken(TrackedFlow& flow, FlowToken token, TimePoint now);
-  void StartWaiting(TrackedFlow& flow, TimePoint now);
-  void StopWaiting(TrackedFlow& flow);
-  void Release(TrackedFlow& flow);
-  void Forget(TrackedFlow& flow);
-  void ForgetIdle(TimePoint now);
-  void NoteAlive(FlowToken token, TimePoint now);
-  void NoteSilence(TrackedFlow& flow, SilentPacket packet, TimePoint now);
-  void CheckSuspension(TimePoint now);
-  auto ResetTracked(FlowToken token, ResetReason reason, TimePoint silent_since)
-      -> std::vector<ResetFlow>;
-  void AddNote(const RouterNote& note);
-
   const TokenRouterSettings settings_;
   std::shared_ptr<const DirectorySnapshot> directory_;
-  TrackedFlows flows_;
-  EndpointLoads loads_;
-  std::deque<PendingOpening> pending_;
-  std::vector<FlowToken> newly_silent_;
-  EndpointNews news_;
+  RouterNotes notes_;
+  FlowWatch watch_;
   std::unordered_map<FlowToken, TimePoint> unknown_since_;
-  std::vector<RouterNote> notes_;
-  std::vector<ReplySample> replies_;
-  TokenRouterCounters counters_;
-  TimePoint last_tick_;
-  TimePoint next_sweep_;
 };
 
 }  // namespace hemlockwick
--- a/Source/Flow/token_types.h
+++ b/Source/Flow/token_types.h
@@ -24,13 +24,18 @@
   std::uint32_t seq = 0;         // Position of the first byte of data.
   std::uint32_t ack = 0;         // Bytes received; of an opening: its copy.
   std::uint16_t data_bytes = 0;  // Bytes of data in the packet.
-  FlowToken token;
+  WireToken token;
 };
 
 // Identifies the flow of a packet.
 [[nodiscard]] auto FlowKeyOf(const SocketAddress& caller,
                              const SocketAddress& service) -> FlowKey;
 
+// Names the endpoint of the packet's flow.
+[[nodiscard]] inline auto TokenOf(const TokenPacket& packet) -> FlowToken {
+  return FromWire(packet.token, packet.service);
+}
+
 // Why a flow is reset.
 enum class ResetReason : std::uint8_t {
   kNoRoute,     // Its service address is not published.
@@ -47,7 +52,7 @@
 struct ForwardWithToken {
   EndpointId endpoint;
   SocketAddress address;
-  FlowToken token;  // Written into the packet.
+  WireToken token;  // Written into the packet.
 };
 
 // Tells the caller that its flow has ended.
--- a/Tests/Flow/token_router_test.cc
+++ b/Tests/Flow/token_router_test.cc
@@ -12,6 +12,8 @@
 constexpr ServiceId kService{7};
 constexpr DataCentreId kHere{1};
 constexpr SocketAddress kAddress{Ipv4Address(0xC6120001), Port(443)};
+constexpr ServiceId kOtherService{8};
+constexpr SocketAddress kOtherAddress{Ipv4Address(0xC6120002), Port(443)};
 
 // A router before two endpoints, 1 and 2, with a clock that tests move.
 class World {
@@ -26,10 +28,11 @@
     Publish();
   }
 
-  void Put(std::uint64_t id, bool draining = false) {
+  void Put(std::uint64_t id, bool draining = false,
+           ServiceId service = kService) {
     auto report = EndpointReport();
     report.id = EndpointId(id);
-    report.service = kService;
+    report.service = service;
     report.address = {Ipv4Address(static_cast<std::uint32_t>(id)), Port(80)};
     report.data_centre = kHere;
     report.slots = 3;
@@ -37,6 +40,16 @@
     directory_.Report(report);
   }
 
+  // Publishes routes of both addresses.
+  void PutRoutes(std::uint64_t version, ServiceId service,
+                 ServiceId other_service) {
+    auto routes = std::make_shared<RouteSet>();
+    routes->version = Version(version);
+    routes->routes.push_back({kAddress, {{service, 1}}});
+    routes->routes.push_back({kOtherAddress, {{other_service, 1}}});
+    directory_.Publish(routes);
+  }
+
   auto Publish() -> std::vector<ResetFlow> {
     directory_.OnTick(now_);
     return router_.Update(directory_.TakeSnapshot(now_), now_);
@@ -67,7 +80,16 @@
     return router_.Decide(packet, now_);
   }
 
-  auto Packet(std::uint16_t port, FlowToken token, std::uint32_t seq,
+  auto OpeningAt(const SocketAddress& service, std::uint16_t port)
+      -> TokenAction {
+    auto packet = TokenPacket();
+    packet.caller = Caller(port);
+    packet.service = service;
+    packet.opens = true;
+    return router_.Decide(packet, now_);
+  }
+
+  auto Packet(std::uint16_t port, WireToken token, std::uint32_t seq,
               std::uint32_t ack, std::uint16_t bytes) -> TokenAction {
     auto packet = TokenPacket();
     packet.caller = Caller(port);
@@ -80,7 +102,7 @@
   }
 
   // Opens a flow whose endpoint answers; returns its token.
-  auto Open(std::uint16_t port) -> FlowToken {
+  auto Open(std::uint16_t port) -> WireToken {
     const auto token = std::get<ForwardWithToken>(Opening(port)).token;
     Pass(8 * kMillisecond);
     Packet(port, token, 1, 1, 0);
@@ -88,7 +110,7 @@
   }
 
   // Opens flows from `port` on until one is at `token`; returns its port.
-  auto OpenAt(FlowToken token, std::uint16_t port) -> std::uint16_t {
+  auto OpenAt(WireToken token, std::uint16_t port) -> std::uint16_t {
     while (Open(port) != token) {
       ++port;
     }
@@ -112,7 +134,8 @@
   TimePoint now_ = kStart;
 };
 
-constexpr FlowToken kFirst = TokenOf(EndpointId(1));
+constexpr FlowToken kFirstEndpoint = TokenOf(EndpointId(1));
+constexpr WireToken kFirst = ToWire(kFirstEndpoint, kAddress);
 
 auto ReasonOf(const TokenAction& action) -> ResetReason {
   return std::get<ResetFlow>(action).reason;
@@ -126,6 +149,104 @@
   cr_assert_eq(std::get<ForwardWithToken>(action).token, token);
 }
 
+// Sends a packet of an open flow to `service`.
+auto PacketTo(World& world, const SocketAddress& service, WireToken token)
+    -> TokenAction {
+  auto packet = TokenPacket();
+  packet.caller = World::Caller(1000);
+  packet.service = service;
+  packet.seq = 1;
+  packet.ack = 1;
+  packet.data_bytes = 100;
+  packet.token = token;
+  return world.router().Decide(packet, world.now());
+}
+
+auto TokenIn(const TokenAction& action) -> WireToken {
+  return std::get<ForwardWithToken>(action).token;
+}
+
+auto EndpointIn(const TokenAction& action) -> std::uint64_t {
+  return std::get<ForwardWithToken>(action).endpoint.value();
+}
+
+Test(token_router, a_token_is_good_at_its_own_service_address_only) {
+  auto world = World();
+  world.Put(3, false, kOtherService);
+  world.PutRoutes(2, kService, kOtherService);
+  world.Publish();
+  const auto token = TokenIn(world.OpeningAt(kAddress, 1000));
+  cr_assert(std::holds_alternative<ForwardWithToken>(
+      PacketTo(world, kAddress, token)));
+  cr_assert(std::holds_alternative<DropPacket>(
+      PacketTo(world, kOtherAddress, token)));
+}
+
+Test(token_router, open_flows_of_a_route_with_a_new_target_go_on) {
+  auto world = World();
+  world.Put(3, false, kOtherService);
+  world.PutRoutes(2, kService, kService);
+  world.Publish();
+  const auto opening = world.OpeningAt(kAddress, 1000);
+  world.PutRoutes(3, kOtherService, kService);
+  world.Publish();
+  auto fresh = World();
+  fresh.Put(3, false, kOtherService);
+  fresh.PutRoutes(3, kOtherService, kService);
+  fresh.Publish();
+  for (auto* const each : {&world, &fresh}) {
+    const auto action = PacketTo(*each, kAddress, TokenIn(opening));
+    cr_assert_eq(EndpointIn(action), EndpointIn(opening));
+  }
+}
+
+// Two endpoints whose ids give the same token.
+constexpr std::uint64_t kTwin = 3;
+constexpr std::uint64_t kOtherTwin = (std::uint64_t{1} << 32) | 2;
+static_assert(TokenOf(EndpointId(kTwin)) == TokenOf(EndpointId(kOtherTwin)));
+
+Test(token_router, endpoints_with_one_token_keep_to_their_own_services) {
+  auto world = World();
+  world.Put(kTwin, false, kOtherService);
+  world.Put(kOtherTwin, false, ServiceId(9));
+  world.PutRoutes(2, kOtherService, ServiceId(9));
+  world.Publish();
+  const auto first = world.OpeningAt(kAddress, 1000);
+  const auto second = world.OpeningAt(kOtherAddress, 1000);
+  cr_assert_eq(EndpointIn(first), kTwin);
+  cr_assert_eq(EndpointIn(second), kOtherTwin);
+  cr_assert_eq(EndpointIn(PacketTo(world, kAddress, TokenIn(first))), kTwin);
+  cr_assert_eq(EndpointIn(PacketTo(world, kOtherAddress, TokenIn(second))),
+               kOtherTwin);
+}
+
+Test(token_router, a_departed_endpoint_s_flow_is_not_sent_to_its_twin) {
+  auto world = World();
+  world.Put(kTwin, false, kOtherService);
+  world.PutRoutes(2, kOtherService, ServiceId(9));
+  world.Publish();
+  const auto token = TokenIn(world.OpeningAt(kAddress, 1000));
+  world.directory().Remove(EndpointId(kTwin), world.now());
+  world.Put(kOtherTwin, false, ServiceId(9));
+  world.Skip(std::chrono::seconds(2));
+  world.Publish();
+  cr_assert_eq(std::get<ResetFlow>(PacketTo(world, kAddress, token)).reason,
+               ResetReason::kDeparted);
+}
+
+Test(token_router, of_two_endpoints_with_one_token_one_takes_new_flows) {
+  auto world = World();
+  world.Put(1, true);
+  world.Put(2, true);
+  world.Put(kTwin);
+  world.Put(kOtherTwin);
+  world.Publish();
+  for (auto port = std::uint16_t{1000}; port < 1050; ++port) {
+    const auto opening = world.Opening(port);
+    cr_assert_eq(EndpointIn(opening), kTwin);
+  }
+}
+
 Test(token_router, drops_packets_before_the_first_directory) {
   auto router = TokenRouter({kHere, 16});
   const auto action = router.Decide(TokenPacket(), kStart);
@@ -222,7 +343,7 @@
 // Instances learn of a new endpoint at different times.
 Test(token_router, unknown_token_is_not_reset_before_the_directory_is_newer) {
   auto world = World();
-  const auto unknown = TokenOf(EndpointId(99));
+  const auto unknown = ToWire(TokenOf(EndpointId(99)), kAddress);
   const auto early = world.Packet(1000, unknown, 1, 1, 100);
   cr_assert_eq(std::get<DropPacket>(early).reason,
                DropReason::kUnknownEndpoint);
@@ -302,11 +423,11 @@
     world.Opening(port, 1);
     world.Opening(port, 2);
   }
-  cr_assert_eq(world.router().counters().signs, 0U);
+  cr_assert_eq(world.router().signs(), 0U);
   const auto port = world.OpenAt(kFirst, 2000);
   world.Packet(port, kFirst, 1, 1, 100);
   world.Packet(port, kFirst, 1, 1, 100);
-  cr_assert_eq(world.router().counters().signs, 0U);
+  cr_assert_eq(world.router().signs(), 0U);
 }
 
 // The instance that hears from an endpoint tells those that do not.
@@ -314,12 +435,12 @@
   auto world = World();
   const auto port = world.OpenAt(kFirst, 1000);
   world.Pass(100 * kMillisecond);
-  world.router().NoteShared({{kFirst, world.now()}}, world.now());
+  world.router().NoteShared({{kFirstEndpoint, world.now()}}, world.now());
   cr_assert(world.router().TakeNews().empty());
   world.Packet(port, kFirst, 1, 1, 100);
   world.Pass(30 * kMillisecond);
   world.Packet(port, kFirst, 101, 500, 0);
-  cr_assert(world.router().TakeNews().alive == std::vector{kFirst});
+  cr_assert(world.router().TakeNews().alive == std::vector{kFirstEndpoint});
 }
 
 Test(token_router, only_repeated_packets_are_told_to_others) {
@@ -340,7 +461,7 @@
   }
   world.Skip(5000 * kMillisecond);
   cr_assert(world.Pass(200 * kMillisecond).empty());
-  cr_assert_eq(world.router().counters().signs, 0U);
+  cr_assert_eq(world.router().signs(), 0U);
   cr_assert_eq(world.Notes(RouterNote::Kind::kSuspended), 1U);
 }
 
@@ -376,7 +497,7 @@
   };
   for (auto step = 0; step < 20'000; ++step) {
     const auto port = static_cast<std::uint16_t>(1 + next() % 2000);
-    const auto token = TokenOf(EndpointId(1 + next() % 2));
+    const auto token = ToWire(TokenOf(EndpointId(1 + next() % 2)), kAddress);
     if (next() % 4 == 0) {
       world.Opening(port, next() % 3);
     } else {
--- a/Tests/Platform/packet_layout_test.cc
+++ b/Tests/Platform/packet_layout_test.cc
@@ -34,7 +34,7 @@
   cr_assert_eq(packet->seq, 0x11223344U);
   cr_assert_eq(packet->ack, 0U);
   cr_assert_eq(packet->data_bytes, 0U);
-  cr_assert(packet->token == kNoToken);
+  cr_assert(packet->token == WireToken(0));
 }
 
 Test(packet_layout, writes_the_reset_of_the_protocol) {
@@ -49,8 +49,8 @@
 
 Test(packet_layout, token_is_the_only_change) {
   auto bytes = kSyn;
-  PacketLayout::WriteToken(bytes, FlowToken(0xA1B2C3D4));
-  cr_assert(PacketLayout::Decode(bytes)->token == FlowToken(0xA1B2C3D4));
+  PacketLayout::WriteToken(bytes, WireToken(0xA1B2C3D4));
+  cr_assert(PacketLayout::Decode(bytes)->token == WireToken(0xA1B2C3D4));
   cr_assert(std::equal(kSyn.begin(), kSyn.end() - 4, bytes.begin()));
 }
 
