--- a/Source/Measure/flow_node.cc
+++ b/Source/Measure/flow_node.cc
@@ -20,7 +20,7 @@
 RouterNode::RouterNode(InstanceId self, TimePoint now)
     : events_("node"),
       router_({.max_records = kSimulatedRecords}, self, events_, now),
-      reader_(router_.snapshots()) {}
+      reader_(router_) {}
 
 void RouterNode::Update(std::shared_ptr<const FleetConfig> config,
                         const MemberView& view, TimePoint now) {
@@ -28,7 +28,7 @@
 }
 
 auto RouterNode::Decide(const FlowPacket& packet, TimePoint now) -> FlowAction {
-  return router_.Decide(reader_.Get(), packet, now);
+  return reader_.Decide(packet, now);
 }
 
 auto RouterNode::OnMessage(InstanceId from, const FlowMessage& message,
--- a/Source/Measure/flow_node.h
+++ b/Source/Measure/flow_node.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 
 #include "Flow/flow_router.h"
+#include "Flow/record_router.h"
 #include "Flow/table_set.h"
 #include "Timeline/event_log.h"
 
@@ -45,7 +46,7 @@
  private:
   EventLog events_;
   FlowRouter router_;
-  SnapshotReader<FlowSnapshot> reader_;
+  RecordRouter reader_;
 };
 
 enum class RivalKind {
--- a/Source/Runtime/packet_forwarder.cc
+++ b/Source/Runtime/packet_forwarder.cc
@@ -26,9 +26,8 @@
 PacketForwarder::PacketForwarder(FileDescriptor socket, FlowRouter& router,
                                  const SystemClock& clock)
     : socket_(std::move(socket)),
-      router_(router),
       clock_(clock),
-      snapshots_(router.snapshots()),
+      router_(router),
       batch_(kPacketBatch, kMaxDatagramBytes) {
   setsockopt(socket_.get(), SOL_SOCKET, SO_RCVTIMEO, &kReceiveWait,
              sizeof(kReceiveWait));
@@ -60,7 +59,7 @@
     return;
   }
   const auto& packet = std::get<GuePacket>(decoded);
-  const auto action = router_.Decide(snapshots_.Get(), packet.packet, now);
+  const auto action = router_.Decide(packet.packet, now);
   if (const auto* const forward = std::get_if<ForwardToEndpoint>(&action)) {
     Count(counters_.forwarded);
     Queue(EncodeGueHeader(), packet.inner, forward->address);
--- a/Source/Runtime/packet_forwarder.h
+++ b/Source/Runtime/packet_forwarder.h
@@ -6,8 +6,8 @@
 #include <cstddef>
 #include <cstdint>
 
-#include "Core/snapshot_cell.h"
 #include "Flow/flow_router.h"
+#include "Flow/record_router.h"
 #include "Runtime/datagram_batch.h"
 #include "Runtime/file_descriptor.h"
 #include "Runtime/gue_codec.h"
@@ -55,9 +55,8 @@
              const SocketAddress& destination);
 
   const FileDescriptor socket_;
-  FlowRouter& router_;
   const SystemClock& clock_;
-  SnapshotReader<FlowSnapshot> snapshots_;
+  RecordRouter router_;
   PacketCounters counters_;
   DatagramBatch batch_;
 };
