--- a/Source/Flow/flow_token.h
+++ b/Source/Flow/flow_token.h
@@ -27,8 +27,8 @@
 // service address only.
 using WireToken = StrongId<struct WireTokenTag, std::uint32_t>;
 
-// Pattern that ties tokens to a service address.
-[[nodiscard]] constexpr auto TokenPattern(const SocketAddress& service)
+// Ties tokens to a service address.
+[[nodiscard]] constexpr auto ServiceMask(const SocketAddress& service)
     -> std::uint32_t {
   return static_cast<std::uint32_t>(
       MixWords(service.ip.value(), service.port.value()));
@@ -37,7 +37,7 @@
 // The token as packets to `service` carry it.
 [[nodiscard]] constexpr auto ToWire(FlowToken token,
                                     const SocketAddress& service) -> WireToken {
-  return WireToken(token.value() ^ TokenPattern(service));
+  return WireToken(token.value() ^ ServiceMask(service));
 }
 
 // The token in a packet to `service`. One that was given at another address
@@ -45,7 +45,7 @@
 [[nodiscard]] constexpr auto FromWire(WireToken token,
                                       const SocketAddress& service)
     -> FlowToken {
-  return FlowToken(token.value() ^ TokenPattern(service));
+  return FlowToken(token.value() ^ ServiceMask(service));
 }
 
 }  // namespace hemlockwick
