Edge: Let one instance at a time try a shared suspect again

Tracing a new test showed a second fault: an instance that had never used an endpoint took it for alive at that moment and so ignored what others had reported before.

Ruled out: letting any single report renew a suspicion. An instance that alone cannot reach an endpoint would keep it from all others.

Change: instances take turns, drawn from instance, endpoint and moment, within two seconds after the usual time. One report renews a suspicion for five seconds, but not twice by the same instance; who hears from the endpoint clears it. Endpoints that were never used count as not heard from.

New tests, failing before: sign_exchange one_report_renews_a_suspicion; token_router instances_try_a_shared_suspect_again_one_by_one, takes_others_suspicion_of_an_endpoint_it_never_used.

--- a/Source/Edge/edge_forwarder.h
+++ b/Source/Edge/edge_forwarder.h
@@ -64,7 +64,7 @@
     }
     Flush();
     if (arrived < batch_.capacity()) {
-      router_.NoteShared(signs_.TakeShared(), now);
+      router_.NoteShared(signs_.TakeShared());
       SendResets(router_.OnTick(now));
     }
     Report(now);
--- a/Source/Edge/edge_process.h
+++ b/Source/Edge/edge_process.h
@@ -58,9 +58,12 @@
         settings_watch_(std::move(settings_file), settings),
         keeper_(SyncSettingsOf(settings), metrics_, clock_.Now()),
         source_(context_, settings.platform, clock_),
-        forwarder_(std::move(sockets.packet),
-                   {IdFromName<DataCentreId>(settings.data_centre)},
-                   keeper_.snapshots(), keeper_.signs(), metrics_, clock_),
+        forwarder_(
+            std::move(sockets.packet),
+            TokenRouterSettings{
+                .data_centre = IdFromName<DataCentreId>(settings.data_centre),
+                .instance = IdFromName<InstanceId>(settings.name)},
+            keeper_.snapshots(), keeper_.signs(), metrics_, clock_),
         http_(context_, std::move(sockets.http), StatusHandler()),
         call_timer_(context_),
         tick_timer_(context_),
--- a/Source/Edge/sign_exchange.cc
+++ b/Source/Edge/sign_exchange.cc
@@ -10,6 +10,10 @@
 constexpr std::ptrdiff_t kReportersNeeded = 2;
 constexpr Duration kReportTime = std::chrono::milliseconds(1500);
 
+// For how long a suspicion may be renewed by one report: until every instance
+// has had its turn to try the endpoint again.
+constexpr Duration kRenewTime = std::chrono::milliseconds(5000);
+
 // Bounds the memory: endpoints reported at a time.
 constexpr std::size_t kMaxEndpoints = 4096;
 
@@ -37,7 +41,15 @@
   }
   auto& reports = reports_[token];
   const auto was_suspect = IsSuspect(reports, now);
-  reports[reporter] = now;
+  reports.latest[reporter] = now;
+  if (AreSeveral(reports, now)) {
+    reports.suspected = now;
+    reports.renewer = InstanceId();
+  } else if (now - reports.suspected < kRenewTime &&
+             reporter != reports.renewer) {
+    reports.suspected = now;
+    reports.renewer = reporter;
+  }
   return !was_suspect && IsSuspect(reports, now);
 }
 
@@ -45,18 +57,20 @@
   auto result = std::vector<SharedSuspect>();
   for (const auto& [token, reports] : reports_) {
     if (IsSuspect(reports, now)) {
-      const auto latest = std::ranges::max_element(
-          reports, {}, [](const auto& report) { return report.second; });
-      result.push_back({token, latest->second});
+      result.push_back({token, reports.suspected});
     }
   }
   return result;
 }
 
 auto SignExchange::IsSuspect(const Reports& reports, TimePoint now) -> bool {
-  const auto recent = std::ranges::count_if(reports, [now](const auto& report) {
-    return now - report.second < kReportTime;
-  });
+  return now - reports.suspected < kReportTime;
+}
+
+auto SignExchange::AreSeveral(const Reports& reports, TimePoint now) -> bool {
+  const auto recent = std::ranges::count_if(
+      reports.latest,
+      [now](const auto& report) { return now - report.second < kReportTime; });
   return recent >= kReportersNeeded;
 }
 
@@ -66,12 +80,14 @@
   }
   next_clean_ = now + kCleanInterval;
   for (auto& [token, reports] : reports_) {
-    std::erase_if(reports, [now](const auto& report) {
+    std::erase_if(reports.latest, [now](const auto& report) {
       return now - report.second >= kReportTime;
     });
   }
-  std::erase_if(reports_,
-                [](const auto& entry) { return entry.second.empty(); });
+  std::erase_if(reports_, [now](const auto& entry) {
+    const auto& reports = entry.second;
+    return reports.latest.empty() && now - reports.suspected >= kRenewTime;
+  });
 }
 
 }  // namespace hemlockwick
--- a/Source/Edge/sign_exchange.h
+++ b/Source/Edge/sign_exchange.h
@@ -15,7 +15,8 @@
 // Gathers what instances report to a relay about endpoints. A relay sees more
 // flows of an endpoint than each of them, so it finds a dead one sooner. One
 // instance alone never makes an endpoint suspect, and one that hears from the
-// endpoint clears it.
+// endpoint clears it. A suspicion is renewed by one report, so that not every
+// instance has to try the endpoint, but not twice by the same instance.
 class SignExchange {
  public:
   // Takes a report. Returns whether the set of suspects has changed.
@@ -27,10 +28,15 @@
       -> std::vector<SharedSuspect>;
 
  private:
-  // The latest report of each instance about an endpoint.
-  using Reports = std::map<InstanceId, TimePoint>;
+  // What is known of an endpoint.
+  struct Reports {
+    std::map<InstanceId, TimePoint> latest;  // By reporter.
+    TimePoint suspected;  // When it was last found or renewed as a suspect.
+    InstanceId renewer;   // Who renewed it then; zero when several found it.
+  };
 
   static auto IsSuspect(const Reports& reports, TimePoint now) -> bool;
+  static auto AreSeveral(const Reports& reports, TimePoint now) -> bool;
   auto NoteSilent(InstanceId reporter, FlowToken token, TimePoint now) -> bool;
   void ForgetOld(TimePoint now);
 
--- a/Source/Flow/endpoint_signs.cc
+++ b/Source/Flow/endpoint_signs.cc
@@ -48,18 +48,19 @@
   return repeated_data_;
 }
 
-void EndpointSigns::NoteShared(TimePoint at) {
+void EndpointSigns::NoteShared(TimePoint at, double turn) {
   if (at > last_alive_) {
-    shared_at_ = at;
+    shared_until_ = at + kRetryTime +
+                    std::chrono::duration_cast<Duration>(turn * kRetryTime);
   }
 }
 
 auto EndpointSigns::IsSharedSuspect(TimePoint now) const -> bool {
-  return now - shared_at_ < kRetryTime;
+  return now < shared_until_;
 }
 
 void EndpointSigns::Clear() {
-  shared_at_ = TimePoint();
+  shared_until_ = TimePoint();
   openings_ = 0;
   repeated_openings_ = 0;
   repeated_data_ = 0;
--- a/Source/Flow/endpoint_signs.h
+++ b/Source/Flow/endpoint_signs.h
@@ -36,8 +36,10 @@
       -> bool;
 
   // Notes that several instances have had signs until `at`. Weighs less than
-  // anything that the endpoint has answered here since.
-  void NoteShared(TimePoint at);
+  // anything that the endpoint has answered here since. `turn`, from 0 to 1,
+  // sets this instance's turn to try the endpoint again: from kRetryTime until
+  // twice as long after `at`.
+  void NoteShared(TimePoint at, double turn);
 
   // Whether other instances suspect the endpoint.
   [[nodiscard]] auto IsSharedSuspect(TimePoint now) const -> bool;
@@ -63,7 +65,7 @@
 
   TimePoint last_alive_;
   TimePoint last_sign_;
-  TimePoint shared_at_;
+  TimePoint shared_until_;
   std::uint32_t openings_ = 0;
   std::uint32_t repeated_openings_ = 0;
   std::uint32_t repeated_data_ = 0;
--- a/Source/Flow/flow_watch.cc
+++ b/Source/Flow/flow_watch.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "Core/hash.h"
+
 namespace hemlockwick {
 
 namespace {
@@ -49,8 +51,9 @@
 
 }  // namespace
 
-FlowWatch::FlowWatch(std::size_t capacity, RouterNotes& notes)
-    : flows_(capacity), notes_(notes) {}
+FlowWatch::FlowWatch(InstanceId instance, std::size_t capacity,
+                     RouterNotes& notes)
+    : instance_(instance), flows_(capacity), notes_(notes) {}
 
 auto FlowWatch::OnOpening(const TokenPacket& packet, TimePoint now)
     -> FlowToken {
@@ -367,14 +370,28 @@
 }
 
 void FlowWatch::NoteShared(const std::vector<SharedSuspect>& suspects,
-                           const DirectorySnapshot& directory, TimePoint now) {
+                           const DirectorySnapshot& directory) {
   for (const auto& suspect : suspects) {
-    if (directory.Find(suspect.token) != nullptr) {
-      LoadOf(suspect.token, now).signs.NoteShared(suspect.at);
+    if (directory.Find(suspect.token) == nullptr) {
+      continue;
     }
+    // An endpoint that this instance never used has not been heard from since.
+    const auto before = suspect.at - std::chrono::milliseconds(1);
+    LoadOf(suspect.token, before).signs.NoteShared(suspect.at, TurnAt(suspect));
   }
 }
 
+// When this instance tries a shared suspect again, from 0 to 1: another one is
+// first each time, and tells the others what it found.
+auto FlowWatch::TurnAt(const SharedSuspect& suspect) const -> double {
+  constexpr auto kSteps = std::uint64_t{1024};
+  const auto moment = static_cast<std::uint64_t>(suspect.at.time_since_epoch() /
+                                                 std::chrono::seconds(1));
+  const auto drawn =
+      MixWords(MixWords(instance_.value(), suspect.token.value()), moment);
+  return static_cast<double>(drawn % kSteps) / static_cast<double>(kSteps);
+}
+
 auto FlowWatch::TakeNews() -> EndpointNews { return std::exchange(news_, {}); }
 
 auto FlowWatch::TakeReplies() -> std::vector<ReplySample> {
--- a/Source/Flow/flow_watch.h
+++ b/Source/Flow/flow_watch.h
@@ -23,8 +23,8 @@
 // owns it.
 class FlowWatch {
  public:
-  // Watches up to `capacity` flows. `notes` must outlive it.
-  FlowWatch(std::size_t capacity, RouterNotes& notes);
+  // Watches up to `capacity` flows for `instance`. `notes` must outlive it.
+  FlowWatch(InstanceId instance, std::size_t capacity, RouterNotes& notes);
 
   // Takes an opening. Returns the endpoint that has not answered an earlier
   // copy; kNoToken if there is none.
@@ -53,12 +53,12 @@
 
   // Takes what other instances have found.
   void NoteShared(const std::vector<SharedSuspect>& suspects,
-                  const DirectorySnapshot& directory, TimePoint now);
+                  const DirectorySnapshot& directory);
 
   // Whether the endpoint has answered a moment ago.
   [[nodiscard]] auto IsAlive(FlowToken token, TimePoint now) const -> bool;
 
-  // The endpoint's load; a new one if there was none.
+  // The endpoint's load; if there was none, one that was last alive at `now`.
   auto LoadOf(FlowToken token, TimePoint now) -> EndpointLoad&;
 
   // What other instances should know since the last call.
@@ -90,7 +90,9 @@
   void NoteAlive(FlowToken token, TimePoint now);
   void NoteSilence(TrackedFlow& flow, SilentPacket packet, TimePoint now);
   void CheckSuspension(TimePoint now);
+  [[nodiscard]] auto TurnAt(const SharedSuspect& suspect) const -> double;
 
+  const InstanceId instance_;
   TrackedFlows flows_;
   RouterNotes& notes_;
   EndpointLoads loads_;
--- a/Source/Flow/token_router.cc
+++ b/Source/Flow/token_router.cc
@@ -17,7 +17,8 @@
 }  // namespace
 
 TokenRouter::TokenRouter(const TokenRouterSettings& settings)
-    : settings_(settings), watch_(settings.tracked_flows, notes_) {}
+    : settings_(settings),
+      watch_(settings.instance, settings.tracked_flows, notes_) {}
 
 auto TokenRouter::Update(std::shared_ptr<const DirectorySnapshot> directory,
                          TimePoint now) -> std::vector<ResetFlow> {
@@ -158,10 +159,9 @@
   return watch_.OnTick(directory_.get(), now);
 }
 
-void TokenRouter::NoteShared(const std::vector<SharedSuspect>& suspects,
-                             TimePoint now) {
+void TokenRouter::NoteShared(const std::vector<SharedSuspect>& suspects) {
   if (directory_ != nullptr) {
-    watch_.NoteShared(suspects, *directory_, now);
+    watch_.NoteShared(suspects, *directory_);
   }
 }
 
--- a/Source/Flow/token_router.h
+++ b/Source/Flow/token_router.h
@@ -22,6 +22,7 @@
   DataCentreId data_centre;
   // Flows watched for signs of dead endpoints; about 100 bytes each.
   std::size_t tracked_flows = 8192;
+  InstanceId instance;  // Sets when a suspect of others is tried again.
 };
 
 // Decides packets of flows that carry their endpoint. Needs no state shared
@@ -47,7 +48,7 @@
   auto OnTick(TimePoint now) -> std::vector<ResetFlow>;
 
   // Takes what other instances have found.
-  void NoteShared(const std::vector<SharedSuspect>& suspects, TimePoint now);
+  void NoteShared(const std::vector<SharedSuspect>& suspects);
 
   // What other instances should know since the last call.
   [[nodiscard]] auto TakeNews() -> EndpointNews { return watch_.TakeNews(); }
--- a/Source/Measure/token_rivals.h
+++ b/Source/Measure/token_rivals.h
@@ -14,6 +14,7 @@
 
 // What a way to place flows may be built from.
 struct PlacementInputs {
+  InstanceId instance;
   DataCentreId data_centre;
   // The endpoints themselves, for a rival that sees everything; the endpoint
   // with id N is at position N - 1.
@@ -87,7 +88,7 @@
   }
 
   auto OnTick(TimePoint) -> std::vector<ResetFlow> { return {}; }
-  void NoteShared(const std::vector<SharedSuspect>&, TimePoint) {}
+  void NoteShared(const std::vector<SharedSuspect>&) {}
   auto TakeNews() -> EndpointNews { return {}; }
 
  private:
--- a/Source/Measure/token_world.cc
+++ b/Source/Measure/token_world.cc
@@ -73,8 +73,8 @@
 template <typename Router>
 auto MakeRouter(const PlacementInputs& inputs) -> std::unique_ptr<Router> {
   if constexpr (std::is_same_v<Router, TokenRouter>) {
-    return std::make_unique<TokenRouter>(
-        TokenRouterSettings{.data_centre = inputs.data_centre});
+    return std::make_unique<TokenRouter>(TokenRouterSettings{
+        .data_centre = inputs.data_centre, .instance = inputs.instance});
   } else {
     return std::make_unique<Router>(inputs);
   }
@@ -124,8 +124,8 @@
   routes->routes.push_back({kAddress, {{kService, 1}}});
   directory_.Publish(std::move(routes));
   for (std::size_t i = 0; i < pattern_.instances; ++i) {
-    instances_.push_back(
-        MakeRouter<Router>({DataCentreOf(i, pattern_), endpoints_}));
+    instances_.push_back(MakeRouter<Router>(
+        {InstanceId(i + 1), DataCentreOf(i, pattern_), endpoints_}));
   }
   Publish();
 }
@@ -231,7 +231,7 @@
   }
   const auto suspects = signs_.Suspects(now_);
   for (const auto& instance : instances_) {
-    instance->NoteShared(suspects, now_);
+    instance->NoteShared(suspects);
   }
 }
 
--- a/Tests/Edge/sign_exchange_test.cc
+++ b/Tests/Edge/sign_exchange_test.cc
@@ -54,6 +54,45 @@
   cr_assert(suspect.at == kNow + kSecond);
 }
 
+// Otherwise each instance has to find out for itself whether a suspect is back.
+Test(sign_exchange, one_report_renews_a_suspicion) {
+  auto exchange = SignExchange();
+  exchange.Report(InstanceId(1), Silent(), kNow);
+  exchange.Report(InstanceId(2), Silent(), kNow);
+  cr_assert(exchange.Report(InstanceId(3), Silent(), kNow + 3 * kSecond));
+  const auto suspects = exchange.Suspects(kNow + 3 * kSecond);
+  cr_assert_eq(suspects.size(), 1U);
+  cr_assert(suspects.at(0).at == kNow + 3 * kSecond);
+}
+
+// An instance that alone cannot reach an endpoint must not keep it from the
+// others.
+Test(sign_exchange, one_instance_alone_does_not_renew_a_suspicion_twice) {
+  auto exchange = SignExchange();
+  exchange.Report(InstanceId(1), Silent(), kNow);
+  exchange.Report(InstanceId(2), Silent(), kNow);
+  exchange.Report(InstanceId(3), Silent(), kNow + 3 * kSecond);
+  exchange.Report(InstanceId(3), Silent(), kNow + 6 * kSecond);
+  cr_assert(exchange.Suspects(kNow + 6 * kSecond).empty());
+}
+
+Test(sign_exchange, a_cleared_suspicion_takes_two_reports_again) {
+  auto exchange = SignExchange();
+  exchange.Report(InstanceId(1), Silent(), kNow);
+  exchange.Report(InstanceId(2), Silent(), kNow);
+  exchange.Report(InstanceId(3), Alive(), kNow + kSecond);
+  exchange.Report(InstanceId(1), Silent(), kNow + 3 * kSecond);
+  cr_assert(exchange.Suspects(kNow + 3 * kSecond).empty());
+}
+
+Test(sign_exchange, an_old_suspicion_takes_two_reports_again) {
+  auto exchange = SignExchange();
+  exchange.Report(InstanceId(1), Silent(), kNow);
+  exchange.Report(InstanceId(2), Silent(), kNow);
+  exchange.Report(InstanceId(3), Silent(), kNow + 10 * kSecond);
+  cr_assert(exchange.Suspects(kNow + 10 * kSecond).empty());
+}
+
 Test(endpoint_news, names_each_endpoint_once) {
   auto news = Silent();
   news.Merge(Silent());
--- a/Tests/Flow/endpoint_signs_test.cc
+++ b/Tests/Flow/endpoint_signs_test.cc
@@ -87,7 +87,7 @@
 Test(endpoint_signs, others_suspicion_moves_new_flows_at_once) {
   auto signs = EndpointSigns(kNow);
   const auto now = kNow + 100 * kMillisecond;
-  signs.NoteShared(now);
+  signs.NoteShared(now, 0);
   cr_assert(signs.IsSuspect(now));
   signs.NoteAlive(now);
   cr_assert_not(signs.IsSuspect(now));
@@ -101,9 +101,9 @@
   const auto sent = kNow + 3000 * kMillisecond;
   const auto now = sent + 300 * kMillisecond;
   signs.NoteSilence(SilentPacket::kRepeatedData, sent, now);
-  signs.NoteShared(now);
+  signs.NoteShared(now, 0);
   cr_assert_not(signs.IsSilent(now));
-  signs.NoteShared(now + 1300 * kMillisecond);
+  signs.NoteShared(now + 1300 * kMillisecond, 0);
   cr_assert_not(signs.IsSilent(now + 1300 * kMillisecond));
 }
 
@@ -111,7 +111,7 @@
   auto signs = EndpointSigns(kNow);
   const auto now = kNow + 500 * kMillisecond;
   signs.NoteAlive(now);
-  signs.NoteShared(kNow + 400 * kMillisecond);
+  signs.NoteShared(kNow + 400 * kMillisecond, 0);
   cr_assert_not(signs.IsSuspect(now));
 }
 
--- a/Tests/Flow/flow_affinity_test.cc
+++ b/Tests/Flow/flow_affinity_test.cc
@@ -80,7 +80,7 @@
   static constexpr SocketAddress kAddress{Ipv4Address(0xC6120001), Port(443)};
 
   static auto Settings() -> TokenRouterSettings {
-    return {DataCentreId(1), 1024};
+    return {DataCentreId(1), 1024, InstanceId(1)};
   }
   void Put(std::uint64_t id, bool draining) {
     auto report = EndpointReport();
--- a/Tests/Flow/token_router_test.cc
+++ b/Tests/Flow/token_router_test.cc
@@ -18,7 +18,8 @@
 // A router before two endpoints, 1 and 2, with a clock that tests move.
 class World {
  public:
-  World() : router_({kHere, 256}) {
+  explicit World(InstanceId instance = InstanceId(1))
+      : router_({kHere, 256, instance}) {
     Put(1);
     Put(2);
     auto routes = std::make_shared<RouteSet>();
@@ -248,7 +249,7 @@
 }
 
 Test(token_router, drops_packets_before_the_first_directory) {
-  auto router = TokenRouter({kHere, 16});
+  auto router = TokenRouter({kHere, 16, InstanceId(1)});
   const auto action = router.Decide(TokenPacket(), kStart);
   cr_assert_eq(std::get<DropPacket>(action).reason, DropReason::kNotReady);
 }
@@ -435,7 +436,7 @@
   auto world = World();
   const auto port = world.OpenAt(kFirst, 1000);
   world.Pass(100 * kMillisecond);
-  world.router().NoteShared({{kFirstEndpoint, world.now()}}, world.now());
+  world.router().NoteShared({{kFirstEndpoint, world.now()}});
   cr_assert(world.router().TakeNews().empty());
   world.Packet(port, kFirst, 1, 1, 100);
   world.Pass(30 * kMillisecond);
@@ -486,6 +487,40 @@
   }
 }
 
+// An instance that has just started has not heard from any endpoint.
+Test(token_router, takes_others_suspicion_of_an_endpoint_it_never_used) {
+  auto world = World();
+  world.Pass(100 * kMillisecond);
+  const auto reported = world.now() - 50 * kMillisecond;
+  world.router().NoteShared({{kFirstEndpoint, reported}});
+  for (auto port = std::uint16_t{1000}; port < 1020; ++port) {
+    cr_assert(world.Open(port) != kFirst);
+  }
+}
+
+// Instances that share a suspicion must not all try the endpoint again at the
+// same moment.
+Test(token_router, instances_try_a_shared_suspect_again_one_by_one) {
+  constexpr auto kInstances = std::uint64_t{50};
+  auto tried_within = std::size_t{0};
+  for (auto id = std::uint64_t{1}; id <= kInstances; ++id) {
+    auto world = World(InstanceId(id));
+    world.router().NoteShared({{kFirstEndpoint, world.now()}});
+    world.Pass(std::chrono::milliseconds(2300));
+    auto port = std::uint16_t{1000};
+    const auto begin = world.now();
+    while (world.Open(port) != kFirst &&
+           world.now() - begin < std::chrono::seconds(5)) {
+      world.Pass(20 * kMillisecond);
+      ++port;
+    }
+    const auto waited = world.now() - begin;
+    cr_assert_lt(waited.count(), Duration(std::chrono::seconds(3)).count());
+    tried_within += waited < std::chrono::milliseconds(40) ? 1 : 0;
+  }
+  cr_assert_lt(tried_within, kInstances / 2);
+}
+
 // Eviction of tracked flows, reuse of ports and lost packets must not upset
 // the counts of open work.
 Test(token_router, loads_agree_with_tracked_flows_under_random_packets) {
