--- a/Tests/Platform/store_items_test.cc
+++ b/Tests/Platform/store_items_test.cc
@@ -2,6 +2,8 @@
 
 #include <criterion/criterion.h>
 
+#include <array>
+
 namespace hemlockwick::platform {
 namespace {
 
@@ -113,5 +115,44 @@
   }
 }
 
+// Entries that another writer may leave: none is used, each is counted.
+Test(store_items, entries_with_unusable_numbers_or_form_are_counted) {
+  constexpr auto kEntries = std::array{
+      // A negative count.
+      "eyJzZXJ2aWNlIjoiYSIsImFkZHJlc3MiOiIxMC4wLjAuMToxIiwiem9uZSI6InoiLCJzbG"
+      "90cyI6LTEsInN0YXRlIjoicmVhZHkiLCJjb2xkUmVtYWluaW5nTXMiOjB9",
+      // A fraction.
+      "eyJzZXJ2aWNlIjoiYSIsImFkZHJlc3MiOiIxMC4wLjAuMToxIiwiem9uZSI6InoiLCJzbG"
+      "90cyI6MS41LCJzdGF0ZSI6InJlYWR5IiwiY29sZFJlbWFpbmluZ01zIjowfQ==",
+      // A number beyond 64 bits.
+      "eyJzZXJ2aWNlIjoiYSIsImFkZHJlc3MiOiIxMC4wLjAuMToxIiwiem9uZSI6InoiLCJzbG"
+      "90cyI6OTk5OTk5OTk5OTk5OTk5OTk5OTksInN0YXRlIjoicmVhZHkiLCJjb2xkUmVtYWlu"
+      "aW5nTXMiOjB9",
+      // Too many slots.
+      "eyJzZXJ2aWNlIjoiYSIsImFkZHJlc3MiOiIxMC4wLjAuMToxIiwiem9uZSI6InoiLCJzbG"
+      "90cyI6MTAwMDAxLCJzdGF0ZSI6InJlYWR5IiwiY29sZFJlbWFpbmluZ01zIjowfQ==",
+      // Text after the entry.
+      "eyJzZXJ2aWNlIjoiYSIsImFkZHJlc3MiOiIxMC4wLjAuMToxIiwiem9uZSI6InoiLCJzbG"
+      "90cyI6MSwic3RhdGUiOiJyZWFkeSIsImNvbGRSZW1haW5pbmdNcyI6MH14",
+      // Deep nesting.
+      "eyJzZXJ2aWNlIjoiYSIsImFkZHJlc3MiOiIxMC4wLjAuMToxIiwiem9uZSI6InoiLCJzbG"
+      "90cyI6MSwic3RhdGUiOiJyZWFkeSIsImNvbGRSZW1haW5pbmdNcyI6MCwieCI6W1tbW1tb"
+      "W1tbW1tbW1tbW1tbW1tbW1tbW1tbW1tbW1tbW1tbW1tbW1tbW1tbW1tbW1tbW1tbW1tbW1"
+      "tbW1tbW1tbW1tbW1tbW1tbW1tbW1tbW1tbW1tbW1tbW1tbW1tbW1tbW1tbW1tbW1tbW1tb"
+      "W1tbW1tbW1tbW1tbW1tbW1tbW1tbW1tbW1tbW1tbW1tbW1tbW1tbW1tbW1tbW1tbW1tbW1"
+      "tbW1tbW1tbW1tbW1tbW1tbW1tbW1tbW1tbW1tbW1tbW1tbW1tdXV1dXV1dXV1dXV1dXV1d"
+      "XV1dXV1dXV1dXV1dXV1dXV1dXV1dXV1dXV1dXV1dXV1dXV1dXV1dXV1dXV1dXV1dXV1dXV"
+      "1dXV1dXV1dXV1dXV1dXV1dXV1dXV1dXV1dXV1dXV1dXV1dXV1dXV1dXV1dXV1dXV1dXV1d"
+      "XV1dXV1dXV1dXV1dXV1dXV1dXV1dXV1dXV1dXV1dXV1dXV1dXV1dXV1dXV1dXV1dXV1dXV"
+      "1dXV1dXV1dXV1dXV1dXV1dXV1dXV1dXV1dXX0=",
+  };
+  for (const auto* const entry : kEntries) {
+    const auto page = Items(Item("servers/i-1", entry));
+    cr_assert_eq(page.update.reports.size(), 0U);
+    cr_assert_eq(page.update.unreadable.size(), 1U);
+    cr_assert_eq(page.update.ignored, 1U);
+  }
+}
+
 }  // namespace
 }  // namespace hemlockwick::platform
