Edge: Watch a relay of the own data centre

Ruled out: settings that name a seed's data centre. The platform gives addresses only, and an operator's list would have to follow it.

Change: a relay tells its data centre in each answer. An instance asks each relay once, without waiting, and then keeps to a near one as long as that is in touch; without a near one, or with relays that do not tell, it chooses as before. Reports of signs go to all relays as before.

Before: watches_a_relay_of_its_own_data_centre failed with the placing taken out. After: 45 of 45 in edge_test.

--- a/Source/Edge/directory_keeper.cc
+++ b/Source/Edge/directory_keeper.cc
@@ -18,7 +18,8 @@
 
 DirectoryKeeper::DirectoryKeeper(const SyncSettings& settings,
                                  EdgeMetrics& metrics, TimePoint now)
-    : metrics_(metrics),
+    : data_centre_(settings.data_centre),
+      metrics_(metrics),
       sync_(settings, now),
       relay_([this](TimePoint at) { return RelayStateAt(at); }) {}
 
@@ -133,6 +134,7 @@
 
 auto DirectoryKeeper::RelayStateAt(TimePoint now) const -> RelayState {
   auto state = RelayState();
+  state.data_centre = data_centre_;
   state.age = now - sync_.last_fresh();
   if (outage_end_) {
     state.since_outage = now - *outage_end_;
--- a/Source/Edge/directory_keeper.h
+++ b/Source/Edge/directory_keeper.h
@@ -62,6 +62,7 @@
   void LogEvents();
   void Publish(TimePoint now);
 
+  const DataCentreId data_centre_;
   EdgeMetrics& metrics_;
   DirectorySync sync_;
   EndpointDirectory directory_;
--- a/Source/Edge/directory_sync.cc
+++ b/Source/Edge/directory_sync.cc
@@ -95,9 +95,21 @@
   // A relay has gathered already.
   const auto is_gathering =
       !upstream.relay && !answer.update.is_whole && answer.update.has_changes();
+  if (upstream.relay) {
+    Place(upstream, answer.data_centre);
+  }
   Schedule(is_gathering ? now + kGatherTime : now, now);
 }
 
+// Notes where a relay is. Afterwards `upstream` may refer to another one.
+void DirectorySync::Place(Upstream& upstream,
+                          const std::optional<DataCentreId>& place) {
+  // One that does not tell is as good as one nearby.
+  const auto is_far = place && *place != settings_.data_centre;
+  upstream.distance = is_far ? Distance::kFar : Distance::kNear;
+  std::ranges::stable_sort(relays_, {}, &Upstream::distance);
+}
+
 void DirectorySync::OnFailure(Upstream& upstream, TimePoint now) {
   ++upstream.failures;
   if (upstream.relay) {
@@ -124,8 +136,11 @@
   }
   next_.kind = SyncCall::Kind::kWatch;
   next_.after = revision_;
-  // After a failure an immediate answer shows that it is back.
-  if (upstream.failures == 0) {
+  // An immediate answer shows after a failure that it is back, and otherwise
+  // where a relay is.
+  const auto is_placed =
+      !upstream.relay || upstream.distance != Distance::kUnknown;
+  if (upstream.failures == 0 && is_placed) {
     next_.wait = upstream.relay ? kRelayWatchTime : kPlatformWatchTime;
     next_.timeout += next_.wait;
   }
--- a/Source/Edge/directory_sync.h
+++ b/Source/Edge/directory_sync.h
@@ -34,6 +34,8 @@
   // last outage that it noticed, if any.
   Duration age{0};
   std::optional<Duration> since_outage;
+  // Of a relay: where it is, if it tells.
+  std::optional<DataCentreId> data_centre;
   // Endpoints that several instances have found not to answer.
   std::vector<SharedSuspect> suspects;
 };
@@ -55,7 +57,8 @@
   std::size_t relays = 0;  // Instances that pass the directory on.
   // Whether this instance is one of them and prefers the platform.
   bool is_relay = false;
-  std::uint64_t seed = 0;  // Spreads instances over relays and time.
+  std::uint64_t seed = 0;    // Spreads instances over relays and time.
+  DataCentreId data_centre;  // Where this instance is.
 };
 
 // Decides when to call whom for the directory: the platform or an instance
@@ -65,7 +68,7 @@
 //
 // A reader that has to start reads the platform. From then on relays watch the
 // platform, and the others watch a relay as long as that hears from the
-// platform.
+// platform: one of their own data centre if there is one.
 class DirectorySync {
  public:
   DirectorySync(const SyncSettings& settings, TimePoint now);
@@ -85,23 +88,29 @@
   [[nodiscard]] auto last_fresh() const -> TimePoint { return last_fresh_; }
 
  private:
+  // Of a relay, in the order of preference.
+  enum class Distance : std::uint8_t { kNear, kUnknown, kFar };
+
   // The platform or a relay, and when it may be called again.
   struct Upstream {
     std::optional<std::size_t> relay;
     TimePoint retry_at;
     std::uint32_t failures = 0;
+    Distance distance = Distance::kUnknown;
   };
 
   auto Find(const std::optional<std::size_t>& relay) -> Upstream&;
   void OnFailure(Upstream& upstream, TimePoint now);
   void OnSuccess(Upstream& upstream, const SyncAnswer& answer, TimePoint now);
+  void Place(Upstream& upstream, const std::optional<DataCentreId>& place);
   void Schedule(TimePoint not_before, TimePoint now);
   auto Choose(TimePoint now) -> const Upstream&;
   auto Jitter(Duration mean) -> Duration;
 
   const SyncSettings settings_;
   Random random_;
-  std::vector<Upstream> relays_;  // In the order of this instance's choice.
+  // Near ones first, otherwise in the order of this instance's choice.
+  std::vector<Upstream> relays_;
   Upstream platform_;
   SyncCall next_;
   Revision revision_;
--- a/Source/Edge/edge_sockets.cc
+++ b/Source/Edge/edge_sockets.cc
@@ -38,6 +38,7 @@
   result.relays = RelaysOf(settings).size();
   result.is_relay = result.relays != settings.seeds.size();
   result.seed = IdFromName<InstanceId>(settings.name).value();
+  result.data_centre = IdFromName<DataCentreId>(settings.data_centre);
   return result;
 }
 
--- a/Source/Edge/relay_codec.cc
+++ b/Source/Edge/relay_codec.cc
@@ -184,6 +184,10 @@
     answer.since_outage =
         std::chrono::milliseconds(message.at("outage_ms").get<std::int64_t>());
   }
+  if (message.contains("data_centre")) {
+    answer.data_centre =
+        DataCentreId(message.at("data_centre").get<std::uint64_t>());
+  }
   if (message.contains("suspects")) {
     answer.suspects = DecodeSuspects(message.at("suspects"), now);
   }
@@ -247,6 +251,7 @@
   auto message = Json{{"revision", update.revision.value()},
                       {"whole", update.is_whole},
                       {"age_ms", MillisOf(state.age)},
+                      {"data_centre", state.data_centre.value()},
                       {"endpoints", std::move(endpoints)},
                       {"removed", EncodeIds(update.removed)},
                       {"unreadable", EncodeIds(update.unreadable)}};
--- a/Source/Edge/relay_codec.h
+++ b/Source/Edge/relay_codec.h
@@ -18,6 +18,7 @@
 
 // What a relay says of itself beside an update.
 struct RelayState {
+  DataCentreId data_centre;
   Duration age{0};  // Since the platform's last answer.
   std::optional<Duration> since_outage;
   std::vector<SharedSuspect> suspects;
--- a/Tests/Edge/directory_sync_test.cc
+++ b/Tests/Edge/directory_sync_test.cc
@@ -32,14 +32,14 @@
 }
 
 Test(directory_sync, starts_with_a_full_read_of_the_platform) {
-  const auto sync = DirectorySync({3, false, 1}, kStart);
+  const auto sync = DirectorySync({3, false, 1, {}}, kStart);
   cr_assert_eq(sync.next().kind, SyncCall::Kind::kReadAll);
   cr_assert_not(sync.next().relay.has_value());
 }
 
 Test(directory_sync, relays_watch_the_platform_and_others_a_relay) {
-  auto relay = DirectorySync({2, true, 1}, kStart);
-  auto peer = DirectorySync({3, false, 1}, kStart);
+  auto relay = DirectorySync({2, true, 1, {}}, kStart);
+  auto peer = DirectorySync({3, false, 1, {}}, kStart);
   relay.OnAnswer(Whole(10), kStart);
   peer.OnAnswer(Whole(10), kStart);
   cr_assert_not(relay.next().relay.has_value());
@@ -49,14 +49,14 @@
 }
 
 Test(directory_sync, watches_without_relays_when_there_are_none) {
-  auto sync = DirectorySync({0, false, 1}, kStart);
+  auto sync = DirectorySync({0, false, 1, {}}, kStart);
   sync.OnAnswer(Whole(10), kStart);
   cr_assert_not(sync.next().relay.has_value());
   cr_assert_eq(sync.next().kind, SyncCall::Kind::kWatch);
 }
 
 Test(directory_sync, gathers_changes_of_the_platform) {
-  auto sync = DirectorySync({0, false, 1}, kStart);
+  auto sync = DirectorySync({0, false, 1, {}}, kStart);
   sync.OnAnswer(Whole(10), kStart);
   auto answer = Ok(11);
   answer.update.removed.emplace_back(1);
@@ -66,7 +66,7 @@
 }
 
 Test(directory_sync, goes_to_another_relay_when_one_fails) {
-  auto sync = DirectorySync({3, false, 1}, kStart);
+  auto sync = DirectorySync({3, false, 1, {}}, kStart);
   sync.OnAnswer(Whole(10), kStart);
   const auto first = sync.next().relay;
   sync.OnAnswer(Failed(), kStart + kSecond);
@@ -75,8 +75,65 @@
   cr_assert_leq(sync.next().at, kStart + kSecond);
 }
 
+constexpr DataCentreId kHere{1};
+constexpr DataCentreId kElsewhere{2};
+
+auto OkFrom(DataCentreId data_centre) -> SyncAnswer {
+  auto answer = Ok(10);
+  answer.data_centre = data_centre;
+  return answer;
+}
+
+// Relay `near` is in the data centre of the instance, others are not.
+auto AnswerOf(const SyncCall& call, std::size_t near) -> SyncAnswer {
+  return OkFrom(call.relay == near ? kHere : kElsewhere);
+}
+
+Test(directory_sync, watches_a_relay_of_its_own_data_centre) {
+  for (auto seed = std::uint64_t{1}; seed <= 20; ++seed) {
+    auto sync = DirectorySync({3, false, seed, kHere}, kStart);
+    sync.OnAnswer(Whole(10), kStart);
+    constexpr auto kNear = std::size_t{2};
+    for (auto call = 0; call < 3; ++call) {
+      sync.OnAnswer(AnswerOf(sync.next(), kNear), kStart);
+    }
+    cr_assert(sync.next().relay == kNear);
+    sync.OnAnswer(Failed(), kStart);
+    cr_assert(sync.next().relay.has_value());
+    cr_assert(sync.next().relay != kNear);
+    auto now = kStart;
+    for (auto call = 0; call < 8; ++call) {
+      now += kSecond;
+      sync.OnAnswer(AnswerOf(sync.next(), kNear), now);
+    }
+    cr_assert(sync.next().relay == kNear);
+  }
+}
+
+Test(directory_sync, asks_every_relay_where_it_is_without_waiting) {
+  auto sync = DirectorySync({3, false, 1, kHere}, kStart);
+  sync.OnAnswer(Whole(10), kStart);
+  cr_assert_eq(sync.next().wait.count(), 0);
+  for (auto call = 0; call < 3; ++call) {
+    sync.OnAnswer(OkFrom(kElsewhere), kStart);
+  }
+  cr_assert(sync.next().relay.has_value());
+  cr_assert_gt(sync.next().wait.count(), 0);
+}
+
+// A version that does not tell its data centre.
+Test(directory_sync, stays_with_a_relay_that_does_not_tell_where_it_is) {
+  auto sync = DirectorySync({3, false, 1, kHere}, kStart);
+  sync.OnAnswer(Whole(10), kStart);
+  for (auto call = 0; call < 5; ++call) {
+    sync.OnAnswer(Ok(10), kStart);
+  }
+  cr_assert(sync.next().relay.has_value());
+  cr_assert_gt(sync.next().wait.count(), 0);
+}
+
 Test(directory_sync, goes_to_the_platform_when_all_relays_fail) {
-  auto sync = DirectorySync({3, false, 1}, kStart);
+  auto sync = DirectorySync({3, false, 1, {}}, kStart);
   sync.OnAnswer(Whole(10), kStart);
   for (auto relay = 0; relay < 3; ++relay) {
     sync.OnAnswer(Failed(), kStart);
@@ -87,7 +144,7 @@
 
 // A relay is cut off from the platform and does not know of new versions.
 Test(directory_sync, leaves_a_relay_that_has_lost_the_platform) {
-  auto sync = DirectorySync({1, false, 1}, kStart);
+  auto sync = DirectorySync({1, false, 1, {}}, kStart);
   sync.OnAnswer(Whole(10), kStart);
   cr_assert(sync.next().relay.has_value());
   sync.OnAnswer(Ok(10, 4 * kSecond), kStart);
@@ -96,7 +153,7 @@
 
 // Relay dead and silent: the platform has to be read in time.
 Test(directory_sync, silent_relays_do_not_delay_a_version_beyond_its_bound) {
-  auto sync = DirectorySync({1, false, 1}, kStart);
+  auto sync = DirectorySync({1, false, 1, {}}, kStart);
   sync.OnAnswer(Whole(10), kStart);
   const auto noticed = kStart + sync.next().timeout;
   sync.OnAnswer(Failed(), noticed);
@@ -105,21 +162,21 @@
 }
 
 Test(directory_sync, reads_from_a_relay_when_the_platform_refuses_a_start) {
-  auto sync = DirectorySync({2, false, 1}, kStart);
+  auto sync = DirectorySync({2, false, 1, {}}, kStart);
   sync.OnAnswer(Failed(SyncStatus::kRefused), kStart);
   cr_assert_eq(sync.next().kind, SyncCall::Kind::kReadAll);
   cr_assert(sync.next().relay.has_value());
 }
 
 Test(directory_sync, relay_asks_other_relays_when_the_platform_refuses_it) {
-  auto sync = DirectorySync({2, true, 1}, kStart);
+  auto sync = DirectorySync({2, true, 1, {}}, kStart);
   sync.OnAnswer(Whole(10), kStart);
   sync.OnAnswer(Failed(SyncStatus::kRefused), kStart);
   cr_assert(sync.next().relay.has_value());
 }
 
 Test(directory_sync, reads_anew_when_history_is_lost) {
-  auto sync = DirectorySync({0, false, 1}, kStart);
+  auto sync = DirectorySync({0, false, 1, {}}, kStart);
   sync.OnAnswer(Whole(10), kStart);
   sync.OnAnswer(Failed(SyncStatus::kHistoryLost), kStart);
   cr_assert_eq(sync.next().kind, SyncCall::Kind::kReadAll);
@@ -127,7 +184,7 @@
 }
 
 Test(directory_sync, never_watches_from_an_older_revision) {
-  auto sync = DirectorySync({2, false, 1}, kStart);
+  auto sync = DirectorySync({2, false, 1, {}}, kStart);
   sync.OnAnswer(Whole(10), kStart);
   sync.OnAnswer(Ok(7), kStart);
   cr_assert_eq(sync.next().after.value(), 10U);
@@ -136,7 +193,7 @@
 // After lost history a relay that is behind may give the full read; what came
 // after its revision has to be watched again.
 Test(directory_sync, watches_from_where_a_full_read_ends) {
-  auto sync = DirectorySync({1, false, 1}, kStart);
+  auto sync = DirectorySync({1, false, 1, {}}, kStart);
   sync.OnAnswer(Whole(10), kStart);
   sync.OnAnswer(Failed(SyncStatus::kHistoryLost), kStart);
   sync.OnAnswer(Failed(SyncStatus::kRefused), kStart);
@@ -146,7 +203,7 @@
 }
 
 Test(directory_sync, is_lost_without_an_answer_and_back_with_one) {
-  auto sync = DirectorySync({1, false, 1}, kStart);
+  auto sync = DirectorySync({1, false, 1, {}}, kStart);
   auto now = kStart;
   sync.OnAnswer(Whole(10), now);
   while (now < kStart + 4 * kSecond) {
@@ -163,8 +220,8 @@
   constexpr auto kInstances = 74;
   auto calls = 0;
   for (auto instance = 0; instance < kInstances; ++instance) {
-    auto sync =
-        DirectorySync({3, false, static_cast<std::uint64_t>(instance)}, kStart);
+    auto sync = DirectorySync(
+        {3, false, static_cast<std::uint64_t>(instance), {}}, kStart);
     auto now = kStart;
     sync.OnAnswer(Whole(10), now);
     while (now < kStart + 5 * kSecond) {
--- a/Tests/Edge/relay_test.cc
+++ b/Tests/Edge/relay_test.cc
@@ -118,7 +118,8 @@
   update.removed = {EndpointId(0xCD8C9936B8)};
   update.unreadable = {EndpointId(5)};
   const auto suspect = SharedSuspect{FlowToken(9), kNow - kSecond};
-  const auto state = RelayState{kSecond, 2 * kSecond, {suspect}};
+  const auto state =
+      RelayState{DataCentreId(4), kSecond, 2 * kSecond, {suspect}};
   const auto answer =
       Decoded(EncodeUpdate(update, state, nullptr, kNow), nullptr);
   cr_assert_eq(answer.status, SyncStatus::kOk);
@@ -127,6 +128,7 @@
   cr_assert(answer.update.removed == update.removed);
   cr_assert(answer.update.unreadable == update.unreadable);
   cr_assert_eq(answer.update.routes->routes.size(), 100U);
+  cr_assert(answer.data_centre == DataCentreId(4));
   cr_assert_eq(answer.age, Duration(kSecond));
   cr_assert_eq(*answer.since_outage, Duration(2 * kSecond));
   cr_assert(answer.suspects.at(0).token == suspect.token);
