Measure: Add the slopes of the edge process

Cause: docs/CAPACITY.md told nothing of the directory's memory and of the work of a change at 61,000 endpoints.

Change: hemlockwick-measure capacity measures both, and the bytes on the way from a relay, at 4,000 to 61,000 endpoints; a stopwatch and the heap's usage, which config_trial.cc kept for itself, are shared.

--- a/Source/Measure/capacity_command.cc
+++ b/Source/Measure/capacity_command.cc
@@ -9,6 +9,7 @@
 #include "Command/options.h"
 #include "Measure/capacity_model.h"
 #include "Measure/config_slopes.h"
+#include "Measure/edge_slopes.h"
 #include "Measure/fleet_slopes.h"
 #include "Measure/flow_slopes.h"
 #include "Measure/report.h"
@@ -23,8 +24,8 @@
 
 auto MeasureSlopes(std::uint64_t seed) -> SlopeTable {
   auto all = std::vector<Slope>();
-  for (auto measure :
-       {&ConfigSlopes, &FlowSlopes, &RequestSlopes, &FleetSlopes}) {
+  for (auto measure : {&ConfigSlopes, &FlowSlopes, &RequestSlopes, &FleetSlopes,
+                       &EdgeSlopes}) {
     auto slopes = measure(seed);
     all.insert(all.end(), std::make_move_iterator(slopes.begin()),
                std::make_move_iterator(slopes.end()));
--- a/Source/Measure/config_trial.cc
+++ b/Source/Measure/config_trial.cc
@@ -1,7 +1,5 @@
 #include "Measure/config_trial.h"
 
-#include <malloc.h>
-
 #include <algorithm>
 #include <chrono>
 #include <memory>
@@ -12,6 +10,8 @@
 #include "Config/config_check.h"
 #include "Config/published_value.h"
 #include "Core/random.h"
+#include "Measure/heap_usage.h"
+#include "Measure/stopwatch.h"
 
 namespace hemlockwick {
 
@@ -27,19 +27,6 @@
 using ConfigPointer = std::shared_ptr<const FleetConfig>;
 using Shards = std::vector<std::shared_ptr<const ConfigShard>>;
 
-class Stopwatch {
- public:
-  [[nodiscard]] auto Seconds() const -> double {
-    return std::chrono::duration<double>(std::chrono::steady_clock::now() -
-                                         start_)
-        .count();
-  }
-
- private:
-  std::chrono::steady_clock::time_point start_ =
-      std::chrono::steady_clock::now();
-};
-
 auto AddressText(std::uint32_t network, std::uint32_t number) -> std::string {
   return ToString(SocketAddress{Ipv4Address(network + number), Port(7100)});
 }
@@ -112,11 +99,6 @@
   return shards;
 }
 
-auto HeapBytes() -> double {
-  const auto usage = mallinfo2();
-  return static_cast<double>(usage.uordblks + usage.hblkhd);
-}
-
 auto CheckFiles(const std::vector<ObjectFile>& files) -> Result<ConfigPointer> {
   const auto reader = ParseObjectFiles(files);
   const auto outcome =
