--- a/Source/Edge/directory_keeper.cc
+++ b/Source/Edge/directory_keeper.cc
@@ -165,7 +165,7 @@
   LogEvents();
   auto snapshot = directory_.TakeSnapshot(now);
   if (snapshot != nullptr) {
-    metrics_.SetDirectory(snapshot->version(), snapshot->endpoints().size());
+    metrics_.SetDirectory(snapshot->version(), snapshot->size());
     snapshots_.Publish(std::move(snapshot));
   }
 }
--- a/Source/Edge/directory_keeper.h
+++ b/Source/Edge/directory_keeper.h
@@ -38,7 +38,7 @@
   // Whether routes and endpoints are known.
   [[nodiscard]] auto IsUsable() const -> bool { return directory_.IsUsable(); }
 
-  [[nodiscard]] auto routes() const -> const std::shared_ptr<const RouteSet>& {
+  [[nodiscard]] auto routes() const -> std::shared_ptr<const RouteSet> {
     return directory_.routes();
   }
 
--- a/Source/Flow/endpoint_directory.cc
+++ b/Source/Flow/endpoint_directory.cc
@@ -20,28 +20,32 @@
   });
 }
 
-// The item with the token whose endpoint is of the route's targets, otherwise
-// any with the token; null when there is none.
-template <typename Item, typename Index>
-auto BestOf(const std::vector<Item>& items, const Index& index, FlowToken token,
-            const Route& route) -> const Item* {
-  const Item* best = nullptr;
-  const auto [begin, end] = index.equal_range(token);
-  for (auto found = begin; found != end; ++found) {
-    const auto& item = items[found->second];
-    const auto is_target = IsTarget(route, item.report.service);
-    if (best == nullptr || is_target) {
-      best = &item;
-    }
-  }
-  return best;
+// The better one of two with the same token, of which one may be null: one of
+// the route's targets.
+template <typename Item>
+auto BetterOf(const Item* best, const Item& other, const Route& route)
+    -> const Item* {
+  return best == nullptr || IsTarget(route, other.report.service) ? &other
+                                                                  : best;
 }
 
 }  // namespace
 
-DirectorySnapshot::DirectorySnapshot(std::vector<DirectoryEndpoint> endpoints,
+RouteTable::RouteTable(std::shared_ptr<const RouteSet> routes)
+    : routes_(std::move(routes)) {
+  for (const auto& route : routes_->routes) {
+    by_address_.emplace(route.address, &route);
+  }
+}
+
+auto RouteTable::Find(const SocketAddress& address) const -> const Route* {
+  const auto found = by_address_.find(address);
+  return found == by_address_.end() ? nullptr : found->second;
+}
+
+DirectorySnapshot::DirectorySnapshot(EndpointIndex endpoints,
                                      std::vector<DepartedEndpoint> departed,
-                                     std::shared_ptr<const RouteSet> routes,
+                                     std::shared_ptr<const RouteTable> routes,
                                      bool is_settled, std::uint64_t sequence,
                                      TimePoint made_at)
     : endpoints_(std::move(endpoints)),
@@ -50,41 +54,22 @@
       is_settled_(is_settled),
       sequence_(sequence),
       made_at_(made_at) {
-  for (auto index = std::uint32_t{0}; index < endpoints_.size(); ++index) {
-    AddEndpoint(index);
-  }
   for (auto index = std::uint32_t{0}; index < departed_.size(); ++index) {
     departed_by_token_.emplace(departed_[index].token, index);
   }
-  if (routes_ != nullptr) {
-    for (const auto& route : routes_->routes) {
-      by_address_.emplace(route.address, &route);
-    }
-  }
-}
-
-void DirectorySnapshot::AddEndpoint(std::uint32_t index) {
-  auto& endpoint = endpoints_[index];
-  const auto service = endpoint.report.service;
-  const auto [begin, end] = by_token_.equal_range(endpoint.token);
-  const auto is_shadowed = std::any_of(begin, end, [&](const auto& earlier) {
-    return endpoints_[earlier.second].report.service == service;
-  });
-  by_token_.emplace(endpoint.token, index);
-  if (is_shadowed) {
-    endpoint.takes_new = false;
-    shadowed_.push_back(endpoint.report.id);
-  }
-  if (endpoint.takes_new) {
-    takers_[service].push_back(index);
-  }
 }
 
 auto DirectorySnapshot::Resolve(FlowToken token, const Route& route) const
     -> ResolvedToken {
-  const auto* const present = BestOf(endpoints_, by_token_, token, route);
-  const auto* const departed =
-      BestOf(departed_, departed_by_token_, token, route);
+  const DirectoryEndpoint* present = nullptr;
+  for (const auto& [same, endpoint] : endpoints_.FindAll(token)) {
+    present = BetterOf(present, *endpoint, route);
+  }
+  const DepartedEndpoint* departed = nullptr;
+  const auto [begin, end] = departed_by_token_.equal_range(token);
+  for (auto found = begin; found != end; ++found) {
+    departed = BetterOf(departed, departed_[found->second], route);
+  }
   if (departed == nullptr) {
     return present == nullptr ? ResolvedToken() : ResolvedToken(present);
   }
@@ -98,8 +83,8 @@
 
 auto DirectorySnapshot::Find(FlowToken token) const
     -> const DirectoryEndpoint* {
-  const auto found = by_token_.find(token);
-  return found == by_token_.end() ? nullptr : &endpoints_[found->second];
+  const auto found = endpoints_.FindAll(token);
+  return found.empty() ? nullptr : found.front().second.get();
 }
 
 auto DirectorySnapshot::FindDeparted(FlowToken token) const
@@ -111,21 +96,11 @@
 
 auto DirectorySnapshot::FindRoute(const SocketAddress& address) const
     -> const Route* {
-  const auto found = by_address_.find(address);
-  return found == by_address_.end() ? nullptr : found->second;
-}
-
-auto DirectorySnapshot::TakersOf(ServiceId service) const
-    -> std::span<const std::uint32_t> {
-  const auto found = takers_.find(service);
-  if (found == takers_.end()) {
-    return {};
-  }
-  return found->second;
+  return routes_ == nullptr ? nullptr : routes_->Find(address);
 }
 
 auto DirectorySnapshot::version() const -> Version {
-  return routes_ == nullptr ? Version() : routes_->version;
+  return routes_ == nullptr ? Version() : routes_->routes()->version;
 }
 
 auto ToString(DirectoryEvent::Kind kind) -> std::string {
@@ -160,22 +135,28 @@
     });
     Note(DirectoryEvent::Kind::kEndpointAdded, report.id);
   }
-  if (std::exchange(entry.withheld, false)) {
-    changed_ = true;
-  }
-  if (entry.missing) {
-    entry.missing = false;
+  const auto was_withheld = std::exchange(entry.withheld, false);
+  const auto was_missing = std::exchange(entry.missing, false);
+  if (was_missing) {
     Note(DirectoryEvent::Kind::kEndpointReturned, report.id);
   }
   if (report.draining && (is_new || !entry.report.draining)) {
     Note(DirectoryEvent::Kind::kEndpointDraining, report.id);
   }
-  if (entry.report != report) {
+  if (is_new || was_withheld || was_missing || entry.report != report) {
     entry.report = report;
-    changed_ = true;
+    Index(entry);
   }
 }
 
+// Brings what snapshots say of the endpoint up to date.
+void EndpointDirectory::Index(const Entry& entry) {
+  const auto takes_new =
+      !entry.missing && !entry.withheld && !entry.report.draining;
+  index_.Put({entry.report, TokenOf(entry.report.id), takes_new});
+  changed_ = true;
+}
+
 void EndpointDirectory::Remove(EndpointId endpoint, TimePoint now) {
   const auto found = entries_.find(endpoint);
   if (found == entries_.end() || found->second.missing) {
@@ -183,6 +164,7 @@
   }
   found->second.missing = true;
   found->second.missing_since = now;
+  Index(found->second);
   Note(DirectoryEvent::Kind::kEndpointMissing, endpoint);
 }
 
@@ -190,6 +172,7 @@
   const auto found = entries_.find(endpoint);
   if (found != entries_.end() && !found->second.withheld) {
     found->second.withheld = true;
+    Index(found->second);
     Note(DirectoryEvent::Kind::kEndpointWithheld, endpoint);
   }
 }
@@ -205,12 +188,12 @@
 
 auto EndpointDirectory::Publish(std::shared_ptr<const RouteSet> routes)
     -> bool {
-  if (routes_ != nullptr && routes->version <= routes_->version) {
+  if (routes_ != nullptr && routes->version <= routes_->routes()->version) {
     return false;
   }
-  routes_ = std::move(routes);
   events_.push_back(
-      {DirectoryEvent::Kind::kRoutesInForce, EndpointId(), routes_->version});
+      {DirectoryEvent::Kind::kRoutesInForce, EndpointId(), routes->version});
+  routes_ = std::make_shared<const RouteTable>(std::move(routes));
   changed_ = true;
   return true;
 }
@@ -243,6 +226,7 @@
     }
     departed_.push_back({entry->second.report, TokenOf(entry->first), now});
     Note(DirectoryEvent::Kind::kEndpointDeparted, entry->first);
+    index_.Remove(entry->first);
     entry = entries_.erase(entry);
   }
   std::erase_if(departed_, [now](const auto& endpoint) {
@@ -259,29 +243,12 @@
   if (!std::exchange(changed_, false)) {
     return nullptr;
   }
-  auto endpoints = std::vector<DirectoryEndpoint>();
-  endpoints.reserve(entries_.size());
-  for (const auto& [endpoint, entry] : entries_) {
-    const auto takes_new =
-        !entry.missing && !entry.withheld && !entry.report.draining;
-    endpoints.push_back({entry.report, TokenOf(endpoint), takes_new});
-  }
-  std::ranges::sort(endpoints, {},
-                    [](const auto& item) { return item.report.id; });
-  auto snapshot = std::make_shared<const DirectorySnapshot>(
-      std::move(endpoints), departed_, routes_, is_settled_, ++sequence_, now);
-  NoteShadowed(snapshot->shadowed());
-  return snapshot;
-}
-
-void EndpointDirectory::NoteShadowed(const std::vector<EndpointId>& shadowed) {
-  for (const auto endpoint : shadowed) {
-    if (std::ranges::find(shadowed_, endpoint) == shadowed_.end()) {
-      events_.push_back(
-          {DirectoryEvent::Kind::kEndpointShadowed, endpoint, Version()});
-    }
+  for (const auto endpoint : index_.Seal()) {
+    events_.push_back(
+        {DirectoryEvent::Kind::kEndpointShadowed, endpoint, Version()});
   }
-  shadowed_ = shadowed;
+  return std::make_shared<const DirectorySnapshot>(
+      index_, departed_, routes_, is_settled_, ++sequence_, now);
 }
 
 auto EndpointDirectory::TakeEvents() -> std::vector<DirectoryEvent> {
--- a/Source/Flow/endpoint_directory.h
+++ b/Source/Flow/endpoint_directory.h
@@ -13,25 +13,12 @@
 #include "Core/ids.h"
 #include "Core/net_address.h"
 #include "Core/time.h"
+#include "Flow/endpoint_index.h"
+#include "Flow/endpoint_report.h"
 #include "Flow/flow_token.h"
 
 namespace hemlockwick {
 
-// What an endpoint last reported of itself.
-struct EndpointReport {
-  EndpointId id;
-  ServiceId service;
-  SocketAddress address;
-  DataCentreId data_centre;
-  std::uint32_t slots = 1;
-  bool draining = false;
-  // Until then the endpoint works slower than usual.
-  TimePoint cold_until;
-
-  friend auto operator==(const EndpointReport&, const EndpointReport&)
-      -> bool = default;
-};
-
 // A service that a route sends new flows to, with its share.
 struct RouteTarget {
   ServiceId service;
@@ -53,11 +40,20 @@
   std::vector<Route> routes;
 };
 
-struct DirectoryEndpoint {
-  EndpointReport report;
-  FlowToken token;
-  // In the directory, not draining: takes new flows.
-  bool takes_new = false;
+// The routes in force, by their address. Immutable.
+class RouteTable {
+ public:
+  explicit RouteTable(std::shared_ptr<const RouteSet> routes);
+
+  [[nodiscard]] auto Find(const SocketAddress& address) const -> const Route*;
+
+  [[nodiscard]] auto routes() const -> const std::shared_ptr<const RouteSet>& {
+    return routes_;
+  }
+
+ private:
+  std::shared_ptr<const RouteSet> routes_;
+  std::unordered_map<SocketAddress, const Route*> by_address_;
 };
 
 // An endpoint that the platform has given up, with its last report. One that
@@ -75,9 +71,9 @@
 // The directory at one moment, as read by traffic threads. Immutable.
 class DirectorySnapshot {
  public:
-  DirectorySnapshot(std::vector<DirectoryEndpoint> endpoints,
+  DirectorySnapshot(EndpointIndex endpoints,
                     std::vector<DepartedEndpoint> departed,
-                    std::shared_ptr<const RouteSet> routes, bool is_settled,
+                    std::shared_ptr<const RouteTable> routes, bool is_settled,
                     std::uint64_t sequence, TimePoint made_at);
 
   // An endpoint with the token; null when there is none.
@@ -96,22 +92,16 @@
   [[nodiscard]] auto FindRoute(const SocketAddress& address) const
       -> const Route*;
 
-  // Positions in `endpoints()` of a service's endpoints that take new flows.
+  // A service's endpoints that take new flows.
   [[nodiscard]] auto TakersOf(ServiceId service) const
-      -> std::span<const std::uint32_t>;
-
-  [[nodiscard]] auto endpoints() const
-      -> const std::vector<DirectoryEndpoint>& {
-    return endpoints_;
+      -> std::span<const EndpointPointer> {
+    return endpoints_.TakersOf(service);
   }
+
+  [[nodiscard]] auto size() const -> std::size_t { return endpoints_.size(); }
   [[nodiscard]] auto departed() const -> const std::vector<DepartedEndpoint>& {
     return departed_;
   }
-  // Endpoints that take no new flows because an earlier one of their service
-  // has the same token.
-  [[nodiscard]] auto shadowed() const -> const std::vector<EndpointId>& {
-    return shadowed_;
-  }
   [[nodiscard]] auto version() const -> Version;
   // Whether endpoints that are missing will not return: the platform has been
   // in touch for long enough.
@@ -121,21 +111,13 @@
   [[nodiscard]] auto made_at() const -> TimePoint { return made_at_; }
 
  private:
-  using TokenIndex = std::unordered_multimap<FlowToken, std::uint32_t>;
-
-  void AddEndpoint(std::uint32_t index);
-
-  std::vector<DirectoryEndpoint> endpoints_;
-  std::vector<DepartedEndpoint> departed_;
-  std::shared_ptr<const RouteSet> routes_;
-  bool is_settled_;
-  std::uint64_t sequence_;
-  TimePoint made_at_;
-  std::vector<EndpointId> shadowed_;
-  TokenIndex by_token_;
-  TokenIndex departed_by_token_;
-  std::unordered_map<SocketAddress, const Route*> by_address_;
-  std::unordered_map<ServiceId, std::vector<std::uint32_t>> takers_;
+  const EndpointIndex endpoints_;
+  const std::vector<DepartedEndpoint> departed_;
+  const std::shared_ptr<const RouteTable> routes_;
+  const bool is_settled_;
+  const std::uint64_t sequence_;
+  const TimePoint made_at_;
+  std::unordered_multimap<FlowToken, std::uint32_t> departed_by_token_;
 };
 
 // A change of belief, for the log and the time line.
@@ -205,8 +187,8 @@
   [[nodiscard]] auto size() const -> std::size_t { return entries_.size(); }
 
   // The routes in force; null before the first ones.
-  [[nodiscard]] auto routes() const -> const std::shared_ptr<const RouteSet>& {
-    return routes_;
+  [[nodiscard]] auto routes() const -> std::shared_ptr<const RouteSet> {
+    return routes_ == nullptr ? nullptr : routes_->routes();
   }
 
   // Events since the last call.
@@ -221,16 +203,16 @@
   };
 
   void Note(DirectoryEvent::Kind kind, EndpointId endpoint);
-  void NoteShadowed(const std::vector<EndpointId>& shadowed);
+  void Index(const Entry& entry);
   [[nodiscard]] auto IsSettled(TimePoint now) const -> bool;
   [[nodiscard]] auto MayStillReturn(const Entry& entry, TimePoint now) const
       -> bool;
 
   std::unordered_map<EndpointId, Entry> entries_;
+  EndpointIndex index_;  // Of the entries, for snapshots.
   std::vector<DepartedEndpoint> departed_;
-  std::shared_ptr<const RouteSet> routes_;
+  std::shared_ptr<const RouteTable> routes_;
   std::vector<DirectoryEvent> events_;
-  std::vector<EndpointId> shadowed_;
   bool platform_lost_ = false;
   bool had_outage_ = false;
   bool is_settled_ = true;
--- /dev/null
+++ b/Source/Flow/endpoint_report.h
@@ -0,0 +1,29 @@
+#ifndef HEMLOCKWICK_FLOW_ENDPOINT_REPORT_H_
+#define HEMLOCKWICK_FLOW_ENDPOINT_REPORT_H_
+
+#include <cstdint>
+
+#include "Core/ids.h"
+#include "Core/net_address.h"
+#include "Core/time.h"
+
+namespace hemlockwick {
+
+// What an endpoint last reported of itself.
+struct EndpointReport {
+  EndpointId id;
+  ServiceId service;
+  SocketAddress address;
+  DataCentreId data_centre;
+  std::uint32_t slots = 1;
+  bool draining = false;
+  // Until then the endpoint works slower than usual.
+  TimePoint cold_until;
+
+  friend auto operator==(const EndpointReport&, const EndpointReport&)
+      -> bool = default;
+};
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_FLOW_ENDPOINT_REPORT_H_
--- a/Source/Flow/opening_choice.cc
+++ b/Source/Flow/opening_choice.cc
@@ -77,8 +77,8 @@
   const DirectoryEndpoint* best = nullptr;
   auto best_cost = std::numeric_limits<double>::max();
   auto best_tie = std::uint64_t{0};
-  for (const auto index : directory.TakersOf(service)) {
-    const auto& endpoint = directory.endpoints()[index];
+  for (const auto& taker : directory.TakersOf(service)) {
+    const auto& endpoint = *taker;
     const auto cost = CostOf(endpoint, loads, request, now);
     // Equal costs are common; instances must not all prefer the same one.
     const auto tie = MixWords(request.flow.value(), endpoint.token.value());
--- a/Source/Measure/token_rivals.h
+++ b/Source/Measure/token_rivals.h
@@ -23,25 +23,24 @@
 
 // Opens flows by a hash of the caller among the listed endpoints.
 struct HashPlacement {
-  static auto Choose(const PlacementInputs&, const DirectorySnapshot& directory,
-                     std::span<const std::uint32_t> takers, FlowKey flow)
+  static auto Choose(const PlacementInputs&,
+                     std::span<const EndpointPointer> takers, FlowKey flow)
       -> const DirectoryEndpoint* {
     constexpr std::uint64_t kSeed = 0x706C6163;
     const auto index = MixWords(flow.value(), kSeed) % takers.size();
-    return &directory.endpoints()[takers[index]];
+    return takers[index].get();
   }
 };
 
 // Opens flows where the least work is, as no instance can know it.
 struct OraclePlacement {
   static auto Choose(const PlacementInputs& inputs,
-                     const DirectorySnapshot& directory,
-                     std::span<const std::uint32_t> takers, FlowKey)
+                     std::span<const EndpointPointer> takers, FlowKey)
       -> const DirectoryEndpoint* {
     const DirectoryEndpoint* best = nullptr;
     auto least = std::size_t{0};
-    for (const auto index : takers) {
-      const auto& candidate = directory.endpoints()[index];
+    for (const auto& taker : takers) {
+      const auto& candidate = *taker;
       const auto& endpoint = inputs.endpoints[candidate.report.id.value() - 1];
       const auto work = endpoint.open_work();
       if (!endpoint.is_dark() && (best == nullptr || work < least)) {
@@ -75,9 +74,8 @@
       const auto* const route = directory_->FindRoute(packet.service);
       const auto takers = directory_->TakersOf(route->targets.front().service);
       const auto flow = FlowKeyOf(packet.caller, packet.service);
-      endpoint = takers.empty()
-                     ? nullptr
-                     : Placement::Choose(inputs_, *directory_, takers, flow);
+      endpoint =
+          takers.empty() ? nullptr : Placement::Choose(inputs_, takers, flow);
     }
     if (endpoint == nullptr) {
       return ResetFlow{packet.caller, packet.service, packet.ack,
