Edge: Sum up very many changes of the directory in one line

Change: the first 64 changes of an answer have a line each, as before; the others are counted by kind in one line, directory_events_summed.

Conclusion: a burst costs a bounded number of lines.

--- a/Source/Edge/directory_keeper.cc
+++ b/Source/Edge/directory_keeper.cc
@@ -152,9 +152,7 @@
              {"revision", std::to_string(sync_.revision().value())}});
     return;
   }
-  for (const auto& event : events) {
-    LogDirectoryEvent(event);
-  }
+  LogDirectoryEvents(events);
 }
 
 void DirectoryKeeper::Publish(TimePoint now) {
--- a/Source/Edge/router_log.cc
+++ b/Source/Edge/router_log.cc
@@ -1,5 +1,6 @@
 #include "Edge/router_log.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <map>
@@ -79,6 +80,8 @@
   }
 }
 
+namespace {
+
 void LogDirectoryEvent(const DirectoryEvent& event) {
   if (event.kind == DirectoryEvent::Kind::kRoutesInForce) {
     LogSoon(LogLevel::kInfo, ToString(event.kind),
@@ -89,4 +92,29 @@
           {{"endpoint", HexOf(event.endpoint.value())}});
 }
 
+auto SumOf(std::span<const DirectoryEvent> events) -> Fields {
+  auto counts = std::map<std::string, std::size_t>();
+  for (const auto& event : events) {
+    ++counts[ToString(event.kind)];
+  }
+  auto fields = Fields();
+  for (const auto& [kind, count] : counts) {
+    fields[kind] = std::to_string(count);
+  }
+  return fields;
+}
+
+}  // namespace
+
+void LogDirectoryEvents(std::span<const DirectoryEvent> events) {
+  const auto lines = std::min(events.size(), kMaxEventLines);
+  for (const auto& event : events.first(lines)) {
+    LogDirectoryEvent(event);
+  }
+  if (lines < events.size()) {
+    LogSoon(LogLevel::kInfo, "directory_events_summed",
+            SumOf(events.subspan(lines)));
+  }
+}
+
 }  // namespace hemlockwick
--- a/Source/Edge/router_log.h
+++ b/Source/Edge/router_log.h
@@ -1,6 +1,11 @@
 #ifndef HEMLOCKWICK_EDGE_ROUTER_LOG_H_
 #define HEMLOCKWICK_EDGE_ROUTER_LOG_H_
 
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <string>
+
 #include "Core/time.h"
 #include "Flow/token_router.h"
 
@@ -14,8 +19,10 @@
 void LogNote(const RouterNote& note, const DirectorySnapshot* directory,
              TimePoint now);
 
-// Writes a change of the directory to the log.
-void LogDirectoryEvent(const DirectoryEvent& event);
+// Writes changes of the directory to the log: one line each for the first
+// kMaxEventLines, and one line with the numbers of the others.
+void LogDirectoryEvents(std::span<const DirectoryEvent> events);
+inline constexpr std::size_t kMaxEventLines = 64;
 
 }  // namespace hemlockwick
 
