--- a/Source/Flow/endpoint_directory.cc
+++ b/Source/Flow/endpoint_directory.cc
@@ -62,9 +62,9 @@
 auto DirectorySnapshot::Resolve(FlowToken token, const Route& route) const
     -> ResolvedToken {
   const DirectoryEndpoint* present = nullptr;
-  for (const auto& [same, endpoint] : endpoints_.FindAll(token)) {
-    present = BetterOf(present, *endpoint, route);
-  }
+  endpoints_.ForEach(token, [&](const DirectoryEndpoint& endpoint) {
+    present = BetterOf(present, endpoint, route);
+  });
   const DepartedEndpoint* departed = nullptr;
   const auto [begin, end] = departed_by_token_.equal_range(token);
   for (auto found = begin; found != end; ++found) {
@@ -83,8 +83,10 @@
 
 auto DirectorySnapshot::Find(FlowToken token) const
     -> const DirectoryEndpoint* {
-  const auto found = endpoints_.FindAll(token);
-  return found.empty() ? nullptr : found.front().second.get();
+  const DirectoryEndpoint* any = nullptr;
+  endpoints_.ForEach(
+      token, [&any](const DirectoryEndpoint& endpoint) { any = &endpoint; });
+  return any;
 }
 
 auto DirectorySnapshot::FindDeparted(FlowToken token) const
--- a/Source/Flow/endpoint_index.h
+++ b/Source/Flow/endpoint_index.h
@@ -6,10 +6,10 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
-#include <ranges>
 #include <span>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 #include "Core/ids.h"
@@ -42,14 +42,17 @@
   // service with the same token.
   auto Seal() -> std::vector<EndpointId>;
 
-  // The endpoints with the token, as pairs of it and an EndpointPointer.
-  [[nodiscard]] auto FindAll(FlowToken token) const {
+  // Calls `visit` with each endpoint that has the token.
+  template <typename Visit>
+  void ForEach(FlowToken token, Visit&& visit) const {
     const auto& shard = tokens_[ShardOf(token.value())];
-    const auto range = shard == nullptr
-                           ? std::pair<TokenShard::const_iterator,
-                                       TokenShard::const_iterator>()
-                           : std::as_const(*shard).equal_range(token);
-    return std::ranges::subrange(range.first, range.second);
+    if (shard == nullptr) {
+      return;
+    }
+    const auto [begin, end] = std::as_const(*shard).equal_range(token);
+    for (auto found = begin; found != end; ++found) {
+      visit(*found->second);
+    }
   }
 
   // A service's endpoints that take new flows, by id.
--- a/Tests/Flow/endpoint_index_test.cc
+++ b/Tests/Flow/endpoint_index_test.cc
@@ -55,12 +55,13 @@
   cr_assert_eq(index.size(), expected.size());
   for (const auto& [id, endpoint] : expected) {
     auto found = 0;
-    for (const auto& [token, other] : index.FindAll(endpoint.token)) {
-      if (other->report.id == endpoint.report.id) {
+    index.ForEach(endpoint.token, [&found, &wanted = endpoint.report](
+                                      const DirectoryEndpoint& other) {
+      if (other.report.id == wanted.id) {
         ++found;
-        cr_assert(other->report == endpoint.report);
+        cr_assert(other.report == wanted);
       }
-    }
+    });
     cr_assert_eq(found, 1);
   }
   for (auto service = std::uint64_t{0}; service < kServices; ++service) {
@@ -71,7 +72,9 @@
 
 Test(endpoint_index, an_empty_index_knows_nothing) {
   const auto index = EndpointIndex();
-  cr_assert(index.FindAll(FlowToken(5)).empty());
+  auto found = 0;
+  index.ForEach(FlowToken(5), [&found](const DirectoryEndpoint&) { ++found; });
+  cr_assert_eq(found, 0);
   cr_assert(index.TakersOf(ServiceId(1)).empty());
 }
 
