Edge: Say truly whether a reload needs a restart

Cause: found while showing the reload by hand. The line settings_reloaded said that no restart is needed when seeds, relay or the leave times had changed, and again at a second look after any change, since the new file was compared with the file before, not with what the process runs with; and it was missing when the level was raised above it.

Change: every key but the log level counts, against the settings of the start; the line is written at the more talkative of both levels.

--- a/Source/Edge/settings_watch.cc
+++ b/Source/Edge/settings_watch.cc
@@ -12,18 +12,16 @@
 constexpr Duration kLookInterval = std::chrono::seconds(5);
 
 // Whether a key that only a restart can change differs.
-auto NeedsRestart(const ServeSettings& left, const ServeSettings& right)
-    -> bool {
-  return left.name != right.name || left.data_centre != right.data_centre ||
-         left.http != right.http || left.packet != right.packet ||
-         left.platform != right.platform || left.metrics != right.metrics;
+auto NeedsRestart(const ServeSettings& running, ServeSettings next) -> bool {
+  next.log_level = running.log_level;
+  return next != running;
 }
 
 }  // namespace
 
 SettingsWatch::SettingsWatch(std::string file, ServeSettings settings)
     : file_(std::move(file)),
-      settings_(std::move(settings)),
+      running_(std::move(settings)),
       text_(ReadText()) {}
 
 void SettingsWatch::OnTick(TimePoint now) {
@@ -58,14 +56,17 @@
 }
 
 void SettingsWatch::Compare(const ServeSettings& next, std::string_view cause) {
-  if (next.log_level != settings_.log_level) {
+  // The line appears when either level lets it.
+  const auto is_quieter = next.log_level > running_.log_level;
+  if (!is_quieter) {
     SetLogLevel(next.log_level);
   }
-  const auto needs_restart = NeedsRestart(settings_, next);
+  const auto needs_restart = NeedsRestart(running_, next);
   Log(needs_restart ? LogLevel::kWarning : LogLevel::kInfo, "settings_reloaded",
       {{"cause", std::string(cause)},
        {"needs_restart", needs_restart ? "true" : "false"}});
-  settings_ = next;
+  SetLogLevel(next.log_level);
+  running_.log_level = next.log_level;
 }
 
 }  // namespace hemlockwick
--- a/Source/Edge/settings_watch.h
+++ b/Source/Edge/settings_watch.h
@@ -13,6 +13,7 @@
 // keys need a restart, which the log says.
 class SettingsWatch {
  public:
+  // `settings` are those that the process has started with.
   SettingsWatch(std::string file, ServeSettings settings);
 
   // Reads the file again when some time has passed since the last look.
@@ -26,7 +27,7 @@
   void Compare(const ServeSettings& next, std::string_view cause);
 
   const std::string file_;
-  ServeSettings settings_;
+  ServeSettings running_;  // What the process runs with.
   std::string text_;
   TimePoint next_look_;
 };
--- a/Source/Runtime/settings.h
+++ b/Source/Runtime/settings.h
@@ -36,6 +36,9 @@
   // An instance that starts before this time is part of the first start of a
   // deployment: no Idempotency-Key can have been used before.
   TimePoint first_start_until;
+
+  friend auto operator==(const ServeSettings&, const ServeSettings&)
+      -> bool = default;
 };
 
 struct SettingsResult {
--- /dev/null
+++ b/Tests/Edge/log_lines.h
@@ -0,0 +1,38 @@
+#ifndef HEMLOCKWICK_EDGE_LOG_LINES_H_
+#define HEMLOCKWICK_EDGE_LOG_LINES_H_
+
+#include <criterion/criterion.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#include <fstream>
+#include <string>
+#include <vector>
+
+#include "Runtime/log.h"
+
+namespace hemlockwick {
+
+// The lines that `write` logs. Each test runs in a process of its own, so that
+// its standard output may be led to a file.
+template <typename Write>
+auto LinesOf(Write write) -> std::vector<std::string> {
+  auto name = std::string("/tmp/log_lines_XXXXXX");
+  const auto file = mkstemp(name.data());
+  cr_assert_geq(file, 0);
+  dup2(file, STDOUT_FILENO);
+  StartLog("test", LogLevel::kInfo);
+  write();
+  FlushLog();
+  auto lines = std::vector<std::string>();
+  auto in = std::ifstream(name);
+  for (auto line = std::string(); std::getline(in, line);) {
+    lines.push_back(line);
+  }
+  unlink(name.c_str());
+  return lines;
+}
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_EDGE_LOG_LINES_H_
--- a/Tests/Edge/router_log_test.cc
+++ b/Tests/Edge/router_log_test.cc
@@ -1,38 +1,15 @@
 #include "Edge/router_log.h"
 
 #include <criterion/criterion.h>
-#include <stdlib.h>
-#include <unistd.h>
 
-#include <array>
-#include <fstream>
 #include <string>
 #include <vector>
 
-#include "Runtime/log.h"
+#include "Edge/log_lines.h"
 
 namespace hemlockwick {
 namespace {
 
-// The lines that `write` logs; each test runs in a process of its own.
-template <typename Write>
-auto LinesOf(Write write) -> std::vector<std::string> {
-  auto name = std::string("/tmp/router_log_XXXXXX");
-  const auto file = mkstemp(name.data());
-  cr_assert_geq(file, 0);
-  dup2(file, STDOUT_FILENO);
-  StartLog("test", LogLevel::kInfo);
-  write();
-  FlushLog();
-  auto lines = std::vector<std::string>();
-  auto in = std::ifstream(name);
-  for (auto line = std::string(); std::getline(in, line);) {
-    lines.push_back(line);
-  }
-  unlink(name.c_str());
-  return lines;
-}
-
 auto Missing(std::size_t count) -> std::vector<DirectoryEvent> {
   auto events = std::vector<DirectoryEvent>();
   for (std::size_t i = 0; i < count; ++i) {
