--- a/Source/Command/check_command.cc
+++ b/Source/Command/check_command.cc
@@ -223,9 +223,7 @@
   }
   return TryOr([&parsed] { return ReadAndCheck(parsed); },
                [](const Error& error) {
-                 std::cerr << "hemlockwick check: " << error.message << "; "
-                           << error.remedy << "\n";
-                 return ExitCode::kUsage;
+                 return ReportError("hemlockwick check", error);
                });
 }
 
--- a/Source/Command/operator_query.cc
+++ b/Source/Command/operator_query.cc
@@ -1,7 +1,5 @@
 #include "Command/operator_query.h"
 
-#include <iostream>
-
 #include "Runtime/http_client.h"
 
 namespace hemlockwick {
@@ -38,13 +36,4 @@
   return response.body;
 }
 
-auto ReportError(std::string_view command, const Error& error) -> ExitCode {
-  std::cerr << "hemlockwick " << command << ": " << error.message;
-  if (!error.remedy.empty()) {
-    std::cerr << "; " << error.remedy;
-  }
-  std::cerr << "\n";
-  return ExitCode::kUsage;
-}
-
 }  // namespace hemlockwick
--- a/Source/Command/operator_query.h
+++ b/Source/Command/operator_query.h
@@ -19,10 +19,6 @@
 [[nodiscard]] auto Get(const SocketAddress& address, const std::string& path)
     -> Result<std::string>;
 
-// Prints the error under the command's name and returns kUsage.
-[[nodiscard]] auto ReportError(std::string_view command, const Error& error)
-    -> ExitCode;
-
 }  // namespace hemlockwick
 
 #endif  // HEMLOCKWICK_COMMAND_OPERATOR_QUERY_H_
--- a/Source/Command/options.cc
+++ b/Source/Command/options.cc
@@ -1,5 +1,7 @@
 #include "Command/options.h"
 
+#include <iostream>
+
 namespace hemlockwick {
 
 auto ParseOptions(cxxopts::Options& options,
@@ -13,4 +15,13 @@
   return options.parse(static_cast<int>(words.size()), words.data());
 }
 
+auto ReportError(std::string_view program, const Error& error) -> ExitCode {
+  std::cerr << program << ": " << error.message;
+  if (!error.remedy.empty()) {
+    std::cerr << "; " << error.remedy;
+  }
+  std::cerr << "\n";
+  return ExitCode::kUsage;
+}
+
 }  // namespace hemlockwick
--- a/Source/Command/options.h
+++ b/Source/Command/options.h
@@ -3,8 +3,12 @@
 
 #include <cxxopts.hpp>
 #include <string>
+#include <string_view>
 #include <vector>
 
+#include "Command/command.h"
+#include "Core/error.h"
+
 namespace hemlockwick {
 
 // Parses a subcommand's arguments; cxxopts throws when they are wrong.
@@ -12,6 +16,11 @@
                                 const std::vector<std::string>& arguments)
     -> cxxopts::ParseResult;
 
+// Prints the error under the program's name, for example "hemlockwick status",
+// and returns kUsage.
+[[nodiscard]] auto ReportError(std::string_view program, const Error& error)
+    -> ExitCode;
+
 }  // namespace hemlockwick
 
 #endif  // HEMLOCKWICK_COMMAND_OPTIONS_H_
--- a/Source/Command/settings_argument.cc
+++ b/Source/Command/settings_argument.cc
@@ -20,15 +20,6 @@
   return ParseOptions(options, arguments);
 }
 
-auto PrintError(const std::string& program, const Error& error) -> ExitCode {
-  std::cerr << program << ": " << error.message;
-  if (!error.remedy.empty()) {
-    std::cerr << "; " << error.remedy;
-  }
-  std::cerr << "\n";
-  return ExitCode::kUsage;
-}
-
 // Reads the settings; nothing after their findings were printed.
 auto ReadSettings(const std::string& file)
     -> Result<std::optional<ServeSettings>> {
@@ -58,15 +49,15 @@
     return ExitCode::kSuccess;
   }
   if (!parsed.unmatched().empty()) {
-    return PrintError(
+    return ReportError(
         program, {ErrorCode::kInvalidArgument,
                   "unexpected argument '" + parsed.unmatched().front() + "'",
                   "see '" + program + " --help'"});
   }
   if (parsed.count("settings") == 0) {
-    return PrintError(program,
-                      {ErrorCode::kInvalidArgument, "no settings file given",
-                       "add --settings FILE"});
+    return ReportError(program,
+                       {ErrorCode::kInvalidArgument, "no settings file given",
+                        "add --settings FILE"});
   }
   const auto file = parsed["settings"].as<std::string>();
   return TryOr(
@@ -81,7 +72,7 @@
         }
         return serve(file, *settings);
       },
-      [&program](const Error& error) { return PrintError(program, error); });
+      [&program](const Error& error) { return ReportError(program, error); });
 }
 
 }  // namespace hemlockwick
--- a/Source/Command/status_command.cc
+++ b/Source/Command/status_command.cc
@@ -197,7 +197,9 @@
     return ExitCode::kSuccess;
   }
   return TryOr([&parsed]() -> Result<ExitCode> { return Show(parsed); },
-               [](const Error& error) { return ReportError("status", error); });
+               [](const Error& error) {
+                 return ReportError("hemlockwick status", error);
+               });
 }
 
 }  // namespace hemlockwick
--- a/Source/Command/timeline_command.cc
+++ b/Source/Command/timeline_command.cc
@@ -207,9 +207,10 @@
     std::cout << options.help();
     return ExitCode::kSuccess;
   }
-  return TryOr(
-      [&parsed]() -> Result<ExitCode> { return Show(parsed); },
-      [](const Error& error) { return ReportError("timeline", error); });
+  return TryOr([&parsed]() -> Result<ExitCode> { return Show(parsed); },
+               [](const Error& error) {
+                 return ReportError("hemlockwick timeline", error);
+               });
 }
 
 }  // namespace hemlockwick
--- a/Source/Core/time.h
+++ b/Source/Core/time.h
@@ -26,11 +26,20 @@
 // Largest difference between the clocks of two instances, by NTP.
 inline constexpr Duration kMaxClockSkew = std::chrono::milliseconds(500);
 
+// Returns the duration in seconds, with their fraction.
+[[nodiscard]] constexpr auto ToSeconds(Duration duration) -> double {
+  return std::chrono::duration<double>(duration).count();
+}
+
+// Returns whole milliseconds; a fraction is dropped.
+[[nodiscard]] constexpr auto ToMillis(Duration duration) -> std::int64_t {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
 // Returns whole milliseconds since the Unix epoch.
 [[nodiscard]] constexpr auto ToUnixMillis(TimePoint time) -> std::int64_t {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-             time.time_since_epoch())
-      .count();
+  return ToMillis(time.time_since_epoch());
 }
 
 [[nodiscard]] constexpr auto FromUnixMillis(std::int64_t millis) -> TimePoint {
--- a/Source/Edge/edge_metrics.cc
+++ b/Source/Edge/edge_metrics.cc
@@ -10,10 +10,6 @@
 const auto kBuckets = prometheus::Histogram::BucketBoundaries{
     0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5};
 
-auto Seconds(Duration time) -> double {
-  return std::chrono::duration<double>(time).count();
-}
-
 }  // namespace
 
 EdgeMetrics::EdgeMetrics()
@@ -66,13 +62,13 @@
 
 void EdgeMetrics::CountCall(SyncStatus status, Duration time) {
   Add(*calls_[static_cast<std::size_t>(status)], 1);
-  call_time_.Observe(Seconds(time));
+  call_time_.Observe(ToSeconds(time));
 }
 
 void EdgeMetrics::Observe(const ReplySample& sample) {
   auto& histogram =
       sample.kind == ReplySample::Kind::kOpening ? opening_time_ : reply_time_;
-  histogram.Observe(Seconds(sample.time));
+  histogram.Observe(ToSeconds(sample.time));
 }
 
 void EdgeMetrics::SetDirectory(Version version, std::size_t endpoints) {
--- a/Source/Edge/relay_codec.cc
+++ b/Source/Edge/relay_codec.cc
@@ -20,16 +20,12 @@
 // Longest time for which a relay holds a call.
 constexpr std::uint64_t kMaxWaitMillis = 30'000;
 
-auto MillisOf(Duration time) -> std::int64_t {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
-}
-
 auto EncodeReport(const EndpointReport& report, TimePoint now) -> Json {
   const auto cold = std::max(report.cold_until - now, Duration(0));
   return Json::array({report.id.value(), report.service.value(),
                       report.address.ip.value(), report.address.port.value(),
                       report.data_centre.value(), report.slots, report.draining,
-                      MillisOf(cold)});
+                      ToMillis(cold)});
 }
 
 auto DecodeReport(const Json& item, TimePoint now) -> EndpointReport {
@@ -157,7 +153,7 @@
   auto result = Json::array();
   for (const auto& suspect : suspects) {
     result.push_back(
-        Json::array({suspect.token.value(), MillisOf(now - suspect.at)}));
+        Json::array({suspect.token.value(), ToMillis(now - suspect.at)}));
   }
   return result;
 }
@@ -250,13 +246,13 @@
   }
   auto message = Json{{"revision", update.revision.value()},
                       {"whole", update.is_whole},
-                      {"age_ms", MillisOf(state.age)},
+                      {"age_ms", ToMillis(state.age)},
                       {"data_centre", state.data_centre.value()},
                       {"endpoints", std::move(endpoints)},
                       {"removed", EncodeIds(update.removed)},
                       {"unreadable", EncodeIds(update.unreadable)}};
   if (state.since_outage) {
-    message["outage_ms"] = MillisOf(*state.since_outage);
+    message["outage_ms"] = ToMillis(*state.since_outage);
   }
   if (!state.suspects.empty()) {
     message["suspects"] = EncodeSuspects(state.suspects, now);
@@ -283,7 +279,7 @@
 auto FormatQuery(const RelayQuery& query) -> std::string {
   auto target = std::string(kPath) +
                 "?version=" + std::to_string(query.version.value()) +
-                "&wait=" + std::to_string(MillisOf(query.wait));
+                "&wait=" + std::to_string(ToMillis(query.wait));
   if (query.after) {
     target += "&after=" + std::to_string(query.after->value());
   }
--- a/Source/Edge/router_log.cc
+++ b/Source/Edge/router_log.cc
@@ -15,8 +15,7 @@
 using Fields = std::map<std::string, std::string>;
 
 auto MillisOf(Duration time) -> std::string {
-  return std::to_string(
-      std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+  return std::to_string(ToMillis(time));
 }
 
 void AddFlow(const RouterNote& note, Fields& fields) {
--- a/Source/Fleet/fleet_message.cc
+++ b/Source/Fleet/fleet_message.cc
@@ -26,11 +26,6 @@
       Port(static_cast<std::uint16_t>(number))};
 }
 
-auto ToMillis(Duration duration) -> std::int64_t {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
-      .count();
-}
-
 auto ToJson(const HlcStamp& stamp) -> json {
   return json::array({stamp.unix_millis, stamp.counter});
 }
--- a/Source/Measure/capacity_command.cc
+++ b/Source/Measure/capacity_command.cc
@@ -146,9 +146,7 @@
   }
   return TryOr([&parsed] { return RunCapacity(parsed); },
                [](const Error& error) {
-                 std::cerr << "hemlockwick-measure capacity: " << error.message
-                           << "; " << error.remedy << "\n";
-                 return ExitCode::kUsage;
+                 return ReportError("hemlockwick-measure capacity", error);
                });
 }
 
--- a/Source/Measure/check_measure.cc
+++ b/Source/Measure/check_measure.cc
@@ -83,12 +83,7 @@
       [&]() -> Result<ExitCode> {
         BOOST_LEAF_CHECK(
             Measure(full, parsed["seed"].as<std::uint64_t>(), report));
-        if (parsed.count("json") != 0) {
-          report.PrintJson(std::cout);
-        } else {
-          report.PrintText(std::cout);
-        }
-        return report.exit_code();
+        return report.Print(std::cout, parsed.count("json") > 0);
       },
       [](const Error& error) {
         std::cerr << "hemlockwick-measure check: " << error.message << "\n";
--- a/Source/Measure/fleet_command.cc
+++ b/Source/Measure/fleet_command.cc
@@ -34,10 +34,6 @@
 constexpr Duration kTodaysInterval = std::chrono::seconds(30);
 constexpr Duration kSettleTime = std::chrono::seconds(20);
 
-auto Seconds(Duration time) -> double {
-  return std::chrono::duration<double>(time).count();
-}
-
 auto NewOptions() -> cxxopts::Options {
   auto options = cxxopts::Options("hemlockwick-measure fleet",
                                   std::string(FleetCommand().summary()));
@@ -66,7 +62,7 @@
   const auto lossy = MeasureChanges(
       ChangeRun{TodaysShape(kLoss), {}, 20, kTodaysInterval}, seed);
   report.AtMost("in force everywhere, 7 instances, 10% loss",
-                kInForceTodaySeconds, Seconds(lossy.slowest), "s");
+                kInForceTodaySeconds, ToSeconds(lossy.slowest), "s");
   const auto quiet =
       MeasureChanges(ChangeRun{TodaysShape(0), {}, 20, kTodaysInterval}, seed);
   report.AtMost("control bytes of any of 7, a change each 30 s", kBytesToday,
@@ -84,7 +80,7 @@
   const auto outcome = MeasureChanges(
       ChangeRun{LargeShape(kLoss), config, 12, TargetInterval()}, seed);
   report.AtMost("in force everywhere, 500 instances, 10% loss",
-                kInForceLargeSeconds, Seconds(outcome.slowest), "s");
+                kInForceLargeSeconds, ToSeconds(outcome.slowest), "s");
   report.AtMost("control bytes of any of 500, 51,000 changes a day",
                 kBytesLarge, outcome.highest_bytes, "B/s");
   report.Inform("the same, mean over instances", outcome.mean_bytes, "B/s");
@@ -122,11 +118,11 @@
 
 void MeasureMembership(std::uint64_t seed, Report& report) {
   report.AtMost("death known everywhere, 7 instances", kDeathSeconds,
-                Seconds(MeasureDeaths(TodaysShape(0), 20, seed)), "s");
+                ToSeconds(MeasureDeaths(TodaysShape(0), 20, seed)), "s");
   report.Inform("the same under 10% loss",
-                Seconds(MeasureDeaths(TodaysShape(kLoss), 20, seed)), "s");
+                ToSeconds(MeasureDeaths(TodaysShape(kLoss), 20, seed)), "s");
   report.AtMost("death known everywhere, 500 instances", kDeathSeconds,
-                Seconds(MeasureDeaths(LargeShape(0), 3, seed)), "s");
+                ToSeconds(MeasureDeaths(LargeShape(0), 3, seed)), "s");
   const auto deaths = [seed](const FleetShape& shape, Duration pause,
                              Duration time) {
     return static_cast<double>(MeasureFalseDeaths(shape, pause, time, seed));
@@ -182,14 +178,6 @@
   return {};
 }
 
-void Print(const Report& report, bool as_json) {
-  if (as_json) {
-    report.PrintJson(std::cout);
-  } else {
-    report.PrintText(std::cout);
-  }
-}
-
 }  // namespace
 
 auto FleetCommand::Run(const std::vector<std::string>& arguments) -> ExitCode {
@@ -213,13 +201,10 @@
           MeasureReads(seed, parsed.count("largest") > 0, report);
           MeasureLarge(seed, report);
         }
-        Print(report, parsed.count("json") > 0);
-        return report.exit_code();
+        return report.Print(std::cout, parsed.count("json") > 0);
       },
       [](const Error& error) {
-        std::cerr << "hemlockwick-measure fleet: " << error.message << "; "
-                  << error.remedy << "\n";
-        return ExitCode::kUsage;
+        return ReportError("hemlockwick-measure fleet", error);
       });
 }
 
--- a/Source/Measure/fleet_measure.cc
+++ b/Source/Measure/fleet_measure.cc
@@ -27,10 +27,6 @@
 constexpr Duration kSettleTime = std::chrono::seconds(20);
 constexpr double kScheduleLoss = 0.1;
 
-auto Seconds(Duration time) -> double {
-  return std::chrono::duration<double>(time).count();
-}
-
 // Runs until the condition holds and returns how long that took.
 template <typename Condition>
 auto TimeUntil(FleetSimulation& fleet, const Condition& condition) -> Duration {
@@ -47,7 +43,7 @@
   const auto after = fleet.SentBytes();
   for (std::size_t at = 0; at < after.size(); ++at) {
     const auto rate =
-        static_cast<double>(after[at] - before[at]) / Seconds(time);
+        static_cast<double>(after[at] - before[at]) / ToSeconds(time);
     outcome.mean_bytes += rate / static_cast<double>(after.size());
     outcome.highest_bytes = std::max(outcome.highest_bytes, rate);
   }
@@ -81,7 +77,7 @@
   const auto time = fleet.now() - start;
   NoteTraffic(fleet, bytes, time, outcome);
   outcome.reads =
-      static_cast<double>(fleet.platform().calls() - calls) / Seconds(time);
+      static_cast<double>(fleet.platform().calls() - calls) / ToSeconds(time);
   outcome.false_deaths = fleet.false_deaths();
   outcome.reverts = fleet.reverts();
   return outcome;
--- a/Source/Measure/flow_measure.cc
+++ b/Source/Measure/flow_measure.cc
@@ -289,15 +289,6 @@
   return report;
 }
 
-auto Print(const Report& report, bool json) -> ExitCode {
-  if (json) {
-    report.PrintJson(std::cout);
-  } else {
-    report.PrintText(std::cout);
-  }
-  return report.exit_code();
-}
-
 }  // namespace
 
 auto FlowMeasure::Run(const std::vector<std::string>& arguments) -> ExitCode {
@@ -315,13 +306,13 @@
   const auto seed = parsed["seed"].as<std::uint64_t>();
   const auto json = parsed.count("json") > 0;
   if (parsed.count("schedule") == 0) {
-    return Print(StandardReport(seed), json);
+    return StandardReport(seed).Print(std::cout, json);
   }
   return TryOr(
       [&parsed, seed, json]() -> Result<ExitCode> {
         BOOST_LEAF_AUTO(schedule,
                         ReadFlowSchedule(parsed["schedule"].as<std::string>()));
-        return Print(ScheduleReport(schedule, seed), json);
+        return ScheduleReport(schedule, seed).Print(std::cout, json);
       },
       [](const Error& error) {
         std::cerr << "hemlockwick-measure flows: " << error.message << "\n";
--- a/Source/Measure/make_trace_command.cc
+++ b/Source/Measure/make_trace_command.cc
@@ -38,9 +38,7 @@
         return ExitCode::kSuccess;
       },
       [](const Error& error) {
-        std::cerr << "hemlockwick-measure make-trace: " << error.message << "; "
-                  << error.remedy << "\n";
-        return ExitCode::kUsage;
+        return ReportError("hemlockwick-measure make-trace", error);
       });
 }
 
--- a/Source/Measure/report.cc
+++ b/Source/Measure/report.cc
@@ -106,6 +106,15 @@
   out << nlohmann::json{{"title", title_}, {"rows", rows}}.dump(2) << "\n";
 }
 
+auto Report::Print(std::ostream& out, bool as_json) const -> ExitCode {
+  if (as_json) {
+    PrintJson(out);
+  } else {
+    PrintText(out);
+  }
+  return exit_code();
+}
+
 auto Report::exit_code() const -> ExitCode {
   const auto missed = std::any_of(
       rows_.begin(), rows_.end(),
--- a/Source/Measure/report.h
+++ b/Source/Measure/report.h
@@ -50,6 +50,9 @@
   void PrintText(std::ostream& out) const;
   void PrintJson(std::ostream& out) const;
 
+  // Prints as JSON or as text; returns the exit code.
+  [[nodiscard]] auto Print(std::ostream& out, bool as_json) const -> ExitCode;
+
   // kFailure when a bound is missed.
   [[nodiscard]] auto exit_code() const -> ExitCode;
 
--- a/Source/Measure/request_slopes.cc
+++ b/Source/Measure/request_slopes.cc
@@ -54,10 +54,6 @@
   return view;
 }
 
-auto Seconds(Clock::duration duration) -> double {
-  return std::chrono::duration<double>(duration).count();
-}
-
 // A request plane that answers its own dispatches at once.
 class SelfAnsweringPlane {
  public:
@@ -75,7 +71,7 @@
     for (auto count = std::size_t{0}; count < kRequestsPerRound; ++count) {
       RunRequest();
     }
-    return Seconds(Clock::now() - started);
+    return ToSeconds(Clock::now() - started);
   }
 
   // Returns the seconds that a new version of the configuration took.
@@ -83,7 +79,7 @@
     const auto config = MakeConfig(endpoints_, version);
     const auto started = Clock::now();
     plane_.OnConfig(config, now_);
-    return Seconds(Clock::now() - started);
+    return ToSeconds(Clock::now() - started);
   }
 
  private:
--- a/Source/Measure/requests_command.cc
+++ b/Source/Measure/requests_command.cc
@@ -97,12 +97,7 @@
     ReportSharedLimit(seed, report);
     ReportDecisionCost(seed, report);
   }
-  if (parsed.count("json") > 0) {
-    report.PrintJson(std::cout);
-  } else {
-    report.PrintText(std::cout);
-  }
-  return report.exit_code();
+  return report.Print(std::cout, parsed.count("json") > 0);
 }
 
 }  // namespace
@@ -117,9 +112,7 @@
   }
   return TryOr([&parsed] { return Measure(parsed); },
                [](const Error& error) {
-                 std::cerr << "hemlockwick-measure requests: " << error.message
-                           << "; " << error.remedy << "\n";
-                 return ExitCode::kUsage;
+                 return ReportError("hemlockwick-measure requests", error);
                });
 }
 
--- a/Source/Measure/tokens_command.cc
+++ b/Source/Measure/tokens_command.cc
@@ -93,17 +93,10 @@
         for (const auto& pattern : patterns) {
           Measure(pattern, seed, report);
         }
-        if (parsed.count("json") > 0) {
-          report.PrintJson(std::cout);
-        } else {
-          report.PrintText(std::cout);
-        }
-        return report.exit_code();
+        return report.Print(std::cout, parsed.count("json") > 0);
       },
       [](const Error& error) {
-        std::cerr << "hemlockwick-measure tokens: " << error.message << "; "
-                  << error.remedy << "\n";
-        return ExitCode::kUsage;
+        return ReportError("hemlockwick-measure tokens", error);
       });
 }
 
--- a/Source/Measure/udp_command.cc
+++ b/Source/Measure/udp_command.cc
@@ -42,9 +42,7 @@
 }
 
 auto PrintError(const Error& error) -> ExitCode {
-  std::cerr << "hemlockwick-measure udp: " << error.message << "; "
-            << error.remedy << "\n";
-  return ExitCode::kUsage;
+  return ReportError("hemlockwick-measure udp", error);
 }
 
 }  // namespace
@@ -63,12 +61,7 @@
       [&]() -> Result<ExitCode> {
         BOOST_LEAF_AUTO(figures, RunUdpBench(settings));
         const auto report = NewReport(figures);
-        if (parsed.count("json") > 0) {
-          report.PrintJson(std::cout);
-        } else {
-          report.PrintText(std::cout);
-        }
-        return report.exit_code();
+        return report.Print(std::cout, parsed.count("json") > 0);
       },
       &PrintError);
 }
--- a/Source/Request/decayed_rate.cc
+++ b/Source/Request/decayed_rate.cc
@@ -6,15 +6,8 @@
 
 namespace hemlockwick {
 
-namespace {
-
-auto Seconds(Duration duration) -> double {
-  return std::chrono::duration<double>(duration).count();
-}
-
-}  // namespace
-
-DecayedRate::DecayedRate(Duration window) : window_seconds_(Seconds(window)) {}
+DecayedRate::DecayedRate(Duration window)
+    : window_seconds_(ToSeconds(window)) {}
 
 void DecayedRate::Add(double amount, TimePoint now) {
   sum_ = Decayed(now) + amount;
@@ -29,7 +22,7 @@
   if (sum_ == 0 || now <= updated_) {
     return sum_;
   }
-  return sum_ * std::exp(-Seconds(now - updated_) / window_seconds_);
+  return sum_ * std::exp(-ToSeconds(now - updated_) / window_seconds_);
 }
 
 }  // namespace hemlockwick
