Edge: Say what a note holds by name, and ask for a line before making it

Found on reading the whole change once more.

Cause and change, behaviour as it is: - LogNote made the fields of a line about a flow before it asked whether the line may be written, for each opening, at any level.

--- a/Source/Edge/router_log.cc
+++ b/Source/Edge/router_log.cc
@@ -53,6 +53,9 @@
 
 void LogNote(const RouterNote& note, const DirectorySnapshot* directory,
              TimePoint now) {
+  if (IsAboutFlow(note.kind) && !TakeDecisionLine(now)) {
+    return;
+  }
   auto fields = Fields();
   AddFlow(note, fields);
   if (note.token != kNoToken) {
@@ -72,11 +75,7 @@
     fields["age_ms"] = MillisOf(note.age);
   }
   AddDirectory(directory, now, fields);
-  if (IsAboutFlow(note.kind)) {
-    LogDecision(ToString(note.kind), fields, now);
-  } else {
-    LogSoon(LogLevel::kInfo, ToString(note.kind), fields);
-  }
+  LogSoon(LogLevel::kInfo, ToString(note.kind), fields);
 }
 
 namespace {
--- a/Source/Edge/settings_watch.cc
+++ b/Source/Edge/settings_watch.cc
@@ -1,5 +1,6 @@
 #include "Edge/settings_watch.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "Runtime/log.h"
@@ -57,10 +58,7 @@
 
 void SettingsWatch::Compare(const ServeSettings& next, std::string_view cause) {
   // The line appears when either level lets it.
-  const auto is_quieter = next.log_level > running_.log_level;
-  if (!is_quieter) {
-    SetLogLevel(next.log_level);
-  }
+  SetLogLevel(std::min(next.log_level, running_.log_level));
   const auto needs_restart = NeedsRestart(running_, next);
   Log(needs_restart ? LogLevel::kWarning : LogLevel::kInfo, "settings_reloaded",
       {{"cause", std::string(cause)},
--- a/Source/Flow/endpoint_load.h
+++ b/Source/Flow/endpoint_load.h
@@ -20,6 +20,12 @@
   TimePoint at;  // Of the latest report.
 };
 
+inline void AddOnce(std::vector<FlowToken>& tokens, FlowToken token) {
+  if (std::ranges::find(tokens, token) == tokens.end()) {
+    tokens.push_back(token);
+  }
+}
+
 // What an instance tells others about endpoints.
 struct EndpointNews {
   std::vector<FlowToken> silent;  // Left packets unanswered.
@@ -39,9 +45,7 @@
   static void MergeTokens(std::vector<FlowToken>& all,
                           const std::vector<FlowToken>& more) {
     for (const auto token : more) {
-      if (std::ranges::find(all, token) == all.end()) {
-        all.push_back(token);
-      }
+      AddOnce(all, token);
     }
   }
 };
--- a/Source/Flow/flow_watch.cc
+++ b/Source/Flow/flow_watch.cc
@@ -43,12 +43,6 @@
   return static_cast<std::int32_t>(left - right) < 0;
 }
 
-void AddOnce(std::vector<FlowToken>& tokens, FlowToken token) {
-  if (std::ranges::find(tokens, token) == tokens.end()) {
-    tokens.push_back(token);
-  }
-}
-
 }  // namespace
 
 FlowWatch::FlowWatch(InstanceId instance, std::size_t capacity,
@@ -86,8 +80,10 @@
     return std::nullopt;
   }
   if (flow.established && flow.token != token) {
-    notes_.Add({RouterNote::Kind::kTokenChanged, packet.caller, packet.service,
-                token, 0, 0, 0, Duration(0), ""});
+    notes_.Add({.kind = RouterNote::Kind::kTokenChanged,
+                .caller = packet.caller,
+                .service = packet.service,
+                .token = token});
   }
   SetToken(flow, token, now);
   NotePacket(flow, packet, now);
@@ -251,15 +247,10 @@
 void FlowWatch::NoteAlive(FlowToken token, TimePoint now) {
   auto& signs = LoadOf(token, now).signs;
   if (signs.IsSuspect(now) || signs.IsSilent(now)) {
-    notes_.Add({RouterNote::Kind::kEndpointAlive,
-                {},
-                {},
-                token,
-                0,
-                signs.signs(),
-                0,
-                now - signs.last_alive(),
-                ""});
+    notes_.Add({.kind = RouterNote::Kind::kEndpointAlive,
+                .token = token,
+                .signs = signs.signs(),
+                .age = now - signs.last_alive()});
   }
   if (signs.IsSharedSuspect(now)) {
     AddOnce(news_.alive, token);
@@ -285,14 +276,18 @@
   if (packet != SilentPacket::kOpening) {
     AddOnce(news_.silent, flow.token);
   }
-  const auto age = now - signs.last_alive();
+  auto note = RouterNote{.kind = RouterNote::Kind::kEndpointSuspected,
+                         .caller = flow.caller,
+                         .service = flow.service,
+                         .token = flow.token,
+                         .signs = signs.signs(),
+                         .age = now - signs.last_alive()};
   if (!was_suspect && signs.IsSuspect(now)) {
-    notes_.Add({RouterNote::Kind::kEndpointSuspected, flow.caller, flow.service,
-                flow.token, 0, signs.signs(), 0, age, ""});
+    notes_.Add(note);
   }
   if (!was_silent && signs.IsSilent(now)) {
-    notes_.Add({RouterNote::Kind::kEndpointSilent, flow.caller, flow.service,
-                flow.token, 0, signs.signs(), 0, age, ""});
+    note.kind = RouterNote::Kind::kEndpointSilent;
+    notes_.Add(note);
     newly_silent_.push_back(flow.token);
   }
 }
@@ -327,15 +322,7 @@
   if (previous == TimePoint() || now - previous <= kLongestTick) {
     return;
   }
-  notes_.Add({RouterNote::Kind::kSuspended,
-              {},
-              {},
-              kNoToken,
-              0,
-              0,
-              0,
-              now - previous,
-              ""});
+  notes_.Add({.kind = RouterNote::Kind::kSuspended, .age = now - previous});
   pending_.clear();
   newly_silent_.clear();
   for (auto& [token, load] : loads_) {
@@ -362,8 +349,11 @@
       return;
     }
     resets.push_back({flow.caller, flow.service, flow.last_ack, reason});
-    notes_.Add({RouterNote::Kind::kFlowReset, flow.caller, flow.service, token,
-                0, 0, 0, Duration(0), ToString(reason)});
+    notes_.Add({.kind = RouterNote::Kind::kFlowReset,
+                .caller = flow.caller,
+                .service = flow.service,
+                .token = token,
+                .detail = ToString(reason)});
     Forget(flow);
   });
   return resets;
--- a/Source/Flow/token_router.cc
+++ b/Source/Flow/token_router.cc
@@ -68,9 +68,13 @@
   }
   watch_.OnOpened(packet, endpoint->token, now);
   const auto& load = watch_.LoadOf(endpoint->token, now);
-  notes_.Add({RouterNote::Kind::kFlowOpened, packet.caller, packet.service,
-              endpoint->token, packet.ack, load.signs.signs(),
-              load.waiting_flows, Duration(0), ""});
+  notes_.Add({.kind = RouterNote::Kind::kFlowOpened,
+              .caller = packet.caller,
+              .service = packet.service,
+              .token = endpoint->token,
+              .copy = packet.ack,
+              .signs = load.signs.signs(),
+              .waiting = load.waiting_flows});
   return ForwardWithToken{endpoint->report.id, endpoint->report.address,
                           ToWire(endpoint->token, packet.service)};
 }
@@ -142,16 +146,23 @@
     return DropPacket{DropReason::kUnknownService};
   }
   watch_.OnEnded(FlowKeyOf(packet.caller, packet.service));
-  notes_.Add({RouterNote::Kind::kFlowReset, packet.caller, packet.service,
-              TokenOf(packet), 0, 0, 0, age, ToString(reason)});
+  notes_.Add({.kind = RouterNote::Kind::kFlowReset,
+              .caller = packet.caller,
+              .service = packet.service,
+              .token = TokenOf(packet),
+              .age = age,
+              .detail = ToString(reason)});
   const auto seq = packet.opens ? 0 : packet.ack;
   return ResetFlow{packet.caller, packet.service, seq, reason};
 }
 
 auto TokenRouter::Drop(const TokenPacket& packet, DropReason reason)
     -> TokenAction {
-  notes_.Add({RouterNote::Kind::kPacketDropped, packet.caller, packet.service,
-              TokenOf(packet), 0, 0, 0, Duration(0), ToString(reason)});
+  notes_.Add({.kind = RouterNote::Kind::kPacketDropped,
+              .caller = packet.caller,
+              .service = packet.service,
+              .token = TokenOf(packet),
+              .detail = ToString(reason)});
   return DropPacket{reason};
 }
 
--- a/Source/Flow/token_types.h
+++ b/Source/Flow/token_types.h
@@ -79,14 +79,14 @@
   };
 
   Kind kind = Kind::kFlowOpened;
-  SocketAddress caller;
-  SocketAddress service;
-  FlowToken token;
+  SocketAddress caller{};
+  SocketAddress service{};
+  FlowToken token{};
   std::uint32_t copy = 0;   // Of an opening: copies sent before this one.
   std::uint32_t signs = 0;  // Of the endpoint.
   std::uint32_t waiting = 0;
-  Duration age{0};          // Of the decisive input.
-  std::string_view detail;  // Reason, with static lifetime.
+  Duration age{0};            // Of the decisive input.
+  std::string_view detail{};  // Reason, with static lifetime.
 };
 
 // Name of the kind as it appears in the log, for example "flow_opened".
--- a/Source/Measure/token_pattern.cc
+++ b/Source/Measure/token_pattern.cc
@@ -38,31 +38,31 @@
 }  // namespace
 
 auto TokenPatterns() -> std::vector<TokenPattern> {
+  // Answers kauri-roll quiet-1.
   auto calm = SmallPattern();
   calm.name = "calm crest";
-  calm.origin = "kauri-roll quiet-1";
 
+  // Answers kauri-roll inc-56c3.
   auto dark = SmallPattern();
   dark.name = "quarter falls dark";
-  dark.origin = "kauri-roll inc-56c3";
   dark.fault = PatternFault::kDark;
   dark.faulty_endpoints = 4;
   dark.fault_at = seconds(8);
 
+  // Answers deploy/days/crowds.toml on fvl-hq.
   auto slow = SmallPattern();
   slow.name = "four turn slow";
-  slow.origin = "deploy/days/crowds.toml on fvl-hq";
   slow.fault = PatternFault::kSlow;
   slow.faulty_endpoints = 4;
   slow.fault_at = seconds(8);
 
+  // Answers kauri-roll-grown quiet-1.
   auto grown = GrownPattern();
   grown.name = "grown calm crest";
-  grown.origin = "kauri-roll-grown quiet-1";
 
+  // Answers kauri-roll-grown inc-7972.
   auto grown_dark = GrownPattern();
   grown_dark.name = "grown, quarter falls dark";
-  grown_dark.origin = "kauri-roll-grown inc-7972";
   grown_dark.fault = PatternFault::kDark;
   grown_dark.faulty_endpoints = 30;
   grown_dark.fault_at = seconds(5);
--- a/Source/Measure/token_pattern.h
+++ b/Source/Measure/token_pattern.h
@@ -32,7 +32,6 @@
 // A load and a fault, as recorded on a day that was played.
 struct TokenPattern {
   std::string name;
-  std::string origin;  // The day that it answers.
   std::size_t instances = 0;
   std::size_t data_centres = 3;
   std::size_t endpoints = 0;
--- a/Source/Measure/token_world.cc
+++ b/Source/Measure/token_world.cc
@@ -252,7 +252,6 @@
   flow.requests_left = requests;
   flow.asked = asked;
   flow.answered = false;
-  ++outcome_.flows;
   SendOpening(id, 0);
   After(kFirstCopy, [this, id] { SendOpening(id, 1); });
   After(kSecondCopy, [this, id] { SendOpening(id, 2); });
@@ -279,13 +278,8 @@
     auto packet = PacketOf(id, flow->second);
     packet.opens = true;
     packet.ack = copy;
-    const auto action = InstanceOf(id).Decide(packet, now_);
-    if (std::holds_alternative<ResetFlow>(action)) {
-      After(kCallerWay, [this, id] { OnReset(id); });
-      return;
-    }
-    const auto* const forward = std::get_if<ForwardWithToken>(&action);
-    if (forward == nullptr) {
+    const auto forward = DecideFor(id, packet);
+    if (!forward) {
       return;
     }
     const auto& endpoint = endpoints_[forward->endpoint.value() - 1];
@@ -298,6 +292,18 @@
   });
 }
 
+// What the flow's instance forwards; a reset goes back to the caller.
+template <typename Router>
+auto TokenWorld<Router>::DecideFor(std::uint64_t id, const TokenPacket& packet)
+    -> std::optional<ForwardWithToken> {
+  const auto action = InstanceOf(id).Decide(packet, now_);
+  if (std::holds_alternative<ResetFlow>(action)) {
+    After(kCallerWay, [this, id] { OnReset(id); });
+  }
+  const auto* const forward = std::get_if<ForwardWithToken>(&action);
+  return forward == nullptr ? std::nullopt : std::optional(*forward);
+}
+
 template <typename Router>
 void TokenWorld<Router>::CountOpening(const PatternEndpoint& endpoint) {
   if (pattern_.fault != PatternFault::kDark ||
@@ -349,13 +355,8 @@
     }
     auto packet = PacketOf(id, flow->second);
     packet.data_bytes = kRequestBytes;
-    const auto action = InstanceOf(id).Decide(packet, now_);
-    if (std::holds_alternative<ResetFlow>(action)) {
-      After(kCallerWay, [this, id] { OnReset(id); });
-      return;
-    }
-    const auto* const forward = std::get_if<ForwardWithToken>(&action);
-    if (forward == nullptr || !is_first) {
+    const auto forward = DecideFor(id, packet);
+    if (!forward || !is_first) {
       return;
     }
     const auto position = forward->endpoint.value() - 1;
--- a/Source/Measure/token_world.h
+++ b/Source/Measure/token_world.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <unordered_map>
 #include <vector>
@@ -25,7 +26,6 @@
   std::size_t requests = 0;
   std::size_t late = 0;    // Answered after the aim.
   std::size_t failed = 0;  // Not answered by the deadline.
-  std::size_t flows = 0;
   // Flows first sent to a dark endpoint a second or more after it fell dark,
   // and all flows opened since then.
   std::size_t flows_to_dark = 0;
@@ -96,6 +96,8 @@
   void Expire(std::uint64_t id, std::uint32_t request);
   void RunAt(std::size_t endpoint, const std::optional<PatternWork>& work);
 
+  auto DecideFor(std::uint64_t id, const TokenPacket& packet)
+      -> std::optional<ForwardWithToken>;
   auto PacketOf(std::uint64_t id, const Flow& flow) const -> TokenPacket;
   auto InstanceOf(std::uint64_t id) -> Router&;
   auto DrawWork(const PatternKind& kind) -> Duration;
--- a/Source/Runtime/log.cc
+++ b/Source/Runtime/log.cc
@@ -123,15 +123,11 @@
   }
 }
 
-void LogDecision(std::string_view message,
-                 const std::map<std::string, std::string>& fields,
-                 TimePoint now) {
+auto TakeDecisionLine(TimePoint now) -> bool {
   auto& log = TheLog();
   const auto is_wanted =
       log.logger != nullptr && log.logger->should_log(spdlog::level::info);
-  if (is_wanted && log.limit.Take(now)) {
-    Write(*log.logger, LogLevel::kInfo, message, fields);
-  }
+  return is_wanted && log.limit.Take(now);
 }
 
 void FlushLog() {
--- a/Source/Runtime/log.h
+++ b/Source/Runtime/log.h
@@ -29,11 +29,10 @@
 void LogSoon(LogLevel level, std::string_view message,
              const std::map<std::string, std::string>& fields = {});
 
-// Writes one line about a decision, at level info. Such lines are gathered
-// until FlushLog and limited to kDecisionLinesPerSecond.
-void LogDecision(std::string_view message,
-                 const std::map<std::string, std::string>& fields,
-                 TimePoint now);
+// Whether a line about a decision, at level info, is to be written now: asked
+// before its fields are made. Such lines are limited to
+// kDecisionLinesPerSecond; one that is refused for that is counted as dropped.
+[[nodiscard]] auto TakeDecisionLine(TimePoint now) -> bool;
 inline constexpr std::uint32_t kDecisionLinesPerSecond = 200;
 
 // Writes the gathered lines.
--- a/Tests/Edge/settings_watch_test.cc
+++ b/Tests/Edge/settings_watch_test.cc
@@ -1,6 +1,7 @@
 #include "Edge/settings_watch.h"
 
 #include <criterion/criterion.h>
+#include <unistd.h>
 
 #include <cstdio>
 #include <fstream>
@@ -21,24 +22,19 @@
 seeds: [127.0.0.1:4]
 )";
 
-// A settings file that an edge process has started with.
-class File {
- public:
-  explicit File(std::string name) : name_(std::move(name)) { Write(""); }
-  ~File() { std::remove(name_.c_str()); }
-  File(const File&) = delete;
-  auto operator=(const File&) -> File& = delete;
-
-  void Write(const std::string& more) const {
-    std::ofstream(name_) << kBase << more;
-  }
-  auto Watch() const -> SettingsWatch {
-    return {name_, ParseSettings(kBase, name_).settings};
+// Reads the file again for each of `texts`, which it holds in turn after what
+// the process has started with.
+void ReloadEach(const std::vector<std::string>& texts) {
+  const auto file =
+      "/tmp/settings_watch_test_" + std::to_string(getpid()) + ".yaml";
+  std::ofstream(file) << kBase;
+  auto watch = SettingsWatch(file, ParseSettings(kBase, file).settings);
+  for (const auto& text : texts) {
+    std::ofstream(file) << kBase << text;
+    watch.Reload("signal");
   }
-
- private:
-  std::string name_;
-};
+  std::remove(file.c_str());
+}
 
 auto Contains(const std::string& line, const std::string& part) -> bool {
   return line.find(part) != std::string::npos;
@@ -48,15 +44,9 @@
 constexpr auto kNeedsNone = R"("needs_restart":"false")";
 
 Test(settings_watch, every_key_but_the_log_level_needs_a_restart) {
-  const auto file = File("/tmp/settings_watch_test_1.yaml");
-  const auto lines = LinesOf([&file] {
-    auto watch = file.Watch();
-    file.Write("log_level: debug\n");
-    watch.Reload("signal");
-    file.Write("leave_grace: 3s\n");
-    watch.Reload("signal");
-    file.Write("metrics: 127.0.0.1:9\n");
-    watch.Reload("signal");
+  const auto lines = LinesOf([] {
+    ReloadEach(
+        {"log_level: debug\n", "leave_grace: 3s\n", "metrics: 127.0.0.1:9\n"});
   });
   cr_assert_eq(lines.size(), 3U);
   cr_assert(Contains(lines[0], kNeedsNone));
@@ -66,14 +56,9 @@
 
 // The process still runs with what it started with.
 Test(settings_watch, a_restart_stays_needed) {
-  const auto file = File("/tmp/settings_watch_test_2.yaml");
-  const auto lines = LinesOf([&file] {
-    auto watch = file.Watch();
-    file.Write("metrics: 127.0.0.1:9\n");
-    watch.Reload("signal");
-    watch.Reload("signal");
-    file.Write("");
-    watch.Reload("signal");
+  const auto changed = std::string("metrics: 127.0.0.1:9\n");
+  const auto lines = LinesOf([&changed] {
+    ReloadEach({changed, changed, ""});
   });
   cr_assert_eq(lines.size(), 3U);
   cr_assert(Contains(lines[1], kNeedsRestart));
@@ -81,23 +66,15 @@
 }
 
 Test(settings_watch, a_reload_has_its_line_when_the_level_is_raised) {
-  const auto file = File("/tmp/settings_watch_test_3.yaml");
-  const auto lines = LinesOf([&file] {
-    auto watch = file.Watch();
-    file.Write("log_level: warning\n");
-    watch.Reload("signal");
-    file.Write("log_level: info\n");
-    watch.Reload("signal");
+  const auto lines = LinesOf([] {
+    ReloadEach({"log_level: warning\n", "log_level: info\n"});
   });
   cr_assert_eq(lines.size(), 2U);
 }
 
 Test(settings_watch, a_bad_file_changes_nothing) {
-  const auto file = File("/tmp/settings_watch_test_4.yaml");
-  const auto lines = LinesOf([&file] {
-    auto watch = file.Watch();
-    file.Write("leave_grace: x\n");
-    watch.Reload("signal");
+  const auto lines = LinesOf([] {
+    ReloadEach({"leave_grace: x\n"});
     Log(LogLevel::kInfo, "still_logged");
   });
   cr_assert_eq(lines.size(), 2U);
