Flow: Share which endpoints leave requests unanswered

Such an endpoint answers others, so it is never silent, and its resets go to the callers alone. Each of 77 instances had to learn it for itself, from half a request a second of each endpoint.

Change: a request without an answer for a second is logged, counted and reported to the relays; two reporters within 1.5 s make the endpoint failing. That is a cost of two waiting requests a slot for new flows, no exclusion, and ends by turns. SignExchange holds two SuspectReports, one for silence, one for failures. TokenWorld knows endpoints that are mute or reset flows, and requests that are not repeated.

Endpoints that answer quickly and wrongly still pass unseen.

--- a/Source/Edge/edge_forwarder.h
+++ b/Source/Edge/edge_forwarder.h
@@ -64,7 +64,7 @@
     }
     Flush();
     if (arrived < batch_.capacity()) {
-      router_.NoteShared(signs_.TakeShared());
+      router_.NoteShared(signs_.TakeShared(), now);
       SendResets(router_.OnTick(now));
     }
     Report(now);
@@ -140,6 +140,8 @@
       LogSoon(LogLevel::kWarning, "notes_lost",
               {{"total", std::to_string(notes_lost_)}});
     }
+    metrics_.CountUnanswered(router_.unanswered() -
+                             std::exchange(unanswered_, router_.unanswered()));
     for (const auto& sample : router_.TakeReplies()) {
       metrics_.Observe(sample);
     }
@@ -155,6 +157,7 @@
   TokenRouter router_;
   DatagramBatch batch_;
   std::uint64_t notes_lost_ = 0;
+  std::uint64_t unanswered_ = 0;
   std::atomic<TimePoint> last_packet_{TimePoint()};
 };
 
--- a/Source/Edge/edge_metrics.cc
+++ b/Source/Edge/edge_metrics.cc
@@ -22,6 +22,8 @@
                               "Packets that the kernel refused to send")),
       ignored_(NewCounter("directory_entries_ignored_total",
                           "Entries of the platform that were not understood")),
+      unanswered_(NewCounter("requests_unanswered_total",
+                             "Requests on flows without an answer in time")),
       opening_time_(NewHistogram("flow_opening_seconds",
                                  "Time from a caller's opening packet to the "
                                  "first packet after the handshake")),
--- a/Source/Edge/edge_metrics.h
+++ b/Source/Edge/edge_metrics.h
@@ -29,6 +29,7 @@
   void CountDropped(DropReason reason);
   void CountCall(SyncStatus status, Duration time);
   void CountIgnoredEntries(std::size_t entries) { Add(ignored_, entries); }
+  void CountUnanswered(std::size_t requests) { Add(unanswered_, requests); }
   void Observe(const ReplySample& sample);
   void SetDirectory(Version version, std::size_t endpoints);
   void SetLogLinesDropped(std::uint64_t lines);
@@ -53,6 +54,7 @@
   prometheus::Counter& forwarded_;
   prometheus::Counter& send_failed_;
   prometheus::Counter& ignored_;
+  prometheus::Counter& unanswered_;
   std::array<prometheus::Counter*, kResetReasonCount> resets_{};
   std::array<prometheus::Counter*, kDropReasonCount> drops_{};
   std::array<prometheus::Counter*, kSyncStatusCount> calls_{};
--- a/Source/Edge/relay_codec.cc
+++ b/Source/Edge/relay_codec.cc
@@ -1,5 +1,7 @@
 #include "Edge/relay_codec.h"
 
+#include <algorithm>
+#include <array>
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <unordered_map>
@@ -17,6 +19,16 @@
 // Endpoints that one report may name, of each kind.
 constexpr std::size_t kMaxTokens = 64;
 
+// Names of the kinds of endpoints in a report.
+struct ReportField {
+  std::string_view name;
+  std::vector<FlowToken> EndpointNews::*tokens;
+};
+constexpr auto kReportFields =
+    std::array<ReportField, 3>{{{"silent", &EndpointNews::silent},
+                                {"alive", &EndpointNews::alive},
+                                {"failing", &EndpointNews::failing}}};
+
 // Longest time for which a relay holds a call.
 constexpr std::uint64_t kMaxWaitMillis = 30'000;
 
@@ -153,11 +165,21 @@
   auto result = Json::array();
   for (const auto& suspect : suspects) {
     result.push_back(
-        Json::array({suspect.token.value(), ToMillis(now - suspect.at)}));
+        Json::array({suspect.token.value(), ToMillis(now - suspect.at),
+                     static_cast<int>(suspect.suspicion)}));
   }
   return result;
 }
 
+// Relays of an earlier version name no suspicion.
+auto DecodeSuspicion(const Json& item) -> Suspicion {
+  constexpr auto kPosition = std::size_t{2};
+  const auto is_failing =
+      item.size() > kPosition &&
+      item.at(kPosition).get<int>() == static_cast<int>(Suspicion::kFailing);
+  return is_failing ? Suspicion::kFailing : Suspicion::kSilent;
+}
+
 auto DecodeSuspects(const Json& items, TimePoint now)
     -> std::vector<SharedSuspect> {
   auto result = std::vector<SharedSuspect>();
@@ -165,8 +187,8 @@
     return now - std::chrono::milliseconds(age.get<std::int64_t>());
   };
   for (const auto& item : items) {
-    result.push_back(
-        {FlowToken(item.at(0).get<std::uint32_t>()), before(item.at(1))});
+    result.push_back({FlowToken(item.at(0).get<std::uint32_t>()),
+                      before(item.at(1)), DecodeSuspicion(item)});
   }
   return result;
 }
@@ -307,11 +329,10 @@
 auto FormatReport(const SignReport& report) -> std::string {
   auto target = std::string(kSignsPath) +
                 "?from=" + std::to_string(report.reporter.value());
-  for (const auto token : report.news.silent) {
-    target += "&silent=" + std::to_string(token.value());
-  }
-  for (const auto token : report.news.alive) {
-    target += "&alive=" + std::to_string(token.value());
+  for (const auto& [name, tokens] : kReportFields) {
+    for (const auto token : report.news.*tokens) {
+      target += "&" + std::string(name) + "=" + std::to_string(token.value());
+    }
   }
   return target;
 }
@@ -325,11 +346,16 @@
   for (const auto& [name, value] : *fields) {
     if (name == "from") {
       report.reporter = InstanceId(value);
-    } else if (name == "silent" || name == "alive") {
-      auto& tokens = name == "alive" ? report.news.alive : report.news.silent;
-      if (tokens.size() < kMaxTokens) {
-        tokens.emplace_back(static_cast<std::uint32_t>(value));
-      }
+      continue;
+    }
+    const auto field =
+        std::ranges::find(kReportFields, name, &ReportField::name);
+    if (field == kReportFields.end()) {
+      continue;
+    }
+    auto& tokens = report.news.*(field->tokens);
+    if (tokens.size() < kMaxTokens) {
+      tokens.emplace_back(static_cast<std::uint32_t>(value));
     }
   }
   return report;
--- a/Source/Edge/router_log.cc
+++ b/Source/Edge/router_log.cc
@@ -38,7 +38,8 @@
   return kind == RouterNote::Kind::kFlowOpened ||
          kind == RouterNote::Kind::kFlowReset ||
          kind == RouterNote::Kind::kPacketDropped ||
-         kind == RouterNote::Kind::kTokenChanged;
+         kind == RouterNote::Kind::kTokenChanged ||
+         kind == RouterNote::Kind::kRequestUnanswered;
 }
 
 }  // namespace
--- a/Source/Edge/sign_exchange.cc
+++ b/Source/Edge/sign_exchange.cc
@@ -21,21 +21,9 @@
 
 }  // namespace
 
-auto SignExchange::Report(InstanceId reporter, const EndpointNews& news,
-                          TimePoint now) -> bool {
+auto SuspectReports::Add(InstanceId reporter, FlowToken token, TimePoint now)
+    -> bool {
   ForgetOld(now);
-  auto has_changed = false;
-  for (const auto token : news.silent) {
-    has_changed = NoteSilent(reporter, token, now) || has_changed;
-  }
-  for (const auto token : news.alive) {
-    has_changed = reports_.erase(token) > 0 || has_changed;
-  }
-  return has_changed;
-}
-
-auto SignExchange::NoteSilent(InstanceId reporter, FlowToken token,
-                              TimePoint now) -> bool {
   if (reports_.size() >= kMaxEndpoints && !reports_.contains(token)) {
     return false;
   }
@@ -53,28 +41,28 @@
   return !was_suspect && IsSuspect(reports, now);
 }
 
-auto SignExchange::Suspects(TimePoint now) const -> std::vector<SharedSuspect> {
-  auto result = std::vector<SharedSuspect>();
+void SuspectReports::AppendSuspects(
+    Suspicion suspicion, TimePoint now,
+    std::vector<SharedSuspect>& suspects) const {
   for (const auto& [token, reports] : reports_) {
     if (IsSuspect(reports, now)) {
-      result.push_back({token, reports.suspected});
+      suspects.push_back({token, reports.suspected, suspicion});
     }
   }
-  return result;
 }
 
-auto SignExchange::IsSuspect(const Reports& reports, TimePoint now) -> bool {
+auto SuspectReports::IsSuspect(const Reports& reports, TimePoint now) -> bool {
   return now - reports.suspected < kReportTime;
 }
 
-auto SignExchange::AreSeveral(const Reports& reports, TimePoint now) -> bool {
+auto SuspectReports::AreSeveral(const Reports& reports, TimePoint now) -> bool {
   const auto recent = std::ranges::count_if(
       reports.latest,
       [now](const auto& report) { return now - report.second < kReportTime; });
   return recent >= kReportersNeeded;
 }
 
-void SignExchange::ForgetOld(TimePoint now) {
+void SuspectReports::ForgetOld(TimePoint now) {
   if (now < next_clean_) {
     return;
   }
@@ -90,4 +78,26 @@
   });
 }
 
+auto SignExchange::Report(InstanceId reporter, const EndpointNews& news,
+                          TimePoint now) -> bool {
+  auto has_changed = false;
+  for (const auto token : news.silent) {
+    has_changed = silent_.Add(reporter, token, now) || has_changed;
+  }
+  for (const auto token : news.alive) {
+    has_changed = silent_.Clear(token) || has_changed;
+  }
+  for (const auto token : news.failing) {
+    has_changed = failing_.Add(reporter, token, now) || has_changed;
+  }
+  return has_changed;
+}
+
+auto SignExchange::Suspects(TimePoint now) const -> std::vector<SharedSuspect> {
+  auto suspects = std::vector<SharedSuspect>();
+  silent_.AppendSuspects(Suspicion::kSilent, now, suspects);
+  failing_.AppendSuspects(Suspicion::kFailing, now, suspects);
+  return suspects;
+}
+
 }  // namespace hemlockwick
--- a/Source/Edge/sign_exchange.h
+++ b/Source/Edge/sign_exchange.h
@@ -12,20 +12,20 @@
 
 namespace hemlockwick {
 
-// Gathers what instances report to a relay about endpoints. A relay sees more
-// flows of an endpoint than each of them, so it finds a dead one sooner. One
-// instance alone never makes an endpoint suspect, and one that hears from the
-// endpoint clears it. A suspicion is renewed by one report, so that not every
+// Endpoints that instances suspect of one thing. One instance alone never makes
+// an endpoint suspect. A suspicion is renewed by one report, so that not every
 // instance has to try the endpoint, but not twice by the same instance.
-class SignExchange {
+class SuspectReports {
  public:
-  // Takes a report. Returns whether the set of suspects has changed.
-  auto Report(InstanceId reporter, const EndpointNews& news, TimePoint now)
-      -> bool;
+  // Takes a report. Returns whether the endpoint has become suspect.
+  auto Add(InstanceId reporter, FlowToken token, TimePoint now) -> bool;
 
-  // Endpoints that several instances have reported lately.
-  [[nodiscard]] auto Suspects(TimePoint now) const
-      -> std::vector<SharedSuspect>;
+  // Forgets what was reported of an endpoint. Returns whether there was any.
+  auto Clear(FlowToken token) -> bool { return reports_.erase(token) > 0; }
+
+  // Adds the endpoints that several instances have reported lately.
+  void AppendSuspects(Suspicion suspicion, TimePoint now,
+                      std::vector<SharedSuspect>& suspects) const;
 
  private:
   // What is known of an endpoint.
@@ -37,13 +37,30 @@
 
   static auto IsSuspect(const Reports& reports, TimePoint now) -> bool;
   static auto AreSeveral(const Reports& reports, TimePoint now) -> bool;
-  auto NoteSilent(InstanceId reporter, FlowToken token, TimePoint now) -> bool;
   void ForgetOld(TimePoint now);
 
   std::unordered_map<FlowToken, Reports> reports_;
   TimePoint next_clean_;
 };
 
+// Gathers what instances report to a relay about endpoints. A relay sees more
+// flows of an endpoint than each of them, so it finds a faulty one sooner. An
+// instance that hears from an endpoint clears it of silence.
+class SignExchange {
+ public:
+  // Takes a report. Returns whether the set of suspects has changed.
+  auto Report(InstanceId reporter, const EndpointNews& news, TimePoint now)
+      -> bool;
+
+  // Endpoints that several instances have reported lately.
+  [[nodiscard]] auto Suspects(TimePoint now) const
+      -> std::vector<SharedSuspect>;
+
+ private:
+  SuspectReports silent_;
+  SuspectReports failing_;
+};
+
 }  // namespace hemlockwick
 
 #endif  // HEMLOCKWICK_EDGE_SIGN_EXCHANGE_H_
--- a/Source/Flow/endpoint_load.h
+++ b/Source/Flow/endpoint_load.h
@@ -13,11 +13,17 @@
 
 namespace hemlockwick {
 
-// An endpoint that several instances have found not to answer, without another
-// instance having heard from it.
+// What several instances suspect an endpoint of.
+enum class Suspicion : std::uint8_t {
+  kSilent,   // It answers nothing, and no other instance has heard from it.
+  kFailing,  // It leaves requests unanswered; others it may answer.
+};
+
+// An endpoint that several instances suspect.
 struct SharedSuspect {
   FlowToken token;
   TimePoint at;  // Of the latest report.
+  Suspicion suspicion = Suspicion::kSilent;
 };
 
 inline void AddOnce(std::vector<FlowToken>& tokens, FlowToken token) {
@@ -30,15 +36,18 @@
 struct EndpointNews {
   std::vector<FlowToken> silent;  // Left packets unanswered.
   std::vector<FlowToken> alive;   // Suspect to others, but answered here.
+  // Did not answer a request in time.
+  std::vector<FlowToken> failing;
 
   [[nodiscard]] auto empty() const -> bool {
-    return silent.empty() && alive.empty();
+    return silent.empty() && alive.empty() && failing.empty();
   }
 
   // Adds other news; each endpoint is named once.
   void Merge(const EndpointNews& more) {
     MergeTokens(silent, more.silent);
     MergeTokens(alive, more.alive);
+    MergeTokens(failing, more.failing);
   }
 
  private:
--- a/Source/Flow/endpoint_signs.cc
+++ b/Source/Flow/endpoint_signs.cc
@@ -19,6 +19,13 @@
 // Data alone may wait for long work; openings never do.
 constexpr Duration kSilenceOfData = std::chrono::milliseconds(2000);
 
+// When an instance whose turn is `turn` tries an endpoint again that was
+// suspected at `at`.
+auto RetryAt(TimePoint at, double turn) -> TimePoint {
+  return at + kRetryTime +
+         std::chrono::duration_cast<Duration>(turn * kRetryTime);
+}
+
 }  // namespace
 
 void EndpointSigns::NoteAlive(TimePoint now) {
@@ -50,11 +57,18 @@
 
 void EndpointSigns::NoteShared(TimePoint at, double turn) {
   if (at > last_alive_) {
-    shared_until_ = at + kRetryTime +
-                    std::chrono::duration_cast<Duration>(turn * kRetryTime);
+    shared_until_ = RetryAt(at, turn);
   }
 }
 
+void EndpointSigns::NoteFailing(TimePoint at, double turn) {
+  failing_until_ = RetryAt(at, turn);
+}
+
+auto EndpointSigns::IsFailing(TimePoint now) const -> bool {
+  return now < failing_until_;
+}
+
 auto EndpointSigns::IsSharedSuspect(TimePoint now) const -> bool {
   return now < shared_until_;
 }
--- a/Source/Flow/endpoint_signs.h
+++ b/Source/Flow/endpoint_signs.h
@@ -41,6 +41,13 @@
   // twice as long after `at`.
   void NoteShared(TimePoint at, double turn);
 
+  // Notes that several instances had requests unanswered until `at`. Not
+  // cleared by answers: a failing endpoint gives some. `turn` as above.
+  void NoteFailing(TimePoint at, double turn);
+
+  // Whether the endpoint leaves requests unanswered, as several instances say.
+  [[nodiscard]] auto IsFailing(TimePoint now) const -> bool;
+
   // Whether other instances suspect the endpoint.
   [[nodiscard]] auto IsSharedSuspect(TimePoint now) const -> bool;
 
@@ -66,6 +73,7 @@
   TimePoint last_alive_;
   TimePoint last_sign_;
   TimePoint shared_until_;
+  TimePoint failing_until_;
   std::uint32_t openings_ = 0;
   std::uint32_t repeated_openings_ = 0;
   std::uint32_t repeated_data_ = 0;
--- a/Source/Flow/flow_watch.cc
+++ b/Source/Flow/flow_watch.cc
@@ -13,6 +13,10 @@
 // the caller; well above the round trips and below the caller's first copy.
 constexpr Duration kOpeningReplyTime = std::chrono::milliseconds(100);
 
+// A request that has had no answer for this long has failed, or its endpoint is
+// far too busy. Callers wait for 1.2 s and more.
+constexpr Duration kAnswerTime = std::chrono::seconds(1);
+
 // Callers send a packet again after a longer time. Packets that follow each
 // other sooner have waited in the socket.
 constexpr Duration kShortestResend = std::chrono::milliseconds(100);
@@ -70,7 +74,7 @@
   SetToken(flow, token, now);
   StopWaiting(flow);
   StartWaiting(flow, now);
-  pending_.push_back({flow.key, token, now});
+  openings_.push_back({flow.key, token, now});
 }
 
 auto FlowWatch::OnPacket(const TokenPacket& packet, FlowToken token,
@@ -167,7 +171,10 @@
     return;
   }
   flow.next_seq = end;
-  StartWaiting(flow, now);
+  if (!flow.waiting) {
+    StartWaiting(flow, now);
+    requests_.push_back({flow.key, flow.token, now});
+  }
   if (++flow.waiting_packets > kSendWindowPackets) {
     // The caller could not have sent more without acknowledgements.
     NoteAlive(flow.token, now);
@@ -296,17 +303,8 @@
     -> std::vector<ResetFlow> {
   CheckSuspension(now);
   ForgetIdle(directory, now);
-  while (!pending_.empty() &&
-         now - pending_.front().sent_at >= kOpeningReplyTime) {
-    const auto opening = pending_.front();
-    pending_.pop_front();
-    auto* const flow = flows_.Find(opening.flow);
-    if (flow != nullptr && !flow->established && flow->waiting &&
-        flow->token == opening.token &&
-        flow->waiting_since == opening.sent_at) {
-      NoteSilence(*flow, SilentPacket::kOpening, now);
-    }
-  }
+  JudgeOpenings(now);
+  JudgeRequests(now);
   auto resets = std::vector<ResetFlow>();
   for (const auto token : std::exchange(newly_silent_, {})) {
     auto ended = ResetTracked(token, ResetReason::kSilent, now - kResetWait);
@@ -315,6 +313,45 @@
   return resets;
 }
 
+void FlowWatch::JudgeOpenings(TimePoint now) {
+  while (!openings_.empty() &&
+         now - openings_.front().sent_at >= kOpeningReplyTime) {
+    auto* const flow = StillWaiting(openings_.front());
+    openings_.pop_front();
+    if (flow != nullptr && !flow->established) {
+      NoteSilence(*flow, SilentPacket::kOpening, now);
+    }
+  }
+}
+
+// A request may be unanswered because its endpoint has reset the flow, which
+// passes unseen.
+void FlowWatch::JudgeRequests(TimePoint now) {
+  while (!requests_.empty() && now - requests_.front().sent_at >= kAnswerTime) {
+    const auto* const flow = StillWaiting(requests_.front());
+    requests_.pop_front();
+    if (flow == nullptr) {
+      continue;
+    }
+    ++unanswered_;
+    AddOnce(news_.failing, flow->token);
+    notes_.Add({.kind = RouterNote::Kind::kRequestUnanswered,
+                .caller = flow->caller,
+                .service = flow->service,
+                .token = flow->token,
+                .age = now - flow->waiting_since});
+  }
+}
+
+// The flow that still waits for this very reply, if it does.
+auto FlowWatch::StillWaiting(const PendingReply& reply) -> TrackedFlow* {
+  auto* const flow = flows_.Find(reply.flow);
+  const auto waits = flow != nullptr && flow->waiting &&
+                     flow->token == reply.token &&
+                     flow->waiting_since == reply.sent_at;
+  return waits ? flow : nullptr;
+}
+
 // A process that did not run for a while has missed replies: what it takes for
 // silence may be its own.
 void FlowWatch::CheckSuspension(TimePoint now) {
@@ -323,7 +360,8 @@
     return;
   }
   notes_.Add({.kind = RouterNote::Kind::kSuspended, .age = now - previous});
-  pending_.clear();
+  openings_.clear();
+  requests_.clear();
   newly_silent_.clear();
   for (auto& [token, load] : loads_) {
     load.signs.Clear();
@@ -360,14 +398,30 @@
 }
 
 void FlowWatch::NoteShared(const std::vector<SharedSuspect>& suspects,
-                           const DirectorySnapshot& directory) {
+                           const DirectorySnapshot& directory, TimePoint now) {
   for (const auto& suspect : suspects) {
     if (directory.Find(suspect.token) == nullptr) {
       continue;
     }
     // An endpoint that this instance never used has not been heard from since.
     const auto before = suspect.at - std::chrono::milliseconds(1);
-    LoadOf(suspect.token, before).signs.NoteShared(suspect.at, TurnAt(suspect));
+    auto& signs = LoadOf(suspect.token, before).signs;
+    if (suspect.suspicion == Suspicion::kFailing) {
+      NoteFailing(signs, suspect, now);
+    } else {
+      signs.NoteShared(suspect.at, TurnAt(suspect));
+    }
+  }
+}
+
+void FlowWatch::NoteFailing(EndpointSigns& signs, const SharedSuspect& suspect,
+                            TimePoint now) {
+  const auto was_failing = signs.IsFailing(now);
+  signs.NoteFailing(suspect.at, TurnAt(suspect));
+  if (!was_failing && signs.IsFailing(now)) {
+    notes_.Add({.kind = RouterNote::Kind::kEndpointFailing,
+                .token = suspect.token,
+                .age = now - suspect.at});
   }
 }
 
--- a/Source/Flow/flow_watch.h
+++ b/Source/Flow/flow_watch.h
@@ -53,7 +53,7 @@
 
   // Takes what other instances have found.
   void NoteShared(const std::vector<SharedSuspect>& suspects,
-                  const DirectorySnapshot& directory);
+                  const DirectorySnapshot& directory, TimePoint now);
 
   // Whether the endpoint has answered a moment ago.
   [[nodiscard]] auto IsAlive(FlowToken token, TimePoint now) const -> bool;
@@ -68,10 +68,12 @@
   [[nodiscard]] auto loads() const -> const EndpointLoads& { return loads_; }
   // Unanswered packets that counted.
   [[nodiscard]] auto signs() const -> std::uint64_t { return signs_; }
+  // Requests that had no answer in time.
+  [[nodiscard]] auto unanswered() const -> std::uint64_t { return unanswered_; }
 
  private:
-  // An opening whose reply is due.
-  struct PendingOpening {
+  // An opening or a request whose reply is due.
+  struct PendingReply {
     FlowKey flow;
     FlowToken token;
     TimePoint sent_at;
@@ -89,18 +91,25 @@
   void ForgetIdle(const DirectorySnapshot* directory, TimePoint now);
   void NoteAlive(FlowToken token, TimePoint now);
   void NoteSilence(TrackedFlow& flow, SilentPacket packet, TimePoint now);
+  void NoteFailing(EndpointSigns& signs, const SharedSuspect& suspect,
+                   TimePoint now);
   void CheckSuspension(TimePoint now);
+  void JudgeOpenings(TimePoint now);
+  void JudgeRequests(TimePoint now);
+  auto StillWaiting(const PendingReply& reply) -> TrackedFlow*;
   [[nodiscard]] auto TurnAt(const SharedSuspect& suspect) const -> double;
 
   const InstanceId instance_;
   TrackedFlows flows_;
   RouterNotes& notes_;
   EndpointLoads loads_;
-  std::deque<PendingOpening> pending_;
+  std::deque<PendingReply> openings_;
+  std::deque<PendingReply> requests_;
   std::vector<FlowToken> newly_silent_;
   EndpointNews news_;
   std::vector<ReplySample> replies_;
   std::uint64_t signs_ = 0;
+  std::uint64_t unanswered_ = 0;
   TimePoint last_tick_;
   TimePoint next_sweep_;
 };
--- a/Source/Flow/opening_choice.cc
+++ b/Source/Flow/opening_choice.cc
@@ -14,6 +14,9 @@
 // Added for an endpoint in another data centre, and for one that was tried.
 constexpr double kDistanceCost = 1.0;
 constexpr double kTriedCost = 1e3;
+// Added for an endpoint that leaves requests unanswered: it is used once the
+// others are busier by so much, so that an overload does not take out many.
+constexpr double kFailingCost = 2.0;
 // Added for a suspect endpoint; more than any other cost.
 constexpr double kSuspectCost = 1e6;
 // Factor for an endpoint that has just started and is slow.
@@ -34,17 +37,20 @@
 auto CostOf(const DirectoryEndpoint& endpoint, const EndpointLoads& loads,
             const OpeningRequest& request, TimePoint now) -> double {
   auto cost = kIdleCost;
+  auto is_failing = false;
   const auto found = loads.find(endpoint.token);
   if (found != loads.end()) {
     const auto& load = found->second;
     cost += kWaitingCost * load.waiting_flows + kOpenFlowCost * load.open_flows;
     cost *= SlownessOf(load);
     cost += load.signs.IsSuspect(now) ? kSuspectCost : 0;
+    is_failing = load.signs.IsFailing(now);
   }
   cost /= endpoint.report.slots;
   cost *= now < endpoint.report.cold_until ? kColdFactor : 1.0;
   const auto is_near = endpoint.report.data_centre == request.data_centre;
   cost += is_near ? 0 : kDistanceCost;
+  cost += is_failing ? kFailingCost : 0;
   cost += endpoint.token == request.tried ? kTriedCost : 0;
   return cost;
 }
--- a/Source/Flow/token_router.cc
+++ b/Source/Flow/token_router.cc
@@ -170,9 +170,10 @@
   return watch_.OnTick(directory_.get(), now);
 }
 
-void TokenRouter::NoteShared(const std::vector<SharedSuspect>& suspects) {
+void TokenRouter::NoteShared(const std::vector<SharedSuspect>& suspects,
+                             TimePoint now) {
   if (directory_ != nullptr) {
-    watch_.NoteShared(suspects, *directory_);
+    watch_.NoteShared(suspects, *directory_, now);
   }
 }
 
--- a/Source/Flow/token_router.h
+++ b/Source/Flow/token_router.h
@@ -48,7 +48,7 @@
   auto OnTick(TimePoint now) -> std::vector<ResetFlow>;
 
   // Takes what other instances have found.
-  void NoteShared(const std::vector<SharedSuspect>& suspects);
+  void NoteShared(const std::vector<SharedSuspect>& suspects, TimePoint now);
 
   // What other instances should know since the last call.
   [[nodiscard]] auto TakeNews() -> EndpointNews { return watch_.TakeNews(); }
@@ -67,6 +67,10 @@
   }
   // Unanswered packets that counted as signs.
   [[nodiscard]] auto signs() const -> std::uint64_t { return watch_.signs(); }
+  // Requests that had no answer in time.
+  [[nodiscard]] auto unanswered() const -> std::uint64_t {
+    return watch_.unanswered();
+  }
   // Notes beyond the bound.
   [[nodiscard]] auto notes_lost() const -> std::uint64_t {
     return notes_.lost();
--- a/Source/Flow/token_types.cc
+++ b/Source/Flow/token_types.cc
@@ -46,6 +46,10 @@
       return "endpoint_silent";
     case RouterNote::Kind::kEndpointAlive:
       return "endpoint_alive";
+    case RouterNote::Kind::kEndpointFailing:
+      return "endpoint_failing";
+    case RouterNote::Kind::kRequestUnanswered:
+      return "request_unanswered";
     case RouterNote::Kind::kSuspended:
       return "process_suspended";
   }
--- a/Source/Flow/token_types.h
+++ b/Source/Flow/token_types.h
@@ -75,6 +75,8 @@
     kEndpointSuspected,  // It left packets of several flows unanswered.
     kEndpointSilent,     // It counts as dead.
     kEndpointAlive,      // A suspect endpoint answered again.
+    kEndpointFailing,    // Several instances had requests unanswered.
+    kRequestUnanswered,  // A flow's request had no answer in time.
     kSuspended,          // This process did not run for a while.
   };
 
--- a/Source/Measure/pattern_endpoint.h
+++ b/Source/Measure/pattern_endpoint.h
@@ -36,8 +36,16 @@
 
   void FallDark() { dark_ = true; }
   void TurnSlow() { slow_ = true; }
+  void TurnMute() { mute_ = true; }
+  void TurnResetting() { resetting_ = true; }
 
   [[nodiscard]] auto is_dark() const -> bool { return dark_; }
+  [[nodiscard]] auto is_mute() const -> bool { return mute_; }
+  [[nodiscard]] auto is_resetting() const -> bool { return resetting_; }
+  // Whether a placement should find it out. A slow one may still be of use.
+  [[nodiscard]] auto is_failing() const -> bool {
+    return dark_ || mute_ || resetting_;
+  }
   // Work running or waiting.
   [[nodiscard]] auto open_work() const -> std::size_t {
     return running_ + queue_.size();
@@ -61,6 +69,8 @@
   std::deque<PatternWork> queue_;
   bool dark_ = false;
   bool slow_ = false;
+  bool mute_ = false;
+  bool resetting_ = false;
 };
 
 }  // namespace hemlockwick
--- a/Source/Measure/token_pattern.cc
+++ b/Source/Measure/token_pattern.cc
@@ -13,10 +13,15 @@
   pattern.instances = 7;
   pattern.endpoints = 14;
   pattern.slots = 3;
-  pattern.kinds = {
-      {437, milliseconds(34), milliseconds(200), milliseconds(1200), 7,
-       milliseconds(700)},
-      {125, milliseconds(44), milliseconds(250), milliseconds(1500), 1, {}}};
+  pattern.kinds = {{437, milliseconds(34), milliseconds(200),
+                    milliseconds(1200), 7, milliseconds(700)},
+                   {125,
+                    milliseconds(44),
+                    milliseconds(250),
+                    milliseconds(1500),
+                    1,
+                    {},
+                    false}};
   pattern.length = seconds(20);
   return pattern;
 }
@@ -27,10 +32,15 @@
   pattern.instances = 77;
   pattern.endpoints = 120;
   pattern.slots = 2;
-  pattern.kinds = {
-      {1850, milliseconds(34), milliseconds(500), milliseconds(2500), 7,
-       milliseconds(700)},
-      {530, milliseconds(44), milliseconds(500), milliseconds(2500), 1, {}}};
+  pattern.kinds = {{1850, milliseconds(34), milliseconds(500),
+                    milliseconds(2500), 7, milliseconds(700)},
+                   {530,
+                    milliseconds(44),
+                    milliseconds(500),
+                    milliseconds(2500),
+                    1,
+                    {},
+                    false}};
   pattern.length = seconds(12);
   return pattern;
 }
@@ -66,7 +76,19 @@
   grown_dark.fault = PatternFault::kDark;
   grown_dark.faulty_endpoints = 30;
   grown_dark.fault_at = seconds(5);
-  return {calm, dark, slow, grown, grown_dark};
+
+  // Answers deploy/days/health-lies-in-turn.toml on fvl-hq-grown.
+  auto grown_grey = GrownPattern();
+  grown_grey.name = "grown, quarter leaves requests unanswered";
+  grown_grey.fault = PatternFault::kMute;
+  grown_grey.faulty_endpoints = 30;
+  grown_grey.fault_at = seconds(4);
+
+  // Answers the same day, its srv_grey with resets.
+  auto grown_resetting = grown_grey;
+  grown_resetting.name = "grown, quarter resets flows";
+  grown_resetting.fault = PatternFault::kResetting;
+  return {calm, dark, slow, grown, grown_dark, grown_grey, grown_resetting};
 }
 
 }  // namespace hemlockwick
--- a/Source/Measure/token_pattern.h
+++ b/Source/Measure/token_pattern.h
@@ -20,6 +20,8 @@
   // between them.
   std::uint32_t requests_per_flow = 1;
   Duration pause{0};
+  // Whether a request that may have run is tried again.
+  bool idempotent = true;
 };
 
 // What befalls endpoints in a load pattern, from `at` on.
@@ -27,8 +29,16 @@
   kNone,
   kDark,  // They answer nothing; the platform still lists them for a while.
   kSlow,  // Their work takes five times as long.
+  kMute,  // They leave most requests unanswered, and answer the others.
+  kResetting,  // They reset most flows at their first request.
 };
 
+// Whether requests fail at endpoints that have the fault.
+[[nodiscard]] constexpr auto MakesFail(PatternFault fault) -> bool {
+  return fault == PatternFault::kDark || fault == PatternFault::kMute ||
+         fault == PatternFault::kResetting;
+}
+
 // A load and a fault, as recorded on a day that was played.
 struct TokenPattern {
   std::string name;
--- a/Source/Measure/token_rivals.h
+++ b/Source/Measure/token_rivals.h
@@ -86,7 +86,7 @@
   }
 
   auto OnTick(TimePoint) -> std::vector<ResetFlow> { return {}; }
-  void NoteShared(const std::vector<SharedSuspect>&) {}
+  void NoteShared(const std::vector<SharedSuspect>&, TimePoint) {}
   auto TakeNews() -> EndpointNews { return {}; }
 
  private:
--- a/Source/Measure/token_world.cc
+++ b/Source/Measure/token_world.cc
@@ -35,7 +35,12 @@
 constexpr Duration kSignInterval = milliseconds(100);
 // How long the platform lists an endpoint that says nothing.
 constexpr Duration kListingTime = milliseconds(3600);
+// Time in which faulty endpoints are to be found out: dark ones by the callers'
+// second copies, others by requests that are unanswered for a second.
 constexpr Duration kDarkGrace = seconds(1);
+constexpr Duration kFailingGrace = milliseconds(2500);
+// Share of requests that a mute or resetting endpoint does not answer.
+constexpr double kFailingShare = 0.6;
 
 constexpr std::uint16_t kRequestBytes = 100;
 constexpr std::uint32_t kAnswerBytes = 2000;
@@ -91,8 +96,8 @@
 auto TokenOutcome::failed_share() const -> double {
   return ShareOf(failed, requests);
 }
-auto TokenOutcome::dark_share() const -> double {
-  return ShareOf(flows_to_dark, flows_while_dark);
+auto TokenOutcome::faulty_share() const -> double {
+  return ShareOf(flows_to_faulty, flows_since_found);
 }
 
 auto NoWorseBound(const TokenOutcome& own, const TokenOutcome& rival)
@@ -199,10 +204,22 @@
 template <typename Router>
 void TokenWorld<Router>::BeginFault() {
   for (std::size_t i = 0; i < pattern_.faulty_endpoints; ++i) {
-    if (pattern_.fault == PatternFault::kDark) {
-      endpoints_[i].FallDark();
-    } else {
-      endpoints_[i].TurnSlow();
+    auto& endpoint = endpoints_[i];
+    switch (pattern_.fault) {
+      case PatternFault::kNone:
+        break;
+      case PatternFault::kDark:
+        endpoint.FallDark();
+        break;
+      case PatternFault::kSlow:
+        endpoint.TurnSlow();
+        break;
+      case PatternFault::kMute:
+        endpoint.TurnMute();
+        break;
+      case PatternFault::kResetting:
+        endpoint.TurnResetting();
+        break;
     }
   }
 }
@@ -231,7 +248,7 @@
   }
   const auto suspects = signs_.Suspects(now_);
   for (const auto& instance : instances_) {
-    instance->NoteShared(suspects);
+    instance->NoteShared(suspects, now_);
   }
 }
 
@@ -306,12 +323,13 @@
 
 template <typename Router>
 void TokenWorld<Router>::CountOpening(const PatternEndpoint& endpoint) {
-  if (pattern_.fault != PatternFault::kDark ||
-      now_ < kStart + pattern_.fault_at + kDarkGrace) {
+  const auto is_dark = pattern_.fault == PatternFault::kDark;
+  const auto grace = is_dark ? kDarkGrace : kFailingGrace;
+  if (!MakesFail(pattern_.fault) || now_ < kStart + pattern_.fault_at + grace) {
     return;
   }
-  ++outcome_.flows_while_dark;
-  outcome_.flows_to_dark += endpoint.is_dark() ? 1 : 0;
+  ++outcome_.flows_since_found;
+  outcome_.flows_to_faulty += endpoint.is_failing() ? 1 : 0;
 }
 
 template <typename Router>
@@ -361,10 +379,16 @@
     }
     const auto position = forward->endpoint.value() - 1;
     auto& endpoint = endpoints_[position];
-    if (!endpoint.is_dark()) {
-      const auto work = DrawWork(*flow->second.kind);
-      RunAt(position, endpoint.Accept({id, request, work}));
+    if (endpoint.is_dark() ||
+        (endpoint.is_mute() && random_.Chance(kFailingShare))) {
+      return;
     }
+    if (endpoint.is_resetting() && random_.Chance(kFailingShare)) {
+      After(kEndpointWay + kCallerWay, [this, id] { OnReset(id); });
+      return;
+    }
+    const auto work = DrawWork(*flow->second.kind);
+    RunAt(position, endpoint.Accept({id, request, work}));
   });
   const auto next = std::min(resend * 2, kLongestResend);
   After(resend, [this, id, request, next] { SendData(id, request, next); });
@@ -430,7 +454,9 @@
   const auto flow = found->second;
   flows_.erase(found);
   const auto asked = flow.answered ? now_ : flow.asked;
-  if (now_ < asked + flow.kind->deadline) {
+  if (flow.open && !flow.answered && !flow.kind->idempotent) {
+    CountFailed();
+  } else if (now_ < asked + flow.kind->deadline) {
     StartFlow(*flow.kind, flow.requests_left, asked);
   }
 }
@@ -442,9 +468,14 @@
       found->second.request != request) {
     return;
   }
+  CountFailed();
+  flows_.erase(found);
+}
+
+template <typename Router>
+void TokenWorld<Router>::CountFailed() {
   ++outcome_.requests;
   ++outcome_.failed;
-  flows_.erase(found);
 }
 
 template <typename Router>
--- a/Source/Measure/token_world.h
+++ b/Source/Measure/token_world.h
@@ -26,15 +26,15 @@
   std::size_t requests = 0;
   std::size_t late = 0;    // Answered after the aim.
   std::size_t failed = 0;  // Not answered by the deadline.
-  // Flows first sent to a dark endpoint a second or more after it fell dark,
-  // and all flows opened since then.
-  std::size_t flows_to_dark = 0;
-  std::size_t flows_while_dark = 0;
+  // Openings sent to a dark or grey endpoint once there was time to find it
+  // out, and all openings since then.
+  std::size_t flows_to_faulty = 0;
+  std::size_t flows_since_found = 0;
 
   // Of all requests: those answered late or not at all, and the latter.
   [[nodiscard]] auto missed_share() const -> double;
   [[nodiscard]] auto failed_share() const -> double;
-  [[nodiscard]] auto dark_share() const -> double;
+  [[nodiscard]] auto faulty_share() const -> double;
 };
 
 // The largest missed share that chance alone explains when `rival` has missed
@@ -45,7 +45,7 @@
 // Plays a pattern in virtual time: callers, instances that place flows with
 // `Router`, endpoints. Callers send an opening again after 200 and 600 ms, data
 // after 200 ms and then twice as long each time, and try again on a new flow
-// when one is reset.
+// when one is reset; requests that are not idempotent only before it was open.
 template <typename Router>
 class TokenWorld {
  public:
@@ -102,6 +102,7 @@
   auto InstanceOf(std::uint64_t id) -> Router&;
   auto DrawWork(const PatternKind& kind) -> Duration;
   void CountOpening(const PatternEndpoint& endpoint);
+  void CountFailed();
   void TakeResets(const std::vector<ResetFlow>& resets);
   void ShareSigns();
   void Publish();
--- a/Source/Measure/tokens_command.cc
+++ b/Source/Measure/tokens_command.cc
@@ -18,6 +18,9 @@
 // Share of new flows that may go to endpoints that have been dark for a
 // second. A caller's first copy comes after 200 ms, the second after 600 ms.
 constexpr double kDarkShareBound = 0.01;
+// The same for endpoints that fail most requests: a fifth of their share of the
+// endpoints, so that they are tried again now and then.
+constexpr double kFailingShareBound = 0.05;
 
 auto NewOptions() -> cxxopts::Options {
   auto options = cxxopts::Options("hemlockwick-measure tokens",
@@ -64,11 +67,13 @@
   report.Inform(pattern.name + ": failed", own.failed_share(), "of requests")
       .rivals = {{"hash", hash.failed_share()},
                  {"oracle", oracle.failed_share()}};
-  if (pattern.fault == PatternFault::kDark) {
+  if (MakesFail(pattern.fault)) {
+    const auto is_dark = pattern.fault == PatternFault::kDark;
     report
-        .AtMost(pattern.name + ": flows to dark endpoints", kDarkShareBound,
-                own.dark_share(), "of flows")
-        .rivals = {{"hash", hash.dark_share()}};
+        .AtMost(pattern.name + ": flows to faulty endpoints",
+                is_dark ? kDarkShareBound : kFailingShareBound,
+                own.faulty_share(), "of flows")
+        .rivals = {{"hash", hash.faulty_share()}};
   }
 }
 
--- a/Tests/Edge/relay_test.cc
+++ b/Tests/Edge/relay_test.cc
@@ -118,8 +118,10 @@
   update.removed = {EndpointId(0xCD8C9936B8)};
   update.unreadable = {EndpointId(5)};
   const auto suspect = SharedSuspect{FlowToken(9), kNow - kSecond};
+  const auto failing =
+      SharedSuspect{FlowToken(9), kNow - kSecond, Suspicion::kFailing};
   const auto state =
-      RelayState{DataCentreId(4), kSecond, 2 * kSecond, {suspect}};
+      RelayState{DataCentreId(4), kSecond, 2 * kSecond, {suspect, failing}};
   const auto answer =
       Decoded(EncodeUpdate(update, state, nullptr, kNow), nullptr);
   cr_assert_eq(answer.status, SyncStatus::kOk);
@@ -133,6 +135,8 @@
   cr_assert_eq(*answer.since_outage, Duration(2 * kSecond));
   cr_assert(answer.suspects.at(0).token == suspect.token);
   cr_assert(answer.suspects.at(0).at == suspect.at);
+  cr_assert(answer.suspects.at(0).suspicion == Suspicion::kSilent);
+  cr_assert(answer.suspects.at(1).suspicion == Suspicion::kFailing);
 }
 
 Test(relay_codec, routes_travel_as_a_difference) {
@@ -179,13 +183,14 @@
 }
 
 Test(relay_codec, report_survives_the_way) {
-  const auto report =
-      SignReport{InstanceId(0xFFFFFFFFFFFFFFFF),
-                 {{FlowToken(1), FlowToken(0xFFFFFFFF)}, {FlowToken(2)}}};
+  const auto report = SignReport{
+      InstanceId(0xFFFFFFFFFFFFFFFF),
+      {{FlowToken(1), FlowToken(0xFFFFFFFF)}, {FlowToken(2)}, {FlowToken(3)}}};
   const auto parsed = ParseReport(FormatReport(report));
   cr_assert(parsed->reporter == report.reporter);
   cr_assert(parsed->news.silent == report.news.silent);
   cr_assert(parsed->news.alive == report.news.alive);
+  cr_assert(parsed->news.failing == report.news.failing);
   cr_assert_not(ParseReport("/signs?from=1&silent=x").has_value());
   cr_assert_not(ParseReport("/directory?from=1").has_value());
 }
@@ -247,7 +252,7 @@
   auto relay = Relay();
   relay.server().Add(Whole(10), kNow);
   relay.Ask(Revision(10), kSecond);
-  const auto news = EndpointNews{{FlowToken(9)}, {}};
+  const auto news = EndpointNews{{FlowToken(9)}, {}, {}};
   relay.server().TakeReport({InstanceId(1), news}, kNow);
   relay.server().OnTick(kNow);
   cr_assert(relay.replies().empty(), "one instance alone is no suspicion");
--- a/Tests/Edge/sign_exchange_test.cc
+++ b/Tests/Edge/sign_exchange_test.cc
@@ -9,8 +9,9 @@
 constexpr auto kSecond = std::chrono::seconds(1);
 constexpr FlowToken kToken{7};
 
-auto Silent() -> EndpointNews { return {{kToken}, {}}; }
-auto Alive() -> EndpointNews { return {{}, {kToken}}; }
+auto Silent() -> EndpointNews { return {{kToken}, {}, {}}; }
+auto Alive() -> EndpointNews { return {{}, {kToken}, {}}; }
+auto Failing() -> EndpointNews { return {{}, {}, {kToken}}; }
 
 Test(sign_exchange, one_instance_alone_makes_no_suspect) {
   auto exchange = SignExchange();
@@ -93,12 +94,34 @@
   cr_assert(exchange.Suspects(kNow + 10 * kSecond).empty());
 }
 
+// A failing endpoint answers some requests.
+Test(sign_exchange, failing_endpoints_take_two_reporters_and_are_not_cleared) {
+  auto exchange = SignExchange();
+  cr_assert_not(exchange.Report(InstanceId(1), Failing(), kNow));
+  cr_assert_not(exchange.Report(InstanceId(1), Failing(), kNow + kSecond));
+  cr_assert(exchange.Report(InstanceId(2), Failing(), kNow + kSecond));
+  cr_assert_not(exchange.Report(InstanceId(3), Alive(), kNow + kSecond));
+  const auto suspects = exchange.Suspects(kNow + kSecond);
+  cr_assert_eq(suspects.size(), 1U);
+  cr_assert(suspects.at(0).suspicion == Suspicion::kFailing);
+}
+
+Test(sign_exchange, silence_and_failures_are_counted_apart) {
+  auto exchange = SignExchange();
+  exchange.Report(InstanceId(1), Failing(), kNow);
+  exchange.Report(InstanceId(2), Silent(), kNow);
+  cr_assert(exchange.Suspects(kNow).empty());
+}
+
 Test(endpoint_news, names_each_endpoint_once) {
   auto news = Silent();
   news.Merge(Silent());
   news.Merge(Alive());
+  news.Merge(Failing());
+  news.Merge(Failing());
   cr_assert_eq(news.silent.size(), 1U);
   cr_assert_eq(news.alive.size(), 1U);
+  cr_assert_eq(news.failing.size(), 1U);
 }
 
 }  // namespace
--- a/Tests/Flow/token_router_test.cc
+++ b/Tests/Flow/token_router_test.cc
@@ -436,7 +436,7 @@
   auto world = World();
   const auto port = world.OpenAt(kFirst, 1000);
   world.Pass(100 * kMillisecond);
-  world.router().NoteShared({{kFirstEndpoint, world.now()}});
+  world.router().NoteShared({{kFirstEndpoint, world.now()}}, world.now());
   cr_assert(world.router().TakeNews().empty());
   world.Packet(port, kFirst, 1, 1, 100);
   world.Pass(30 * kMillisecond);
@@ -492,12 +492,85 @@
   auto world = World();
   world.Pass(100 * kMillisecond);
   const auto reported = world.now() - 50 * kMillisecond;
-  world.router().NoteShared({{kFirstEndpoint, reported}});
+  world.router().NoteShared({{kFirstEndpoint, reported}}, world.now());
   for (auto port = std::uint16_t{1000}; port < 1020; ++port) {
     cr_assert(world.Open(port) != kFirst);
   }
 }
 
+// An endpoint that resets flows sends its resets to the callers alone
+// (deploy/days/health-lies-in-turn.toml).
+Test(token_router, request_without_answer_is_told_to_others_once) {
+  auto world = World();
+  const auto port = world.OpenAt(kFirst, 1000);
+  world.Packet(port, kFirst, 1, 1, 100);
+  world.Pass(980 * kMillisecond);
+  cr_assert(world.router().TakeNews().failing.empty());
+  world.Pass(40 * kMillisecond);
+  cr_assert(world.router().TakeNews().failing == std::vector{kFirstEndpoint});
+  cr_assert_eq(world.Notes(RouterNote::Kind::kRequestUnanswered), 1U);
+  world.Pass(5000 * kMillisecond);
+  cr_assert(world.router().TakeNews().failing.empty());
+}
+
+Test(token_router, answered_and_ended_requests_do_not_count_as_unanswered) {
+  auto world = World();
+  const auto answered = world.OpenAt(kFirst, 1000);
+  world.Packet(answered, kFirst, 1, 1, 100);
+  const auto ended = world.OpenAt(kFirst, 2000);
+  world.Packet(ended, kFirst, 1, 1, 100);
+  world.Pass(500 * kMillisecond);
+  world.Packet(answered, kFirst, 101, 2001, 0);
+  auto finish = TokenPacket();
+  finish.caller = World::Caller(ended);
+  finish.service = kAddress;
+  finish.finishes = true;
+  finish.seq = 101;
+  finish.ack = 1;
+  finish.token = kFirst;
+  world.router().Decide(finish, world.now());
+  world.Pass(2000 * kMillisecond);
+  cr_assert(world.router().TakeNews().failing.empty());
+}
+
+Test(token_router, own_pause_leaves_no_request_unanswered) {
+  auto world = World();
+  const auto port = world.OpenAt(kFirst, 1000);
+  world.Packet(port, kFirst, 1, 1, 100);
+  world.Skip(5000 * kMillisecond);
+  world.Pass(100 * kMillisecond);
+  cr_assert(world.router().TakeNews().failing.empty());
+}
+
+// Answers that a failing endpoint gives now and then must not bring it back,
+// and it is of use when the others are busy.
+Test(token_router, failing_endpoint_is_used_when_the_others_are_busier) {
+  auto world = World();
+  const auto port = world.OpenAt(kFirst, 1000);
+  world.router().NoteShared(
+      {{kFirstEndpoint, world.now(), Suspicion::kFailing}}, world.now());
+  cr_assert_eq(world.Notes(RouterNote::Kind::kEndpointFailing), 1U);
+  world.Packet(port, kFirst, 1, 1, 100);
+  world.Pass(30 * kMillisecond);
+  world.Packet(port, kFirst, 101, 2001, 0);
+  // Three slots, two waiting requests each.
+  auto opened = std::uint16_t{2000};
+  while (world.Open(opened) != kFirst) {
+    world.Packet(opened, ToWire(TokenOf(EndpointId(2)), kAddress), 1, 1, 100);
+    ++opened;
+  }
+  cr_assert_geq(opened, 2004);
+  cr_assert_leq(opened, 2007);
+}
+
+Test(token_router, failing_endpoint_is_tried_again) {
+  auto world = World();
+  world.router().NoteShared(
+      {{kFirstEndpoint, world.now(), Suspicion::kFailing}}, world.now());
+  world.Pass(4100 * kMillisecond);
+  world.OpenAt(kFirst, 1000);
+}
+
 // Instances that share a suspicion must not all try the endpoint again at the
 // same moment.
 Test(token_router, instances_try_a_shared_suspect_again_one_by_one) {
@@ -505,7 +578,7 @@
   auto tried_within = std::size_t{0};
   for (auto id = std::uint64_t{1}; id <= kInstances; ++id) {
     auto world = World(InstanceId(id));
-    world.router().NoteShared({{kFirstEndpoint, world.now()}});
+    world.router().NoteShared({{kFirstEndpoint, world.now()}}, world.now());
     world.Pass(std::chrono::milliseconds(2300));
     auto port = std::uint16_t{1000};
     const auto begin = world.now();
--- a/Tests/Measure/token_world_test.cc
+++ b/Tests/Measure/token_world_test.cc
@@ -26,21 +26,24 @@
                 name.c_str(), own.missed_share(), hash.missed_share());
 }
 
-void ExpectDarkEndpointsAvoided(const std::string& name) {
-  constexpr double kBound = 0.01;
+void ExpectFaultyEndpointsAvoided(const std::string& name, double bound) {
   const auto own = OwnTokenWorld(PatternNamed(name), kSeed).Run();
-  cr_assert_gt(own.flows_while_dark, 0U);
-  cr_assert_leq(own.dark_share(), kBound, "%s: %f", name.c_str(),
-                own.dark_share());
+  cr_assert_gt(own.flows_since_found, 0U);
+  cr_assert_leq(own.faulty_share(), bound, "%s: %f", name.c_str(),
+                own.faulty_share());
 }
 
+constexpr double kDarkBound = 0.01;
+// A fifth of the share that the endpoints are of all.
+constexpr double kFailingBound = 0.05;
+
 // Answers kauri-roll quiet-1: waits at the crest of a calm day.
 Test(token_world, calm_crest) { ExpectNoWorseThanHash("calm crest"); }
 
 // Answers kauri-roll inc-56c3.
 Test(token_world, quarter_falls_dark) {
   ExpectNoWorseThanHash("quarter falls dark");
-  ExpectDarkEndpointsAvoided("quarter falls dark");
+  ExpectFaultyEndpointsAvoided("quarter falls dark", kDarkBound);
 }
 
 // Answers deploy/days/crowds.toml on fvl-hq.
@@ -49,7 +52,21 @@
 // Answers kauri-roll-grown inc-7972.
 Test(token_world, quarter_falls_dark_on_the_grown_deployment) {
   ExpectNoWorseThanHash("grown, quarter falls dark");
-  ExpectDarkEndpointsAvoided("grown, quarter falls dark");
+  ExpectFaultyEndpointsAvoided("grown, quarter falls dark", kDarkBound);
+}
+
+// Answers deploy/days/health-lies-in-turn.toml on fvl-hq-grown.
+Test(token_world, quarter_leaves_requests_unanswered_on_the_grown_deployment) {
+  const auto* const name = "grown, quarter leaves requests unanswered";
+  ExpectNoWorseThanHash(name);
+  ExpectFaultyEndpointsAvoided(name, kFailingBound);
+}
+
+// Answers the same day, its endpoints that reset flows.
+Test(token_world, quarter_resets_flows_on_the_grown_deployment) {
+  const auto* const name = "grown, quarter resets flows";
+  ExpectNoWorseThanHash(name);
+  ExpectFaultyEndpointsAvoided(name, kFailingBound);
 }
 
 Test(token_world, a_day_without_faults_loses_nothing) {
@@ -72,7 +89,7 @@
 // A placement that knows nothing must be told from one that does.
 Test(token_world, a_hash_alone_keeps_dark_endpoints) {
   auto hash = HashTokenWorld(PatternNamed("quarter falls dark"), kSeed);
-  cr_assert_gt(hash.Run().dark_share(), 0.05);
+  cr_assert_gt(hash.Run().faulty_share(), 0.05);
 }
 
 }  // namespace
