--- a/Utilities/test.sh
+++ b/Utilities/test.sh
@@ -6,6 +6,9 @@
 cd "$(dirname "$0")/.."
 jobs="${HEMLOCKWICK_JOBS:-$(nproc)}"
 
+# Lets a clone in another folder use what was compiled in this one.
+export CCACHE_BASEDIR="$PWD" CCACHE_NOHASHDIR=1
+
 Utilities/install_packages.sh
 Utilities/format.sh --check
 
