--- a/Source/Command/options.cc
+++ b/Source/Command/options.cc
@@ -15,6 +15,21 @@
   return options.parse(static_cast<int>(words.size()), words.data());
 }
 
+auto RunWithOptions(
+    cxxopts::Options options, const std::vector<std::string>& arguments,
+    const std::function<Result<ExitCode>(const cxxopts::ParseResult&)>& run)
+    -> ExitCode {
+  const auto parsed = ParseOptions(options, arguments);
+  if (parsed.count("help") > 0) {
+    std::cout << options.help();
+    return ExitCode::kSuccess;
+  }
+  return TryOr([&] { return run(parsed); },
+               [&options](const Error& error) {
+                 return ReportError(options.program(), error);
+               });
+}
+
 auto ReportError(std::string_view program, const Error& error) -> ExitCode {
   std::cerr << program << ": " << error.message;
   if (!error.remedy.empty()) {
--- a/Source/Command/options.h
+++ b/Source/Command/options.h
@@ -2,6 +2,7 @@
 #define HEMLOCKWICK_COMMAND_OPTIONS_H_
 
 #include <cxxopts.hpp>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -16,6 +17,14 @@
                                 const std::vector<std::string>& arguments)
     -> cxxopts::ParseResult;
 
+// Parses a subcommand's arguments and runs it with what was parsed. Prints the
+// help instead when it is asked for, and an error under the program's name,
+// which `options` holds.
+[[nodiscard]] auto RunWithOptions(
+    cxxopts::Options options, const std::vector<std::string>& arguments,
+    const std::function<Result<ExitCode>(const cxxopts::ParseResult&)>& run)
+    -> ExitCode;
+
 // Prints the error under the program's name, for example "hemlockwick status",
 // and returns kUsage.
 [[nodiscard]] auto ReportError(std::string_view program, const Error& error)
--- a/Source/Command/timeline_command.cc
+++ b/Source/Command/timeline_command.cc
@@ -201,16 +201,7 @@
 
 auto TimelineCommand::Run(const std::vector<std::string>& arguments)
     -> ExitCode {
-  auto options = MakeOptions();
-  const auto parsed = ParseOptions(options, arguments);
-  if (parsed.count("help") != 0) {
-    std::cout << options.help();
-    return ExitCode::kSuccess;
-  }
-  return TryOr([&parsed]() -> Result<ExitCode> { return Show(parsed); },
-               [](const Error& error) {
-                 return ReportError("hemlockwick timeline", error);
-               });
+  return RunWithOptions(MakeOptions(), arguments, &Show);
 }
 
 }  // namespace hemlockwick
--- a/Source/Measure/capacity_command.cc
+++ b/Source/Measure/capacity_command.cc
@@ -139,15 +139,7 @@
                             kDefaultSeed))("json", "Print the costs as JSON")(
       "markdown", "Print slopes and costs as tables for docs/CAPACITY.md")(
       "h,help", "Show this help");
-  const auto parsed = ParseOptions(options, arguments);
-  if (parsed.count("help") > 0) {
-    std::cout << options.help();
-    return ExitCode::kSuccess;
-  }
-  return TryOr([&parsed] { return RunCapacity(parsed); },
-               [](const Error& error) {
-                 return ReportError("hemlockwick-measure capacity", error);
-               });
+  return RunWithOptions(std::move(options), arguments, &RunCapacity);
 }
 
 }  // namespace hemlockwick
--- a/Source/Measure/check_measure.cc
+++ b/Source/Measure/check_measure.cc
@@ -4,6 +4,7 @@
 
 #include <cxxopts.hpp>
 #include <iostream>
+#include <utility>
 
 #include "Command/options.h"
 #include "Config/published_value.h"
@@ -71,23 +72,16 @@
       cxxopts::value<std::uint64_t>()->default_value("1"), "N");
   add("json", "Print JSON");
   add("h,help", "Print this help");
-  const auto parsed = ParseOptions(options, arguments);
-  if (parsed.count("help") != 0) {
-    std::cout << options.help() << "\n";
-    return ExitCode::kSuccess;
-  }
-  const auto full = ConfigTrialSize{parsed["services"].as<std::uint32_t>(),
-                                    parsed["endpoints"].as<std::uint32_t>()};
-  auto report = Report("Checking and publishing sets of objects");
-  return TryOr(
-      [&]() -> Result<ExitCode> {
+  return RunWithOptions(
+      std::move(options), arguments,
+      [](const cxxopts::ParseResult& parsed) -> Result<ExitCode> {
+        const auto full =
+            ConfigTrialSize{parsed["services"].as<std::uint32_t>(),
+                            parsed["endpoints"].as<std::uint32_t>()};
+        auto report = Report("Checking and publishing sets of objects");
         BOOST_LEAF_CHECK(
             Measure(full, parsed["seed"].as<std::uint64_t>(), report));
         return report.Print(std::cout, parsed.count("json") > 0);
-      },
-      [](const Error& error) {
-        std::cerr << "hemlockwick-measure check: " << error.message << "\n";
-        return ExitCode::kUsage;
       });
 }
 
--- a/Source/Measure/fleet_command.cc
+++ b/Source/Measure/fleet_command.cc
@@ -181,16 +181,11 @@
 }  // namespace
 
 auto FleetCommand::Run(const std::vector<std::string>& arguments) -> ExitCode {
-  auto options = NewOptions();
-  const auto parsed = ParseOptions(options, arguments);
-  if (parsed.count("help") > 0) {
-    std::cout << options.help();
-    return ExitCode::kSuccess;
-  }
-  const auto seed = parsed["seed"].as<std::uint64_t>();
-  auto report = Report("Fleet, seed " + std::to_string(seed));
-  return TryOr(
-      [&]() -> Result<ExitCode> {
+  return RunWithOptions(
+      NewOptions(), arguments,
+      [](const cxxopts::ParseResult& parsed) -> Result<ExitCode> {
+        const auto seed = parsed["seed"].as<std::uint64_t>();
+        auto report = Report("Fleet, seed " + std::to_string(seed));
         if (parsed.count("schedule") > 0) {
           BOOST_LEAF_CHECK(
               RunSchedule(parsed["schedule"].as<std::string>(), seed, report));
@@ -202,9 +197,6 @@
           MeasureLarge(seed, report);
         }
         return report.Print(std::cout, parsed.count("json") > 0);
-      },
-      [](const Error& error) {
-        return ReportError("hemlockwick-measure fleet", error);
       });
 }
 
--- a/Source/Measure/flow_measure.cc
+++ b/Source/Measure/flow_measure.cc
@@ -7,6 +7,7 @@
 #include <functional>
 #include <iostream>
 #include <thread>
+#include <utility>
 
 #include "Command/options.h"
 #include "Flow/bucket_table.h"
@@ -289,6 +290,17 @@
   return report;
 }
 
+auto Measure(const cxxopts::ParseResult& parsed) -> Result<ExitCode> {
+  const auto seed = parsed["seed"].as<std::uint64_t>();
+  const auto json = parsed.count("json") > 0;
+  if (parsed.count("schedule") == 0) {
+    return StandardReport(seed).Print(std::cout, json);
+  }
+  BOOST_LEAF_AUTO(schedule,
+                  ReadFlowSchedule(parsed["schedule"].as<std::string>()));
+  return ScheduleReport(schedule, seed).Print(std::cout, json);
+}
+
 }  // namespace
 
 auto FlowMeasure::Run(const std::vector<std::string>& arguments) -> ExitCode {
@@ -298,26 +310,7 @@
                         cxxopts::value<std::uint64_t>()->default_value("1"))(
       "schedule", "Run this schedule only", cxxopts::value<std::string>())(
       "json", "Print JSON")("h,help", "Print this help");
-  const auto parsed = ParseOptions(options, arguments);
-  if (parsed.count("help") > 0) {
-    std::cout << options.help();
-    return ExitCode::kSuccess;
-  }
-  const auto seed = parsed["seed"].as<std::uint64_t>();
-  const auto json = parsed.count("json") > 0;
-  if (parsed.count("schedule") == 0) {
-    return StandardReport(seed).Print(std::cout, json);
-  }
-  return TryOr(
-      [&parsed, seed, json]() -> Result<ExitCode> {
-        BOOST_LEAF_AUTO(schedule,
-                        ReadFlowSchedule(parsed["schedule"].as<std::string>()));
-        return ScheduleReport(schedule, seed).Print(std::cout, json);
-      },
-      [](const Error& error) {
-        std::cerr << "hemlockwick-measure flows: " << error.message << "\n";
-        return ExitCode::kUsage;
-      });
+  return RunWithOptions(std::move(options), arguments, &Measure);
 }
 
 }  // namespace hemlockwick
--- a/Source/Measure/requests_command.cc
+++ b/Source/Measure/requests_command.cc
@@ -104,16 +104,7 @@
 
 auto RequestsCommand::Run(const std::vector<std::string>& arguments)
     -> ExitCode {
-  auto options = MakeOptions();
-  const auto parsed = ParseOptions(options, arguments);
-  if (parsed.count("help") > 0) {
-    std::cout << options.help() << "\n";
-    return ExitCode::kSuccess;
-  }
-  return TryOr([&parsed] { return Measure(parsed); },
-               [](const Error& error) {
-                 return ReportError("hemlockwick-measure requests", error);
-               });
+  return RunWithOptions(MakeOptions(), arguments, &Measure);
 }
 
 }  // namespace hemlockwick
--- a/Source/Measure/tokens_command.cc
+++ b/Source/Measure/tokens_command.cc
@@ -80,18 +80,14 @@
 }  // namespace
 
 auto TokensCommand::Run(const std::vector<std::string>& arguments) -> ExitCode {
-  auto options = NewOptions();
-  const auto parsed = ParseOptions(options, arguments);
-  if (parsed.count("help") > 0) {
-    std::cout << options.help();
-    return ExitCode::kSuccess;
-  }
-  const auto seed = parsed["seed"].as<std::uint64_t>();
-  const auto name = parsed.count("pattern") > 0
-                        ? std::optional(parsed["pattern"].as<std::string>())
-                        : std::nullopt;
-  return TryOr(
-      [&]() -> Result<ExitCode> {
+  return RunWithOptions(
+      NewOptions(), arguments,
+      [](const cxxopts::ParseResult& parsed) -> Result<ExitCode> {
+        const auto seed = parsed["seed"].as<std::uint64_t>();
+        const auto name =
+            parsed.count("pattern") > 0
+                ? std::optional(parsed["pattern"].as<std::string>())
+                : std::nullopt;
         BOOST_LEAF_AUTO(patterns, ChoosePatterns(name));
         auto report =
             Report("Placement by tokens, seed " + std::to_string(seed));
@@ -99,9 +95,6 @@
           Measure(pattern, seed, report);
         }
         return report.Print(std::cout, parsed.count("json") > 0);
-      },
-      [](const Error& error) {
-        return ReportError("hemlockwick-measure tokens", error);
       });
 }
 
--- a/Source/Measure/udp_command.cc
+++ b/Source/Measure/udp_command.cc
@@ -41,29 +41,19 @@
   return report;
 }
 
-auto PrintError(const Error& error) -> ExitCode {
-  return ReportError("hemlockwick-measure udp", error);
-}
-
 }  // namespace
 
 auto UdpCommand::Run(const std::vector<std::string>& arguments) -> ExitCode {
-  auto options = NewOptions();
-  const auto parsed = ParseOptions(options, arguments);
-  if (parsed.count("help") > 0) {
-    std::cout << options.help();
-    return ExitCode::kSuccess;
-  }
-  auto settings = UdpBenchSettings();
-  settings.random_seed = parsed["seed"].as<std::uint64_t>();
-  settings.rounds = parsed["rounds"].as<std::size_t>();
-  return TryOr(
-      [&]() -> Result<ExitCode> {
+  return RunWithOptions(
+      NewOptions(), arguments,
+      [](const cxxopts::ParseResult& parsed) -> Result<ExitCode> {
+        auto settings = UdpBenchSettings();
+        settings.random_seed = parsed["seed"].as<std::uint64_t>();
+        settings.rounds = parsed["rounds"].as<std::size_t>();
         BOOST_LEAF_AUTO(figures, RunUdpBench(settings));
         const auto report = NewReport(figures);
         return report.Print(std::cout, parsed.count("json") > 0);
-      },
-      &PrintError);
+      });
 }
 
 }  // namespace hemlockwick
