--- a/Utilities/Soak/endpoint.cc
+++ b/Utilities/Soak/endpoint.cc
@@ -27,6 +27,16 @@
   return number;
 }
 
+// The reset that answers a packet.
+auto ResetOf(const Packet& packet) -> Packet {
+  auto reset = Packet();
+  reset.from = packet.to;
+  reset.to = packet.from;
+  reset.rst = true;
+  reset.seq = packet.ack;
+  return reset;
+}
+
 }  // namespace
 
 Endpoint::Endpoint(World& world, std::uint64_t id, std::string service,
@@ -129,12 +139,7 @@
     return;
   }
   if (found == flows_.end()) {
-    auto reset = Packet();
-    reset.from = packet.to;
-    reset.to = packet.from;
-    reset.rst = true;
-    reset.seq = packet.ack;
-    Send(reset);
+    Send(ResetOf(packet));
     return;
   }
   auto& flow = found->second;
@@ -219,12 +224,7 @@
 void Endpoint::FailRequest(const Packet& packet) {
   flows_.erase(FlowId(packet.from, packet.to));
   if (world_.random().Chance(0.5)) {
-    auto reset = Packet();
-    reset.from = packet.to;
-    reset.to = packet.from;
-    reset.rst = true;
-    reset.seq = packet.ack;
-    Send(reset);
+    Send(ResetOf(packet));
   }
 }
 
