--- a/Utilities/lint.sh
+++ b/Utilities/lint.sh
@@ -25,13 +25,14 @@
     sed -e 's/^[^ ]*ccache //' -e 's/ -o [^ ]* -c / /' -e 's/\\"/"/g'
 }
 
-# Prints a key of everything that clang-tidy sees of a file; fails when the
-# build does not compile it.
+# Prints a key of everything that clang-tidy sees of a file, the same in each
+# clone; fails when the build does not compile it.
 key_of() {
   local command
   command="$(command_of "$1")"
   [ -n "$command" ] || return 1
-  { echo "$rules"; cat "$1"; eval "$command -E -P"; } | sha256sum | cut -d ' ' -f 1
+  { echo "$rules"; cat "$1"
+    eval "$command -E -P -fmacro-prefix-map=$PWD/="; } | sha256sum | cut -d ' ' -f 1
 }
 
 lint_file() {
