Edge: Let the I/O context outlive waiting callers of a relay

The keeper, whose relay holds the replies of those who wait, with their sockets, was destroyed after the I/O context.

Ruled out: the traffic thread (joined before), the router (its process had ended its work), the new lists of waiting requests (the sanitizer names the sockets).

Change: the context is declared before the keeper. The soak checks that planned stops exit with 0.

--- a/Source/Edge/edge_process.h
+++ b/Source/Edge/edge_process.h
@@ -255,8 +255,10 @@
   SettingsWatch settings_watch_;
   const SystemClock clock_;
   EdgeMetrics metrics_;
-  DirectoryKeeper keeper_;
+  // Before all that may hold a connection; the keeper's relay does, of those
+  // who wait.
   boost::asio::io_context context_{1};
+  DirectoryKeeper keeper_;
   Source source_;
   EdgeForwarder<Codec> forwarder_;
   HttpListener http_;
--- a/Utilities/Soak/edges.cc
+++ b/Utilities/Soak/edges.cc
@@ -98,6 +98,7 @@
       InstanceProcess::Start(settings_.program, "edge", FileOf(index, ".yaml"),
                              FileOf(index, ".log")));
   edge.may_end = false;
+  edge.was_killed = false;
   edge.paused = false;
   edge.calm.Disturb(world_.Now());
   return {};
@@ -143,6 +144,7 @@
     return;
   }
   edge.may_end = true;
+  edge.was_killed = edge.was_killed || signal == SIGKILL;
   edge.calm.Disturb(world_.Now());
   edge.process->Signal(signal);
 }
@@ -186,6 +188,8 @@
   if (!edge.may_end) {
     world_.Break("processes end only when told to",
                  "edge-" + std::to_string(index));
+  } else if (!edge.was_killed && edge.process->exit_code() != 0) {
+    world_.Break("planned stops end in order", "edge-" + std::to_string(index));
   }
   edge.process.reset();
   edge.calm.DisturbUntil(world_.Now() + kRestartDelay);
--- a/Utilities/Soak/edges.h
+++ b/Utilities/Soak/edges.h
@@ -33,6 +33,7 @@
   int missed_probes = 2;
   bool probing = false;
   bool may_end = false;  // A signal has told it to.
+  bool was_killed = false;
   bool paused = false;
   double loss = 0;  // Of packets to and from it.
   Calm calm;
