--- a/Source/Command/settings_argument.cc
+++ b/Source/Command/settings_argument.cc
@@ -10,14 +10,30 @@
 
 namespace {
 
-auto ParseArguments(const std::vector<std::string>& arguments,
-                    cxxopts::Options& options) -> cxxopts::ParseResult {
+auto NewOptions(const std::string& program, const std::string& summary)
+    -> cxxopts::Options {
+  auto options = cxxopts::Options(program, summary);
   options.add_options()                                               //
       ("settings", "YAML file with this instance's settings",         //
        cxxopts::value<std::string>(), "FILE")                         //
       ("check-settings", "Check the settings file and do not serve")  //
       ("h,help", "Show this help");
-  return ParseOptions(options, arguments);
+  return options;
+}
+
+// The file that the arguments name.
+auto FileOf(const std::string& program, const cxxopts::ParseResult& parsed)
+    -> Result<std::string> {
+  if (!parsed.unmatched().empty()) {
+    return Fail(ErrorCode::kInvalidArgument,
+                "unexpected argument '" + parsed.unmatched().front() + "'",
+                "see '" + program + " --help'");
+  }
+  if (parsed.count("settings") == 0) {
+    return Fail(ErrorCode::kInvalidArgument, "no settings file given",
+                "add --settings FILE");
+  }
+  return parsed["settings"].as<std::string>();
 }
 
 // Reads the settings; nothing after their findings were printed.
@@ -42,26 +58,10 @@
                          const std::string& file, const ServeSettings&)>& serve)
     -> ExitCode {
   const auto program = "hemlockwick " + name;
-  auto options = cxxopts::Options(program, summary);
-  const auto parsed = ParseArguments(arguments, options);
-  if (parsed.count("help") > 0) {
-    std::cout << options.help();
-    return ExitCode::kSuccess;
-  }
-  if (!parsed.unmatched().empty()) {
-    return ReportError(
-        program, {ErrorCode::kInvalidArgument,
-                  "unexpected argument '" + parsed.unmatched().front() + "'",
-                  "see '" + program + " --help'"});
-  }
-  if (parsed.count("settings") == 0) {
-    return ReportError(program,
-                       {ErrorCode::kInvalidArgument, "no settings file given",
-                        "add --settings FILE"});
-  }
-  const auto file = parsed["settings"].as<std::string>();
-  return TryOr(
-      [&]() -> Result<ExitCode> {
+  return RunWithOptions(
+      NewOptions(program, summary), arguments,
+      [&](const cxxopts::ParseResult& parsed) -> Result<ExitCode> {
+        BOOST_LEAF_AUTO(file, FileOf(program, parsed));
         BOOST_LEAF_AUTO(settings, ReadSettings(file));
         if (!settings) {
           return ExitCode::kUsage;
@@ -71,8 +71,7 @@
           return ExitCode::kSuccess;
         }
         return serve(file, *settings);
-      },
-      [&program](const Error& error) { return ReportError(program, error); });
+      });
 }
 
 }  // namespace hemlockwick
--- a/Source/Edge/edge_forwarder.h
+++ b/Source/Edge/edge_forwarder.h
@@ -140,8 +140,10 @@
       LogSoon(LogLevel::kWarning, "notes_lost",
               {{"total", std::to_string(notes_lost_)}});
     }
-    metrics_.CountUnanswered(router_.unanswered() -
-                             std::exchange(unanswered_, router_.unanswered()));
+    if (router_.unanswered() != unanswered_) {
+      metrics_.CountUnanswered(router_.unanswered() - unanswered_);
+      unanswered_ = router_.unanswered();
+    }
     for (const auto& sample : router_.TakeReplies()) {
       metrics_.Observe(sample);
     }
--- a/Source/Flow/flow_router_impl.cc
+++ b/Source/Flow/flow_router_impl.cc
@@ -60,7 +60,6 @@
                        EventLog& events, TimePoint now)
     : settings_(settings),
       self_(self),
-      started_(now),
       events_(events),
       hand_overs_(settings.hand_over_bytes_per_second, now),
       next_expiry_(now + kExpiryInterval),
@@ -79,10 +78,9 @@
 // What came before the first Update or OnTick is no absence: there was nothing
 // yet that could have become outdated.
 void FlowRouter::Impl::NoteStart(TimePoint now) {
-  if (has_started_) {
+  if (started_) {
     return;
   }
-  has_started_ = true;
   started_ = now;
   last_tick_ = now;
   refreshed_ = now;
--- a/Source/Flow/flow_router_impl.h
+++ b/Source/Flow/flow_router_impl.h
@@ -58,7 +58,7 @@
     trust.view =
         now <= lease_until_.load(relaxed) && now >= trusted_from_.load(relaxed);
     // A new instance waits until it has been told of past partitions.
-    trust.table = trust.view && now >= started_ + kConfigSpread;
+    trust.table = trust.view && started_ && now >= *started_ + kConfigSpread;
     return trust;
   }
 
@@ -78,8 +78,7 @@
 
   const FlowRouterSettings settings_;
   const InstanceId self_;
-  TimePoint started_;  // The first Update or OnTick.
-  bool has_started_ = false;
+  std::optional<TimePoint> started_;  // The first Update or OnTick.
   EventLog& events_;
 
   std::shared_ptr<const FleetConfig> config_;
--- a/Source/Flow/flow_watch.cc
+++ b/Source/Flow/flow_watch.cc
@@ -313,43 +313,42 @@
   return resets;
 }
 
-void FlowWatch::JudgeOpenings(TimePoint now) {
-  while (!openings_.empty() &&
-         now - openings_.front().sent_at >= kOpeningReplyTime) {
-    auto* const flow = StillWaiting(openings_.front());
-    openings_.pop_front();
-    if (flow != nullptr && !flow->established) {
-      NoteSilence(*flow, SilentPacket::kOpening, now);
+// Calls `judge` with each flow that has waited `time` for its reply and still
+// waits for it.
+template <typename Judge>
+void FlowWatch::JudgeOverdue(std::deque<PendingReply>& pending, Duration time,
+                             TimePoint now, Judge&& judge) {
+  while (!pending.empty() && now - pending.front().sent_at >= time) {
+    const auto reply = pending.front();
+    pending.pop_front();
+    auto* const flow = flows_.Find(reply.flow);
+    if (flow != nullptr && flow->waiting && flow->token == reply.token &&
+        flow->waiting_since == reply.sent_at) {
+      judge(*flow);
     }
   }
 }
 
+void FlowWatch::JudgeOpenings(TimePoint now) {
+  JudgeOverdue(openings_, kOpeningReplyTime, now, [&](TrackedFlow& flow) {
+    if (!flow.established) {
+      NoteSilence(flow, SilentPacket::kOpening, now);
+    }
+  });
+}
+
 // A request may be unanswered because its endpoint has reset the flow, which
 // passes unseen.
 void FlowWatch::JudgeRequests(TimePoint now) {
-  while (!requests_.empty() && now - requests_.front().sent_at >= kAnswerTime) {
-    const auto* const flow = StillWaiting(requests_.front());
-    requests_.pop_front();
-    if (flow == nullptr) {
-      continue;
-    }
+  JudgeOverdue(requests_, kAnswerTime, now, [&](const TrackedFlow& flow) {
     ++unanswered_;
-    AddOnce(news_.failing, flow->token);
+    AddOnce(news_.failing, flow.token);
     notes_.Add({.kind = RouterNote::Kind::kRequestUnanswered,
-                .caller = flow->caller,
-                .service = flow->service,
-                .token = flow->token,
-                .age = now - flow->waiting_since});
-  }
-}
-
-// The flow that still waits for this very reply, if it does.
-auto FlowWatch::StillWaiting(const PendingReply& reply) -> TrackedFlow* {
-  auto* const flow = flows_.Find(reply.flow);
-  const auto waits = flow != nullptr && flow->waiting &&
-                     flow->token == reply.token &&
-                     flow->waiting_since == reply.sent_at;
-  return waits ? flow : nullptr;
+                .caller = flow.caller,
+                .service = flow.service,
+                .token = flow.token,
+                .age = now - flow.waiting_since});
+  });
 }
 
 // A process that did not run for a while has missed replies: what it takes for
--- a/Source/Flow/flow_watch.h
+++ b/Source/Flow/flow_watch.h
@@ -96,7 +96,9 @@
   void CheckSuspension(TimePoint now);
   void JudgeOpenings(TimePoint now);
   void JudgeRequests(TimePoint now);
-  auto StillWaiting(const PendingReply& reply) -> TrackedFlow*;
+  template <typename Judge>
+  void JudgeOverdue(std::deque<PendingReply>& pending, Duration time,
+                    TimePoint now, Judge&& judge);
   [[nodiscard]] auto TurnAt(const SharedSuspect& suspect) const -> double;
 
   const InstanceId instance_;
--- a/Source/Measure/pattern_endpoint.h
+++ b/Source/Measure/pattern_endpoint.h
@@ -7,6 +7,7 @@
 #include <optional>
 
 #include "Core/time.h"
+#include "Measure/token_pattern.h"
 
 namespace hemlockwick {
 
@@ -34,18 +35,12 @@
     return Next();
   }
 
-  void FallDark() { dark_ = true; }
-  void TurnSlow() { slow_ = true; }
-  void TurnMute() { mute_ = true; }
-  void TurnResetting() { resetting_ = true; }
-
-  [[nodiscard]] auto is_dark() const -> bool { return dark_; }
-  [[nodiscard]] auto is_mute() const -> bool { return mute_; }
-  [[nodiscard]] auto is_resetting() const -> bool { return resetting_; }
-  // Whether a placement should find it out. A slow one may still be of use.
-  [[nodiscard]] auto is_failing() const -> bool {
-    return dark_ || mute_ || resetting_;
+  void Begin(PatternFault fault) { fault_ = fault; }
+  [[nodiscard]] auto fault() const -> PatternFault { return fault_; }
+  [[nodiscard]] auto is_dark() const -> bool {
+    return fault_ == PatternFault::kDark;
   }
+
   // Work running or waiting.
   [[nodiscard]] auto open_work() const -> std::size_t {
     return running_ + queue_.size();
@@ -60,17 +55,14 @@
     auto work = queue_.front();
     queue_.pop_front();
     ++running_;
-    work.work *= slow_ ? kSlowFactor : 1;
+    work.work *= fault_ == PatternFault::kSlow ? kSlowFactor : 1;
     return work;
   }
 
   std::uint32_t slots_;
   std::uint32_t running_ = 0;
   std::deque<PatternWork> queue_;
-  bool dark_ = false;
-  bool slow_ = false;
-  bool mute_ = false;
-  bool resetting_ = false;
+  PatternFault fault_ = PatternFault::kNone;
 };
 
 }  // namespace hemlockwick
--- a/Source/Measure/token_pattern.cc
+++ b/Source/Measure/token_pattern.cc
@@ -45,50 +45,41 @@
   return pattern;
 }
 
+// The pattern with a fault of `endpoints` endpoints from `at` on.
+auto WithFault(TokenPattern pattern, const char* name, PatternFault fault,
+               std::size_t endpoints, Duration at) -> TokenPattern {
+  pattern.name = name;
+  pattern.fault = fault;
+  pattern.faulty_endpoints = endpoints;
+  pattern.fault_at = at;
+  return pattern;
+}
+
 }  // namespace
 
 auto TokenPatterns() -> std::vector<TokenPattern> {
-  // Answers kauri-roll quiet-1.
   auto calm = SmallPattern();
   calm.name = "calm crest";
-
-  // Answers kauri-roll inc-56c3.
-  auto dark = SmallPattern();
-  dark.name = "quarter falls dark";
-  dark.fault = PatternFault::kDark;
-  dark.faulty_endpoints = 4;
-  dark.fault_at = seconds(8);
-
-  // Answers deploy/days/crowds.toml on fvl-hq.
-  auto slow = SmallPattern();
-  slow.name = "four turn slow";
-  slow.fault = PatternFault::kSlow;
-  slow.faulty_endpoints = 4;
-  slow.fault_at = seconds(8);
-
-  // Answers kauri-roll-grown quiet-1.
   auto grown = GrownPattern();
   grown.name = "grown calm crest";
-
-  // Answers kauri-roll-grown inc-7972.
-  auto grown_dark = GrownPattern();
-  grown_dark.name = "grown, quarter falls dark";
-  grown_dark.fault = PatternFault::kDark;
-  grown_dark.faulty_endpoints = 30;
-  grown_dark.fault_at = seconds(5);
-
-  // Answers deploy/days/health-lies-in-turn.toml on fvl-hq-grown.
-  auto grown_grey = GrownPattern();
-  grown_grey.name = "grown, quarter leaves requests unanswered";
-  grown_grey.fault = PatternFault::kMute;
-  grown_grey.faulty_endpoints = 30;
-  grown_grey.fault_at = seconds(4);
-
-  // Answers the same day, its srv_grey with resets.
-  auto grown_resetting = grown_grey;
-  grown_resetting.name = "grown, quarter resets flows";
-  grown_resetting.fault = PatternFault::kResetting;
-  return {calm, dark, slow, grown, grown_dark, grown_grey, grown_resetting};
+  return {
+      // Answers kauri-roll quiet-1.
+      calm,
+      // Answers kauri-roll inc-56c3.
+      WithFault(calm, "quarter falls dark", PatternFault::kDark, 4, seconds(8)),
+      // Answers deploy/days/crowds.toml on fvl-hq.
+      WithFault(calm, "four turn slow", PatternFault::kSlow, 4, seconds(8)),
+      // Answers kauri-roll-grown quiet-1.
+      grown,
+      // Answers kauri-roll-grown inc-7972.
+      WithFault(grown, "grown, quarter falls dark", PatternFault::kDark, 30,
+                seconds(5)),
+      // Answers deploy/days/health-lies-in-turn.toml on fvl-hq-grown.
+      WithFault(grown, "grown, quarter leaves requests unanswered",
+                PatternFault::kMute, 30, seconds(4)),
+      // Answers the same day, its srv_grey with resets.
+      WithFault(grown, "grown, quarter resets flows", PatternFault::kResetting,
+                30, seconds(4))};
 }
 
 }  // namespace hemlockwick
--- a/Source/Measure/token_world.cc
+++ b/Source/Measure/token_world.cc
@@ -204,23 +204,7 @@
 template <typename Router>
 void TokenWorld<Router>::BeginFault() {
   for (std::size_t i = 0; i < pattern_.faulty_endpoints; ++i) {
-    auto& endpoint = endpoints_[i];
-    switch (pattern_.fault) {
-      case PatternFault::kNone:
-        break;
-      case PatternFault::kDark:
-        endpoint.FallDark();
-        break;
-      case PatternFault::kSlow:
-        endpoint.TurnSlow();
-        break;
-      case PatternFault::kMute:
-        endpoint.TurnMute();
-        break;
-      case PatternFault::kResetting:
-        endpoint.TurnResetting();
-        break;
-    }
+    endpoints_[i].Begin(pattern_.fault);
   }
 }
 
@@ -329,7 +313,7 @@
     return;
   }
   ++outcome_.flows_since_found;
-  outcome_.flows_to_faulty += endpoint.is_failing() ? 1 : 0;
+  outcome_.flows_to_faulty += MakesFail(endpoint.fault()) ? 1 : 0;
 }
 
 template <typename Router>
@@ -379,11 +363,12 @@
     }
     const auto position = forward->endpoint.value() - 1;
     auto& endpoint = endpoints_[position];
-    if (endpoint.is_dark() ||
-        (endpoint.is_mute() && random_.Chance(kFailingShare))) {
+    if (endpoint.is_dark() || (endpoint.fault() == PatternFault::kMute &&
+                               random_.Chance(kFailingShare))) {
       return;
     }
-    if (endpoint.is_resetting() && random_.Chance(kFailingShare)) {
+    if (endpoint.fault() == PatternFault::kResetting &&
+        random_.Chance(kFailingShare)) {
       After(kEndpointWay + kCallerWay, [this, id] { OnReset(id); });
       return;
     }
--- a/Utilities/Soak/run.cc
+++ b/Utilities/Soak/run.cc
@@ -31,6 +31,12 @@
 // Share of requests that is served once all faults are over.
 constexpr double kServedAfter = 0.99;
 
+// A fault lasts for the shortest time and up to its spread longer.
+constexpr Duration kShortestFault = std::chrono::milliseconds(500);
+constexpr Duration kFaultSpread = std::chrono::seconds(4);
+// Long enough for the entry of an endpoint that is cut off to lapse.
+constexpr Duration kCutSpread = std::chrono::seconds(5);
+
 constexpr std::uint16_t kSparePort = 10'000;
 
 }  // namespace
@@ -197,6 +203,10 @@
   }
 }
 
+auto SoakRun::FaultTime(Duration spread) -> Duration {
+  return kShortestFault + world_.random().DurationBelow(spread);
+}
+
 auto SoakRun::AnyEdge() -> std::size_t {
   return world_.random().Below(edges_->size());
 }
@@ -337,8 +347,7 @@
   if (endpoint == nullptr) {
     return;
   }
-  const auto time = std::chrono::milliseconds(500) +
-                    world_.random().DurationBelow(std::chrono::seconds(5));
+  const auto time = FaultTime(kCutSpread);
   world_.Say("cut off " + endpoint->key());
   endpoint->CutOffUntil(world_.Now() + time);
   world_.After(kLapseTime, [this, endpoint] {
@@ -353,8 +362,7 @@
   if (endpoint == nullptr) {
     return;
   }
-  const auto time = std::chrono::milliseconds(500) +
-                    world_.random().DurationBelow(std::chrono::seconds(4));
+  const auto time = FaultTime(kFaultSpread);
   world_.Say("requests fail at " + endpoint->key());
   endpoint->FailUntil(world_.Now() + time);
 }
@@ -378,8 +386,7 @@
 }
 
 void SoakRun::StoreFault() {
-  const auto time = std::chrono::milliseconds(500) +
-                    world_.random().DurationBelow(std::chrono::seconds(4));
+  const auto time = FaultTime(kFaultSpread);
   store_calm_.DisturbUntil(world_.Now() + time);
   if (world_.random().Chance(0.4)) {
     world_.Say("the store forgets its history");
@@ -394,8 +401,7 @@
 void SoakRun::LinkFaultAction() {
   const auto index = AnyEdge();
   auto& edge = edges_->at(index);
-  const auto time = std::chrono::milliseconds(500) +
-                    world_.random().DurationBelow(std::chrono::seconds(4));
+  const auto time = FaultTime(kFaultSpread);
   const auto is_store = world_.random().Chance(0.5);
   auto* const proxy =
       is_store ? edge.store.get()
@@ -418,8 +424,7 @@
 void SoakRun::LossFault() {
   const auto index = AnyEdge();
   auto& edge = edges_->at(index);
-  const auto time = std::chrono::milliseconds(500) +
-                    world_.random().DurationBelow(std::chrono::seconds(4));
+  const auto time = FaultTime(kFaultSpread);
   edge.loss = world_.random().Chance(0.3) ? 1.0 : 0.05;
   edge.calm.DisturbUntil(world_.Now() + time);
   // The endpoints behind these links are disturbed too.
--- a/Utilities/Soak/run.h
+++ b/Utilities/Soak/run.h
@@ -57,6 +57,8 @@
   void PlannedAction();
   void FaultAction();
   void DrainEndpoint();
+  // A random time of at most `spread` more than the shortest.
+  auto FaultTime(Duration spread) -> Duration;
   void CrashEndpoint();
   void CutEndpoint();
   void FailEndpoint();
