Flow: Drop packets whose token names another service's endpoint

Cause: a packet that continues a flow went to whatever endpoint its token named. The tie of tokens to service addresses is a hash without a key, so a caller who computes it reached endpoints of other services, with their platform prefix.

Ruled out: a keyed tie, since instances share no secret and the platform gives none; a check against the present targets alone, which would break open flows of a route that has just got other targets.

Change: RouteTable, in files of its own, remembers the targets that a route had in the last 60 s, the lifetime of a flow. A process that has run for less cannot know them and forwards as before; the endpoint does not hold the flow.

--- a/Source/Flow/endpoint_directory.cc
+++ b/Source/Flow/endpoint_directory.cc
@@ -14,12 +14,6 @@
 // How long departed endpoints are remembered: their flows have then ended.
 constexpr Duration kDepartedMemory = std::chrono::seconds(60);
 
-auto IsTarget(const Route& route, ServiceId service) -> bool {
-  return std::ranges::any_of(route.targets, [service](const auto& target) {
-    return target.service == service;
-  });
-}
-
 // The better one of two with the same token, of which one may be null: one of
 // the route's targets.
 template <typename Item>
@@ -31,18 +25,6 @@
 
 }  // namespace
 
-RouteTable::RouteTable(std::shared_ptr<const RouteSet> routes)
-    : routes_(std::move(routes)) {
-  for (const auto& route : routes_->routes) {
-    by_address_.emplace(route.address, &route);
-  }
-}
-
-auto RouteTable::Find(const SocketAddress& address) const -> const Route* {
-  const auto found = by_address_.find(address);
-  return found == by_address_.end() ? nullptr : found->second;
-}
-
 DirectorySnapshot::DirectorySnapshot(EndpointIndex endpoints,
                                      std::vector<DepartedEndpoint> departed,
                                      std::shared_ptr<const RouteTable> routes,
@@ -59,21 +41,31 @@
   }
 }
 
-auto DirectorySnapshot::Resolve(FlowToken token, const Route& route) const
-    -> ResolvedToken {
+auto DirectorySnapshot::Resolve(FlowToken token, const Route& route,
+                                TimePoint now) const -> ResolvedToken {
+  auto is_foreign = false;
+  const auto may_serve = [&](const auto& endpoint) {
+    const auto may = routes_->MayServe(route, endpoint.report.service, now);
+    is_foreign = is_foreign || !may;
+    return may;
+  };
   const DirectoryEndpoint* present = nullptr;
   endpoints_.ForEach(token, [&](const DirectoryEndpoint& endpoint) {
-    present = BetterOf(present, endpoint, route);
+    present =
+        may_serve(endpoint) ? BetterOf(present, endpoint, route) : present;
   });
   const DepartedEndpoint* departed = nullptr;
   const auto [begin, end] = departed_by_token_.equal_range(token);
   for (auto found = begin; found != end; ++found) {
-    departed = BetterOf(departed, departed_[found->second], route);
+    const auto& endpoint = departed_[found->second];
+    departed =
+        may_serve(endpoint) ? BetterOf(departed, endpoint, route) : departed;
   }
-  if (departed == nullptr) {
-    return present == nullptr ? ResolvedToken() : ResolvedToken(present);
+  if (present == nullptr && departed == nullptr) {
+    return is_foreign ? ResolvedToken(ForeignEndpoint()) : ResolvedToken();
   }
-  const auto departed_fits = IsTarget(route, departed->report.service);
+  const auto departed_fits =
+      departed != nullptr && IsTarget(route, departed->report.service);
   if (present == nullptr ||
       (departed_fits && !IsTarget(route, present->report.service))) {
     return departed;
@@ -188,14 +180,15 @@
   }
 }
 
-auto EndpointDirectory::Publish(std::shared_ptr<const RouteSet> routes)
-    -> bool {
+auto EndpointDirectory::Publish(std::shared_ptr<const RouteSet> routes,
+                                TimePoint now) -> bool {
   if (routes_ != nullptr && routes->version <= routes_->routes()->version) {
     return false;
   }
   events_.push_back(
       {DirectoryEvent::Kind::kRoutesInForce, EndpointId(), routes->version});
-  routes_ = std::make_shared<const RouteTable>(std::move(routes));
+  routes_ =
+      std::make_shared<const RouteTable>(std::move(routes), routes_.get(), now);
   changed_ = true;
   return true;
 }
--- a/Source/Flow/endpoint_directory.h
+++ b/Source/Flow/endpoint_directory.h
@@ -16,46 +16,10 @@
 #include "Flow/endpoint_index.h"
 #include "Flow/endpoint_report.h"
 #include "Flow/flow_token.h"
+#include "Flow/route_table.h"
 
 namespace hemlockwick {
 
-// A service that a route sends new flows to, with its share.
-struct RouteTarget {
-  ServiceId service;
-  std::uint32_t weight = 1;
-
-  friend auto operator==(const RouteTarget&, const RouteTarget&)
-      -> bool = default;
-};
-
-// A service address and where its new flows go.
-struct Route {
-  SocketAddress address;
-  std::vector<RouteTarget> targets;
-};
-
-// All routes of one published configuration.
-struct RouteSet {
-  Version version;
-  std::vector<Route> routes;
-};
-
-// The routes in force, by their address. Immutable.
-class RouteTable {
- public:
-  explicit RouteTable(std::shared_ptr<const RouteSet> routes);
-
-  [[nodiscard]] auto Find(const SocketAddress& address) const -> const Route*;
-
-  [[nodiscard]] auto routes() const -> const std::shared_ptr<const RouteSet>& {
-    return routes_;
-  }
-
- private:
-  std::shared_ptr<const RouteSet> routes_;
-  std::unordered_map<SocketAddress, const Route*> by_address_;
-};
-
 // An endpoint that the platform has given up, with its last report. One that
 // had not announced its leaving may still be alive, cut off from the platform.
 struct DepartedEndpoint {
@@ -64,9 +28,12 @@
   TimePoint since;
 };
 
+// An endpoint that the flow's route has not had among its targets.
+struct ForeignEndpoint {};
+
 // What a token names; monostate when nothing is known of it.
 using ResolvedToken = std::variant<std::monostate, const DirectoryEndpoint*,
-                                   const DepartedEndpoint*>;
+                                   const DepartedEndpoint*, ForeignEndpoint>;
 
 // The directory at one moment, as read by traffic threads. Immutable.
 class DirectorySnapshot {
@@ -84,10 +51,9 @@
       -> const DepartedEndpoint*;
 
   // The endpoint of an open flow of the route. Among endpoints with one token
-  // those of the route's targets go first; an endpoint that is not of them may
-  // belong to an earlier target.
-  [[nodiscard]] auto Resolve(FlowToken token, const Route& route) const
-      -> ResolvedToken;
+  // those of the route's targets go first, then those of its earlier targets.
+  [[nodiscard]] auto Resolve(FlowToken token, const Route& route,
+                             TimePoint now) const -> ResolvedToken;
 
   [[nodiscard]] auto FindRoute(const SocketAddress& address) const
       -> const Route*;
@@ -166,7 +132,7 @@
 
   // Takes routes; ignores a version that is not higher than the present one.
   // Returns whether it was taken.
-  auto Publish(std::shared_ptr<const RouteSet> routes) -> bool;
+  auto Publish(std::shared_ptr<const RouteSet> routes, TimePoint now) -> bool;
 
   void OnPlatformLost();
 
--- a/Source/Flow/flow_types.cc
+++ b/Source/Flow/flow_types.cc
@@ -20,6 +20,8 @@
       return "not_ready";
     case DropReason::kUnknownEndpoint:
       return "unknown_endpoint";
+    case DropReason::kForeignEndpoint:
+      return "foreign_endpoint";
   }
   return "unknown";
 }
--- a/Source/Flow/flow_types.h
+++ b/Source/Flow/flow_types.h
@@ -48,8 +48,9 @@
   kOverLimit,
   kNotReady,         // No directory has been read yet.
   kUnknownEndpoint,  // The flow names an endpoint that is not known.
+  kForeignEndpoint,  // The flow names an endpoint of another service.
 };
-inline constexpr std::size_t kDropReasonCount = 8;
+inline constexpr std::size_t kDropReasonCount = 9;
 
 // Name of the reason as it appears in metrics, for example "no_endpoint".
 [[nodiscard]] auto ToString(DropReason reason) -> std::string_view;
--- /dev/null
+++ b/Source/Flow/route_table.cc
@@ -0,0 +1,68 @@
+#include "Flow/route_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hemlockwick {
+
+namespace {
+
+// Older flows may be discarded.
+constexpr Duration kFlowLifetime = std::chrono::seconds(60);
+
+}  // namespace
+
+auto IsTarget(const Route& route, ServiceId service) -> bool {
+  return std::ranges::find(route.targets, service, &RouteTarget::service) !=
+         route.targets.end();
+}
+
+RouteTable::RouteTable(std::shared_ptr<const RouteSet> routes,
+                       const RouteTable* previous, TimePoint now)
+    : routes_(std::move(routes)),
+      knows_all_from_(previous == nullptr ? now + kFlowLifetime
+                                          : previous->knows_all_from_) {
+  for (const auto& route : routes_->routes) {
+    by_address_.emplace(route.address, &route);
+  }
+  if (previous != nullptr) {
+    KeepFormer(*previous, now);
+  }
+}
+
+void RouteTable::KeepFormer(const RouteTable& previous, TimePoint now) {
+  for (const auto& [address, targets] : previous.former_) {
+    for (const auto& target : targets) {
+      if (now < target.until) {
+        former_[address].push_back(target);
+      }
+    }
+  }
+  for (const auto& route : previous.routes_->routes) {
+    const auto* const present = Find(route.address);
+    for (const auto& target : route.targets) {
+      if (present == nullptr || !IsTarget(*present, target.service)) {
+        former_[route.address].push_back({target.service, now + kFlowLifetime});
+      }
+    }
+  }
+}
+
+auto RouteTable::Find(const SocketAddress& address) const -> const Route* {
+  const auto found = by_address_.find(address);
+  return found == by_address_.end() ? nullptr : found->second;
+}
+
+auto RouteTable::MayServe(const Route& route, ServiceId service,
+                          TimePoint now) const -> bool {
+  if (IsTarget(route, service) || now < knows_all_from_) {
+    return true;
+  }
+  const auto found = former_.find(route.address);
+  return found != former_.end() &&
+         std::ranges::any_of(found->second, [&](const auto& target) {
+           return target.service == service && now < target.until;
+         });
+}
+
+}  // namespace hemlockwick
--- /dev/null
+++ b/Source/Flow/route_table.h
@@ -0,0 +1,76 @@
+#ifndef HEMLOCKWICK_FLOW_ROUTE_TABLE_H_
+#define HEMLOCKWICK_FLOW_ROUTE_TABLE_H_
+
+#include <cstdint>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+#include "Core/ids.h"
+#include "Core/net_address.h"
+#include "Core/time.h"
+
+namespace hemlockwick {
+
+// A service that a route sends new flows to, with its share.
+struct RouteTarget {
+  ServiceId service;
+  std::uint32_t weight = 1;
+
+  friend auto operator==(const RouteTarget&, const RouteTarget&)
+      -> bool = default;
+};
+
+// A service address and where its new flows go.
+struct Route {
+  SocketAddress address;
+  std::vector<RouteTarget> targets;
+};
+
+// Whether new flows of the route may go to the service.
+[[nodiscard]] auto IsTarget(const Route& route, ServiceId service) -> bool;
+
+// All routes of one published configuration.
+struct RouteSet {
+  Version version;
+  std::vector<Route> routes;
+};
+
+// The routes in force, by their address, and the targets that they had while
+// flows of today may have opened. Immutable.
+class RouteTable {
+ public:
+  // Takes the place of `previous`, null for the first table, at `now`.
+  RouteTable(std::shared_ptr<const RouteSet> routes, const RouteTable* previous,
+             TimePoint now);
+
+  [[nodiscard]] auto Find(const SocketAddress& address) const -> const Route*;
+
+  // Whether an open flow of the route may belong to an endpoint of the service.
+  // True of any service until this process has seen all targets of a flow's
+  // lifetime.
+  [[nodiscard]] auto MayServe(const Route& route, ServiceId service,
+                              TimePoint now) const -> bool;
+
+  [[nodiscard]] auto routes() const -> const std::shared_ptr<const RouteSet>& {
+    return routes_;
+  }
+
+ private:
+  // A target that a route no longer has.
+  struct FormerTarget {
+    ServiceId service;
+    TimePoint until;  // Its flows have ended by then.
+  };
+
+  void KeepFormer(const RouteTable& previous, TimePoint now);
+
+  std::shared_ptr<const RouteSet> routes_;
+  std::unordered_map<SocketAddress, const Route*> by_address_;
+  std::unordered_map<SocketAddress, std::vector<FormerTarget>> former_;
+  TimePoint knows_all_from_;
+};
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_FLOW_ROUTE_TABLE_H_
--- a/Source/Flow/token_router.cc
+++ b/Source/Flow/token_router.cc
@@ -81,7 +81,7 @@
 
 auto TokenRouter::Continue(const TokenPacket& packet, const Route& route,
                            TimePoint now) -> TokenAction {
-  const auto resolved = directory_->Resolve(TokenOf(packet), route);
+  const auto resolved = directory_->Resolve(TokenOf(packet), route, now);
   if (const auto* const present =
           std::get_if<const DirectoryEndpoint*>(&resolved)) {
     return Forward(packet, (*present)->report, now);
@@ -90,6 +90,9 @@
           std::get_if<const DepartedEndpoint*>(&resolved)) {
     return ToDeparted(packet, **departed, now);
   }
+  if (std::holds_alternative<ForeignEndpoint>(resolved)) {
+    return Drop(packet, DropReason::kForeignEndpoint);
+  }
   return ToUnknown(packet, now);
 }
 
--- a/Source/Measure/edge_slopes.cc
+++ b/Source/Measure/edge_slopes.cc
@@ -27,6 +27,7 @@
   double change_seconds = 0;
   double change_bytes = 0;
   double whole_bytes = 0;
+  double catch_up_seconds = 0;
 };
 
 struct SlopeField {
@@ -41,6 +42,7 @@
     {"edge.take_change", "s", &EdgeCosts::change_seconds},
     {"edge.change_bytes", "B", &EdgeCosts::change_bytes},
     {"edge.whole_bytes", "B", &EdgeCosts::whole_bytes},
+    {"edge.catch_up", "s", &EdgeCosts::catch_up_seconds},
 };
 
 auto MakeReport(std::uint64_t id, std::uint64_t services) -> EndpointReport {
@@ -89,6 +91,19 @@
   return times[kChanges / 2];
 }
 
+// The time that a relay takes for a change that names all endpoints, and for
+// passing it on.
+auto TimeToCatchUp(DirectoryHistory& history, DirectoryUpdate change)
+    -> double {
+  change.is_whole = false;
+  change.revision = Revision(history.revision().value() + 1);
+  const auto before = history.revision();
+  const auto watch = Stopwatch();
+  history.Add(change, kNow);
+  std::ignore = history.Since(before);
+  return watch.Seconds();
+}
+
 auto MeasureDirectory(std::uint64_t endpoints, std::uint64_t seed)
     -> EdgeCosts {
   const auto whole = MakeWhole(endpoints, seed);
@@ -98,7 +113,7 @@
   for (const auto& report : whole.reports) {
     directory.Report(report);
   }
-  directory.Publish(whole.routes);
+  directory.Publish(whole.routes, kNow);
   auto router = TokenRouter({DataCentreId(1), 1, InstanceId(1)});
   router.Update(directory.TakeSnapshot(kNow), kNow);
   // The list of first events is logged as one line and dropped.
@@ -118,6 +133,7 @@
   };
   costs.change_bytes = bytes_of(change);
   costs.whole_bytes = bytes_of(whole);
+  costs.catch_up_seconds = TimeToCatchUp(history, whole);
   return costs;
 }
 
--- a/Source/Measure/token_world.cc
+++ b/Source/Measure/token_world.cc
@@ -127,7 +127,7 @@
   auto routes = std::make_shared<RouteSet>();
   routes->version = Version(1);
   routes->routes.push_back({kAddress, {{kService, 1}}});
-  directory_.Publish(std::move(routes));
+  directory_.Publish(std::move(routes), kStart);
   for (std::size_t i = 0; i < pattern_.instances; ++i) {
     instances_.push_back(MakeRouter<Router>(
         {InstanceId(i + 1), DataCentreOf(i, pattern_), endpoints_}));
--- a/Tests/Flow/endpoint_directory_test.cc
+++ b/Tests/Flow/endpoint_directory_test.cc
@@ -38,15 +38,15 @@
   auto directory = EndpointDirectory();
   directory.Report(MakeReport(1));
   cr_assert_not(directory.IsUsable());
-  cr_assert(directory.Publish(MakeRoutes(3)));
+  cr_assert(directory.Publish(MakeRoutes(3), kNow));
   cr_assert(directory.IsUsable());
 }
 
 Test(endpoint_directory, never_goes_back_to_an_older_version) {
   auto directory = EndpointDirectory();
-  cr_assert(directory.Publish(MakeRoutes(5)));
-  cr_assert_not(directory.Publish(MakeRoutes(4)));
-  cr_assert_not(directory.Publish(MakeRoutes(5)));
+  cr_assert(directory.Publish(MakeRoutes(5), kNow));
+  cr_assert_not(directory.Publish(MakeRoutes(4), kNow));
+  cr_assert_not(directory.Publish(MakeRoutes(5), kNow));
   cr_assert_eq(directory.TakeSnapshot(kNow)->version().value(), 5U);
 }
 
--- a/Tests/Flow/flow_affinity_test.cc
+++ b/Tests/Flow/flow_affinity_test.cc
@@ -39,7 +39,7 @@
     auto routes = std::make_shared<RouteSet>();
     routes->version = Version(1);
     routes->routes.push_back({kAddress, {{ServiceId(7), 1}}});
-    directory_.Publish(routes);
+    directory_.Publish(routes, now_);
     for (std::size_t i = 0; i < kInstances; ++i) {
       instances_.push_back(std::make_unique<TokenRouter>(Settings()));
     }
--- a/Tests/Flow/token_router_test.cc
+++ b/Tests/Flow/token_router_test.cc
@@ -25,7 +25,7 @@
     auto routes = std::make_shared<RouteSet>();
     routes->version = Version(1);
     routes->routes.push_back({kAddress, {{kService, 1}}});
-    directory_.Publish(routes);
+    directory_.Publish(routes, now_);
     Publish();
   }
 
@@ -48,7 +48,7 @@
     routes->version = Version(version);
     routes->routes.push_back({kAddress, {{service, 1}}});
     routes->routes.push_back({kOtherAddress, {{other_service, 1}}});
-    directory_.Publish(routes);
+    directory_.Publish(routes, now_);
   }
 
   auto Publish() -> std::vector<ResetFlow> {
@@ -201,6 +201,81 @@
   }
 }
 
+// The longest time for which a flow stays open.
+constexpr Duration kFlowLifetime = std::chrono::seconds(60);
+
+// The token of an endpoint as a caller may compute it for a route.
+auto ComputedToken(std::uint64_t id, const SocketAddress& service)
+    -> WireToken {
+  return ToWire(TokenOf(EndpointId(id)), service);
+}
+
+auto IsForeign(const TokenAction& action) -> bool {
+  const auto* const drop = std::get_if<DropPacket>(&action);
+  return drop != nullptr && drop->reason == DropReason::kForeignEndpoint;
+}
+
+Test(token_router, a_computed_token_reaches_endpoints_of_its_route_only) {
+  auto world = World();
+  world.Put(3, false, kOtherService);
+  world.Put(4, true, kOtherService);
+  world.PutRoutes(2, kService, kOtherService);
+  world.Publish();
+  world.Skip(kFlowLifetime);
+  for (auto id = std::uint64_t{1}; id <= 4; ++id) {
+    const auto is_own = id <= 2;
+    const auto action = PacketTo(world, kAddress, ComputedToken(id, kAddress));
+    cr_assert_eq(std::holds_alternative<ForwardWithToken>(action), is_own);
+    cr_assert_eq(IsForeign(action), !is_own);
+  }
+}
+
+Test(token_router, a_swept_token_reaches_endpoints_of_its_route_only) {
+  auto world = World();
+  for (auto id = std::uint64_t{3}; id <= 64; ++id) {
+    world.Put(id, false, kOtherService);
+  }
+  world.PutRoutes(2, kService, kOtherService);
+  world.Publish();
+  world.Skip(kFlowLifetime);
+  const auto mask = ToWire(kNoToken, kAddress).value();
+  for (auto value = std::uint32_t{1}; value <= 128; ++value) {
+    const auto action = PacketTo(world, kAddress, WireToken(value ^ mask));
+    if (const auto* const sent = std::get_if<ForwardWithToken>(&action)) {
+      cr_assert_leq(sent->endpoint.value(), 2U);
+    }
+  }
+}
+
+Test(token_router, a_computed_token_of_a_departed_endpoint_is_dropped) {
+  auto world = World();
+  world.Put(3, false, kOtherService);
+  world.PutRoutes(2, kService, kOtherService);
+  world.Publish();
+  world.Skip(kFlowLifetime);
+  world.directory().Remove(EndpointId(3), world.now());
+  world.Publish();
+  cr_assert(IsForeign(PacketTo(world, kAddress, ComputedToken(3, kAddress))));
+  cr_assert_eq(world.Notes(RouterNote::Kind::kPacketDropped), 1U);
+}
+
+Test(token_router, flows_of_a_former_target_go_on_for_their_lifetime) {
+  auto world = World();
+  world.Put(3, false, kOtherService);
+  world.PutRoutes(2, kService, kOtherService);
+  world.Publish();
+  world.Skip(kFlowLifetime);
+  const auto token = ComputedToken(1, kAddress);
+  world.PutRoutes(3, kOtherService, kOtherService);
+  world.Publish();
+  world.Skip(kFlowLifetime / 2);
+  world.PutRoutes(4, kOtherService, kOtherService);
+  world.Publish();
+  cr_assert_eq(EndpointIn(PacketTo(world, kAddress, token)), 1U);
+  world.Skip(kFlowLifetime / 2);
+  cr_assert(IsForeign(PacketTo(world, kAddress, token)));
+}
+
 // Two endpoints whose ids give the same token.
 constexpr std::uint64_t kTwin = 3;
 constexpr std::uint64_t kOtherTwin = (std::uint64_t{1} << 32) | 2;
