Edge: Pass on what a whole read changed, and never go back to an older one

Change: a relay keeps the difference between two whole reads as a change; an older whole directory counts as a failed call; changes are joined newest first with a set of what is named.

Tests, which failed first: directory_history a_second_whole_read_becomes_a_change and _tells_of_new_routes, directory_sync does_not_take_a_whole_directory_that_is _older. watches_from_where_a_full_read_ends asked that an older whole directory be taken and watched from; it now asks that it is not, and that nothing between is skipped, which is as strict.

--- a/Source/Edge/directory_history.cc
+++ b/Source/Edge/directory_history.cc
@@ -19,7 +19,7 @@
     KeepRoutes(update.routes);
   }
   if (update.is_whole) {
-    Replace(update);
+    Replace(update, now);
     return;
   }
   if (update.revision <= all_.revision) {
@@ -28,21 +28,31 @@
   all_.Append(update);
   // Everything that is held is named by its report.
   all_.removed.clear();
-  changes_.push_back({now, update});
-  while (changes_.size() > kMaxChanges ||
-         now - changes_.front().at > kKeepTime) {
-    complete_after_ = changes_.front().update.revision;
-    changes_.pop_front();
-  }
+  Keep(update, now);
 }
 
-// A whole read does not say what has changed.
-void DirectoryHistory::Replace(const DirectoryUpdate& whole) {
+// Those who watch here need only what has changed since the last whole read;
+// else every one of them would read everything after an instance did.
+void DirectoryHistory::Replace(const DirectoryUpdate& whole, TimePoint now) {
+  const auto is_first = !all_.is_whole;
+  auto difference = DifferenceOf(all_, whole);
   auto routes = whole.routes != nullptr ? whole.routes : all_.routes;
   all_ = whole;
   all_.routes = std::move(routes);
-  complete_after_ = whole.revision;
-  changes_.clear();
+  if (is_first) {
+    complete_after_ = whole.revision;
+  } else {
+    Keep(std::move(difference), now);
+  }
+}
+
+void DirectoryHistory::Keep(DirectoryUpdate change, TimePoint now) {
+  changes_.push_back({now, std::move(change)});
+  while (changes_.size() > kMaxChanges ||
+         now - changes_.front().at > kKeepTime) {
+    complete_after_ = changes_.front().update.revision;
+    changes_.pop_front();
+  }
 }
 
 auto DirectoryHistory::Since(Revision after) const
@@ -50,13 +60,13 @@
   if (after < complete_after_) {
     return std::nullopt;
   }
-  auto result = DirectoryUpdate();
-  result.revision = std::max(after, all_.revision);
-  for (const auto& change : changes_) {
-    if (change.update.revision > after) {
-      result.Append(change.update);
-    }
+  auto joiner = UpdateJoiner();
+  for (auto change = changes_.rbegin();
+       change != changes_.rend() && change->update.revision > after; ++change) {
+    joiner.AddOlder(change->update);
   }
+  auto result = joiner.Take();
+  result.revision = std::max(after, all_.revision);
   return result;
 }
 
--- a/Source/Edge/directory_history.h
+++ b/Source/Edge/directory_history.h
@@ -35,7 +35,8 @@
     DirectoryUpdate update;
   };
 
-  void Replace(const DirectoryUpdate& whole);
+  void Replace(const DirectoryUpdate& whole, TimePoint now);
+  void Keep(DirectoryUpdate change, TimePoint now);
   void KeepRoutes(std::shared_ptr<const RouteSet> routes);
 
   DirectoryUpdate all_;
--- a/Source/Edge/directory_keeper.cc
+++ b/Source/Edge/directory_keeper.cc
@@ -28,9 +28,9 @@
                                TimePoint now) {
   LogCall(answer, error);
   NoteOutage(answer, called_at, now);
-  sync_.OnAnswer(answer, now);
+  const auto is_taken = sync_.OnAnswer(answer, now);
   LogConnection(answer, error);
-  if (answer.status == SyncStatus::kOk) {
+  if (is_taken) {
     Apply(answer.update, now);
     relay_.Add(answer.update, now);
     if (!answer.suspects.empty()) {
@@ -63,7 +63,7 @@
     directory_.RemoveOthers(present, now);
   }
   if (update.routes != nullptr) {
-    directory_.Publish(update.routes);
+    directory_.Publish(update.routes, now);
   }
   if (update.ignored > 0) {
     metrics_.CountIgnoredEntries(update.ignored);
--- a/Source/Edge/directory_sync.cc
+++ b/Source/Edge/directory_sync.cc
@@ -60,11 +60,17 @@
   Schedule(now, now);
 }
 
-void DirectorySync::OnAnswer(const SyncAnswer& answer, TimePoint now) {
+auto DirectorySync::OnAnswer(const SyncAnswer& answer, TimePoint now) -> bool {
   auto& upstream = Find(next_.relay);
+  auto is_taken = false;
   switch (answer.status) {
     case SyncStatus::kOk:
-      OnSuccess(upstream, answer, now);
+      is_taken = !answer.update.is_whole || answer.update.revision >= revision_;
+      if (is_taken) {
+        OnSuccess(upstream, answer, now);
+      } else {
+        OnFailure(upstream, now);
+      }
       break;
     case SyncStatus::kHistoryLost:
       has_read_ = false;
@@ -76,15 +82,14 @@
       break;
   }
   is_lost_ = now - last_fresh_ >= kLostTime;
+  return is_taken;
 }
 
 void DirectorySync::OnSuccess(Upstream& upstream, const SyncAnswer& answer,
                               TimePoint now) {
   upstream.failures = 0;
   has_read_ = true;
-  revision_ = answer.update.is_whole
-                  ? answer.update.revision
-                  : std::max(revision_, answer.update.revision);
+  revision_ = std::max(revision_, answer.update.revision);
   last_fresh_ = std::max(last_fresh_, now - answer.age);
   // When one relay is out of date the others probably are too.
   is_searching_ = answer.age > kMaxRelayAge;
--- a/Source/Edge/directory_sync.h
+++ b/Source/Edge/directory_sync.h
@@ -79,7 +79,9 @@
 
   [[nodiscard]] auto next() const -> const SyncCall& { return next_; }
 
-  void OnAnswer(const SyncAnswer& answer, TimePoint now);
+  // Takes the answer to the call. Returns whether its update is to be taken:
+  // not one that would lead back to an older state.
+  auto OnAnswer(const SyncAnswer& answer, TimePoint now) -> bool;
 
   // Whether nobody has given an up-to-date answer for some time.
   [[nodiscard]] auto is_lost() const -> bool { return is_lost_; }
--- a/Source/Edge/directory_update.cc
+++ b/Source/Edge/directory_update.cc
@@ -1,35 +1,68 @@
 #include "Edge/directory_update.h"
 
 #include <algorithm>
+#include <iterator>
+#include <unordered_map>
 
 namespace hemlockwick {
 
-void DirectoryUpdate::Forget(EndpointId endpoint) {
-  std::erase_if(reports, [endpoint](const auto& report) {
-    return report.id == endpoint;
-  });
-  std::erase(removed, endpoint);
-  std::erase(unreadable, endpoint);
+void DirectoryUpdate::Append(const DirectoryUpdate& later) {
+  auto joiner = UpdateJoiner();
+  joiner.AddOlder(later);
+  joiner.AddOlder(*this);
+  auto joined = joiner.Take();
+  joined.is_whole = is_whole;
+  *this = std::move(joined);
 }
 
-void DirectoryUpdate::Append(const DirectoryUpdate& later) {
-  for (const auto& report : later.reports) {
-    Forget(report.id);
-    reports.push_back(report);
-  }
-  for (const auto endpoint : later.removed) {
-    Forget(endpoint);
-    removed.push_back(endpoint);
+void UpdateJoiner::AddOlder(const DirectoryUpdate& older) {
+  const auto is_unnamed = [this](EndpointId endpoint) {
+    return !named_.contains(endpoint);
+  };
+  std::ranges::copy_if(older.reports, std::back_inserter(joined_.reports),
+                       is_unnamed, &EndpointReport::id);
+  std::ranges::copy_if(older.removed, std::back_inserter(joined_.removed),
+                       is_unnamed);
+  std::ranges::copy_if(older.unreadable, std::back_inserter(joined_.unreadable),
+                       is_unnamed);
+  ForEachEndpoint(older,
+                  [this](EndpointId endpoint) { named_.insert(endpoint); });
+  if (joined_.routes == nullptr) {
+    joined_.routes = older.routes;
   }
-  for (const auto endpoint : later.unreadable) {
-    Forget(endpoint);
-    unreadable.push_back(endpoint);
+  joined_.revision = std::max(joined_.revision, older.revision);
+  joined_.ignored += older.ignored;
+}
+
+auto DifferenceOf(const DirectoryUpdate& before, const DirectoryUpdate& after)
+    -> DirectoryUpdate {
+  auto known = std::unordered_map<EndpointId, const EndpointReport*>();
+  for (const auto& report : before.reports) {
+    known.emplace(report.id, &report);
   }
-  if (later.routes != nullptr) {
-    routes = later.routes;
+  auto present = std::unordered_set<EndpointId>();
+  ForEachEndpoint(
+      after, [&present](EndpointId endpoint) { present.insert(endpoint); });
+
+  auto difference = DirectoryUpdate();
+  difference.revision = after.revision;
+  for (const auto& report : after.reports) {
+    const auto found = known.find(report.id);
+    if (found == known.end() || *found->second != report) {
+      difference.reports.push_back(report);
+    }
   }
-  revision = std::max(revision, later.revision);
-  ignored += later.ignored;
+  difference.unreadable = after.unreadable;
+  ForEachEndpoint(before, [&](EndpointId endpoint) {
+    if (!present.contains(endpoint)) {
+      difference.removed.push_back(endpoint);
+    }
+  });
+  const auto has_routes = after.routes != nullptr &&
+                          (before.routes == nullptr ||
+                           before.routes->version < after.routes->version);
+  difference.routes = has_routes ? after.routes : nullptr;
+  return difference;
 }
 
 }  // namespace hemlockwick
--- a/Source/Edge/directory_update.h
+++ b/Source/Edge/directory_update.h
@@ -3,6 +3,8 @@
 
 #include <cstddef>
 #include <memory>
+#include <unordered_set>
+#include <utility>
 #include <vector>
 
 #include "Core/strong_id.h"
@@ -30,13 +32,42 @@
            routes != nullptr;
   }
 
-  // Drops what the update says of the endpoint, before a later change of it.
-  void Forget(EndpointId endpoint);
-
   // Adds a later update that is not whole.
   void Append(const DirectoryUpdate& later);
 };
 
+// Calls `visit` with each endpoint that the update names.
+template <typename Visit>
+void ForEachEndpoint(const DirectoryUpdate& update, Visit&& visit) {
+  for (const auto& report : update.reports) {
+    visit(report.id);
+  }
+  for (const auto endpoint : update.removed) {
+    visit(endpoint);
+  }
+  for (const auto endpoint : update.unreadable) {
+    visit(endpoint);
+  }
+}
+
+// Joins updates that are not whole, in time linear in what they name.
+class UpdateJoiner {
+ public:
+  // Adds an update that is older than those before.
+  void AddOlder(const DirectoryUpdate& older);
+
+  [[nodiscard]] auto Take() -> DirectoryUpdate { return std::move(joined_); }
+
+ private:
+  DirectoryUpdate joined_;
+  std::unordered_set<EndpointId> named_;
+};
+
+// What has to change to get from one whole update to a later one.
+[[nodiscard]] auto DifferenceOf(const DirectoryUpdate& before,
+                                const DirectoryUpdate& after)
+    -> DirectoryUpdate;
+
 }  // namespace hemlockwick
 
 #endif  // HEMLOCKWICK_EDGE_DIRECTORY_UPDATE_H_
--- a/Tests/Edge/directory_sync_test.cc
+++ b/Tests/Edge/directory_sync_test.cc
@@ -233,16 +233,36 @@
   cr_assert_eq(sync.next().after.value(), 10U);
 }
 
-// After lost history a relay that is behind may give the full read; what came
-// after its revision has to be watched again.
+// The platform has lost its history and refuses this instance, and the relay
+// that answers has been cut off for a while: what left since must not return.
+Test(directory_sync, does_not_take_a_whole_directory_that_is_older) {
+  auto sync = DirectorySync({3, false, 1, {}}, kStart);
+  cr_assert(sync.OnAnswer(Whole(10), kStart));
+  cr_assert(sync.OnAnswer(Ok(20), kStart));
+  sync.OnAnswer(Failed(SyncStatus::kHistoryLost), kStart);
+  sync.OnAnswer(Failed(SyncStatus::kRefused), kStart);
+  const auto asked = sync.next().relay;
+  cr_assert(asked.has_value());
+  cr_assert_eq(sync.next().kind, SyncCall::Kind::kReadAll);
+  cr_assert_not(sync.OnAnswer(Whole(15), kStart));
+  cr_assert_eq(sync.revision().value(), 20U);
+  cr_assert_eq(sync.next().kind, SyncCall::Kind::kReadAll);
+  cr_assert(sync.next().relay != asked);
+  cr_assert(sync.OnAnswer(Whole(20), kStart));
+}
+
+// Nothing between the directory in use and the one that is read may be skipped.
 Test(directory_sync, watches_from_where_a_full_read_ends) {
   auto sync = DirectorySync({1, false, 1, {}}, kStart);
   sync.OnAnswer(Whole(10), kStart);
   sync.OnAnswer(Failed(SyncStatus::kHistoryLost), kStart);
   sync.OnAnswer(Failed(SyncStatus::kRefused), kStart);
   cr_assert(sync.next().relay.has_value());
-  sync.OnAnswer(Whole(8), kStart);
-  cr_assert_eq(sync.next().after.value(), 8U);
+  cr_assert_not(sync.OnAnswer(Whole(8), kStart));
+  cr_assert_eq(sync.next().kind, SyncCall::Kind::kReadAll);
+  cr_assert(sync.OnAnswer(Whole(12), kStart + kSecond));
+  cr_assert_eq(sync.next().kind, SyncCall::Kind::kWatch);
+  cr_assert_eq(sync.next().after.value(), 12U);
 }
 
 Test(directory_sync, is_lost_without_an_answer_and_back_with_one) {
--- a/Tests/Edge/relay_test.cc
+++ b/Tests/Edge/relay_test.cc
@@ -95,6 +95,43 @@
   cr_assert(history.Since(Revision(12)).has_value());
 }
 
+// The platform forgot its history and the relay read everything again: those
+// who watch here must not all do the same.
+Test(directory_history, a_second_whole_read_becomes_a_change) {
+  auto history = DirectoryHistory();
+  history.Add(Whole(10), kNow);
+  history.Add(Change(12, MakeReport(3)), kNow);
+  auto again = Whole(20);
+  again.reports = {MakeReport(2, true), MakeReport(3), MakeReport(4)};
+  history.Add(again, kNow + kSecond);
+  const auto change = history.Since(Revision(12));
+  cr_assert(change.has_value());
+  cr_assert_not(change->is_whole);
+  cr_assert_eq(change->revision.value(), 20U);
+  cr_assert(change->removed == std::vector{EndpointId(1)});
+  cr_assert_eq(change->reports.size(), 2U);
+  cr_assert(change->reports.at(0) == MakeReport(2, true));
+  cr_assert(change->reports.at(1) == MakeReport(4));
+  cr_assert_null(change->routes.get());
+  // One that is further behind gets both changes, each endpoint once.
+  const auto both = history.Since(Revision(10));
+  cr_assert_eq(both->reports.size(), 3U);
+  cr_assert_eq(both->removed.size(), 1U);
+}
+
+Test(directory_history, a_second_whole_read_tells_of_new_routes) {
+  auto history = DirectoryHistory();
+  history.Add(Whole(10), kNow);
+  auto again = Whole(20);
+  again.routes = MakeRoutes(2, 1, 50);
+  again.unreadable = {EndpointId(9)};
+  history.Add(again, kNow + kSecond);
+  const auto change = history.Since(Revision(10));
+  cr_assert_eq(change->routes->version.value(), 2U);
+  cr_assert(change->unreadable == again.unreadable);
+  cr_assert(change->reports.empty());
+}
+
 Test(directory_history, whole_directory_holds_what_is_present) {
   auto history = DirectoryHistory();
   history.Add(Whole(10), kNow);
