Edge: Keep a second copy of an answer from the next call

Changes of an earlier answer were then applied again: an endpoint that had left took new flows.

Ruled out: the request plane, which opens a connection for each request, and whose broken-off answers fail (http fails_on_a_cut_answer).

Change: a connection with bytes that nobody asked for is closed, with a log line; an answer whose revision is older than what is known is not taken.

--- a/Source/Edge/directory_keeper.cc
+++ b/Source/Edge/directory_keeper.cc
@@ -32,7 +32,17 @@
   LogCall(answer, error);
   NoteOutage(answer, called_at, now);
   sync_.NoteWatchers(relay_.NearWatchers());
+  const auto upstream = UpstreamName();
   const auto is_taken = sync_.OnAnswer(answer, now);
+  if (answer.status == SyncStatus::kOk && !is_taken) {
+    // It is older, or has come by this instance already.
+    LogSoon(
+        LogLevel::kWarning, "directory_answer_refused",
+        {{"upstream", upstream},
+         {"answer_revision", std::to_string(answer.update.revision.value())},
+         {"revision", std::to_string(sync_.revision().value())},
+         {"relays_above", std::to_string(answer.advice.path.size())}});
+  }
   LogConnection(answer, error);
   LogParent(answer);
   if (is_taken) {
@@ -97,6 +107,12 @@
   }
 }
 
+// Whom the next call goes to.
+auto DirectoryKeeper::UpstreamName() const -> std::string {
+  const auto& relay = sync_.next().relay;
+  return relay ? ToString(*relay) : std::string("platform");
+}
+
 // Logs the first of several failed calls, and the next one that succeeds.
 void DirectoryKeeper::LogCall(const SyncAnswer& answer,
                               const std::string& error) {
@@ -105,14 +121,12 @@
   if (is_ok != is_failing_) {
     return;
   }
-  const auto& relay = sync_.next().relay;
-  const auto upstream = relay ? ToString(*relay) : std::string("platform");
   if (is_ok) {
     LogSoon(LogLevel::kInfo, "directory_call_succeeded",
-            {{"upstream", upstream}});
+            {{"upstream", UpstreamName()}});
   } else {
     LogSoon(LogLevel::kWarning, "directory_call_failed",
-            {{"upstream", upstream},
+            {{"upstream", UpstreamName()},
              {"status", std::string(ToString(answer.status))},
              {"error", error},
              {"revision", std::to_string(sync_.revision().value())}});
--- a/Source/Edge/directory_keeper.h
+++ b/Source/Edge/directory_keeper.h
@@ -65,6 +65,7 @@
   void NoteOutage(const SyncAnswer& answer, TimePoint called_at, TimePoint now);
   void LogCall(const SyncAnswer& answer, const std::string& error);
   void LogConnection(const SyncAnswer& answer, const std::string& error);
+  [[nodiscard]] auto UpstreamName() const -> std::string;
   void LogParent(const SyncAnswer& answer);
   [[nodiscard]] auto RelayStateAt(TimePoint now) const -> RelayState;
   void LogEvents();
--- a/Source/Edge/directory_sync.cc
+++ b/Source/Edge/directory_sync.cc
@@ -96,12 +96,12 @@
   return is_taken;
 }
 
-// Not a whole directory that is older, from which what has left would return,
-// and nothing that has come round to this instance again.
+// Nothing that is older than what is known: from an older directory, or a copy
+// of an earlier answer, what has left would return. Nothing either that has
+// come round to this instance again.
 auto DirectorySync::MayTake(const SyncAnswer& answer) const -> bool {
   const auto& path = answer.advice.path;
-  const auto is_older =
-      answer.update.is_whole && answer.update.revision < revision_;
+  const auto is_older = answer.update.revision < revision_;
   const auto is_ring =
       std::ranges::find(path, settings_.own_relay) != path.end();
   return !is_older && !is_ring && path.size() <= kMaxPath;
--- a/Source/Edge/http_connection.cc
+++ b/Source/Edge/http_connection.cc
@@ -14,6 +14,8 @@
 #include <optional>
 #include <utility>
 
+#include "Runtime/log.h"
+
 namespace hemlockwick {
 
 namespace {
@@ -41,7 +43,15 @@
                   address.port.value()),
         host_(ToString(address)) {}
 
-  [[nodiscard]] auto is_usable() const -> bool { return is_open_; }
+  // Whether the next call may use this connection. Bytes that nobody has asked
+  // for, such as a second copy of an answer, would be taken for its answer.
+  [[nodiscard]] auto IsUsable() -> bool {
+    auto error = beast::error_code();
+    if (is_open_ && stream_.socket().available(error) > 0) {
+      CloseForExtraBytes();
+    }
+    return is_open_;
+  }
 
   void Get(const std::string& target, Duration timeout, OnAnswer on_answer) {
     on_answer_ = std::move(on_answer);
@@ -114,6 +124,8 @@
     auto response = parser_->release();
     if (!response.keep_alive()) {
       Close();
+    } else if (buffer_.size() > 0) {
+      CloseForExtraBytes();
     }
     Answer({static_cast<int>(response.result_int()),
             std::move(response.body()),
@@ -125,6 +137,12 @@
     Answer({0, {}, std::string(step) + ": " + error.message()});
   }
 
+  void CloseForExtraBytes() {
+    Log(LogLevel::kWarning, "connection_closed",
+        {{"peer", host_}, {"reason", "bytes that no call has asked for"}});
+    Close();
+  }
+
   void Close() {
     is_open_ = false;
     auto ignored = beast::error_code();
@@ -160,7 +178,7 @@
 
 void HttpConnection::Get(const std::string& target, Duration timeout,
                          OnAnswer on_answer) {
-  if (session_ == nullptr || !session_->is_usable()) {
+  if (session_ == nullptr || !session_->IsUsable()) {
     session_ = std::make_shared<Session>(context_, address_);
   }
   session_->Get(target, timeout, std::move(on_answer));
--- a/Tests/Edge/directory_sync_test.cc
+++ b/Tests/Edge/directory_sync_test.cc
@@ -253,6 +253,16 @@
   cr_assert_eq(sync.next().after.value(), 10U);
 }
 
+// A copy of an earlier answer: what it says of endpoints is no longer true.
+Test(directory_sync, does_not_take_changes_that_are_older) {
+  auto sync = DirectorySync(Settings(0, false, 1), kStart);
+  cr_assert(sync.OnAnswer(Whole(10), kStart));
+  cr_assert(sync.OnAnswer(Ok(12), kStart));
+  cr_assert(sync.OnAnswer(Ok(13), kStart));
+  cr_assert_not(sync.OnAnswer(Ok(12), kStart));
+  cr_assert_eq(sync.next().after.value(), 13U);
+}
+
 // The platform has lost its history and refuses this instance, and the relay
 // that answers has been cut off for a while: what left since must not return.
 Test(directory_sync, does_not_take_a_whole_directory_that_is_older) {
