Flow: Give up no work that must not run again because its endpoint is silent

Callers of requests that may be repeated try again elsewhere. Callers of the others do not: work that an endpoint had begun, and only answered late, was given up.

Ruled out: longer times for all (a dead endpoint holds repeatable requests to their deadline), asking the endpoint (health checks are priced and may lie).

Change: a route says whether its requests may run again, decoded once from its kind; only flows of those are reset for silence. Flows of an endpoint that has left are reset as before. Relays pass it on; an earlier version's messages count as 'may not'.

Test, which failed first: token_router work_that_must_not_run_again_outlasts_a_silence; store_items kind_of_a_route_says_what_may_run_again. Test worlds name their routes as repeatable, since they stand for reads.

--- a/Source/Edge/relay_codec.cc
+++ b/Source/Edge/relay_codec.cc
@@ -69,6 +69,7 @@
     item.push_back(target.service.value());
     item.push_back(target.weight);
   }
+  item.push_back(route.may_repeat);
   return item;
 }
 
@@ -80,6 +81,8 @@
     route.targets.push_back({ServiceId(item.at(index).get<std::uint64_t>()),
                              item.at(index + 1).get<std::uint32_t>()});
   }
+  // An earlier version does not say it.
+  route.may_repeat = item.size() % 2 == 1 && item.back().get<bool>();
   return route;
 }
 
@@ -98,7 +101,7 @@
   auto put = Json::array();
   for (const auto& route : routes.routes) {
     const auto found = known.find(route.address);
-    if (found == known.end() || found->second->targets != route.targets) {
+    if (found == known.end() || *found->second != route) {
       put.push_back(EncodeRoute(route));
     }
     if (found != known.end()) {
--- a/Source/Flow/flow_watch.cc
+++ b/Source/Flow/flow_watch.cc
@@ -78,7 +78,8 @@
 }
 
 auto FlowWatch::OnPacket(const TokenPacket& packet, FlowToken token,
-                         TimePoint now) -> std::optional<Duration> {
+                         bool may_reset, TimePoint now)
+    -> std::optional<Duration> {
   auto& flow = Track(packet, now);
   if (flow.closed) {
     return std::nullopt;
@@ -92,7 +93,8 @@
   SetToken(flow, token, now);
   NotePacket(flow, packet, now);
   const auto& signs = LoadOf(token, now).signs;
-  if (packet.data_bytes > 0 && flow.waiting && signs.IsSilent(now)) {
+  if (may_reset && packet.data_bytes > 0 && flow.waiting &&
+      signs.IsSilent(now)) {
     return now - signs.last_alive();
   }
   if (packet.finishes || packet.resets) {
@@ -307,7 +309,10 @@
   JudgeRequests(now);
   auto resets = std::vector<ResetFlow>();
   for (const auto token : std::exchange(newly_silent_, {})) {
-    auto ended = ResetTracked(token, ResetReason::kSilent, now - kResetWait);
+    if (directory == nullptr) {
+      continue;
+    }
+    auto ended = ResetSilent(token, *directory, now);
     resets.insert(resets.end(), ended.begin(), ended.end());
   }
   return resets;
@@ -368,34 +373,53 @@
   flows_.ForEach([](TrackedFlow& flow) { flow.gave_sign = true; });
 }
 
-// Ends the flows of an endpoint that have waited since `silent_since` or
-// earlier; of a departed endpoint all of them.
-auto FlowWatch::ResetTracked(FlowToken token, ResetReason reason,
-                             TimePoint silent_since) -> std::vector<ResetFlow> {
+auto FlowWatch::ResetDeparted(FlowToken token) -> std::vector<ResetFlow> {
   auto resets = std::vector<ResetFlow>();
   flows_.ForEach([&](TrackedFlow& flow) {
     if (flow.token != token) {
       return;
     }
-    const auto is_departed = reason == ResetReason::kDeparted;
-    const auto is_stuck = flow.waiting && flow.waiting_since <= silent_since;
-    if (!flow.established || !(is_departed || is_stuck)) {
-      if (is_departed) {
-        Forget(flow);
-      }
-      return;
+    if (flow.established) {
+      resets.push_back(ResetTracked(flow, ResetReason::kDeparted));
+    } else {
+      Forget(flow);
     }
-    resets.push_back({flow.caller, flow.service, flow.last_ack, reason});
-    notes_.Add({.kind = RouterNote::Kind::kFlowReset,
-                .caller = flow.caller,
-                .service = flow.service,
-                .token = token,
-                .detail = ToString(reason)});
-    Forget(flow);
   });
   return resets;
 }
 
+// Ends the flows that have waited for a silent endpoint for a while. It may be
+// alive: so not those whose request must not run again, since their callers
+// would not try again and the work would be given up.
+auto FlowWatch::ResetSilent(FlowToken token, const DirectorySnapshot& directory,
+                            TimePoint now) -> std::vector<ResetFlow> {
+  auto resets = std::vector<ResetFlow>();
+  flows_.ForEach([&](TrackedFlow& flow) {
+    const auto is_stuck = flow.token == token && flow.established &&
+                          flow.waiting &&
+                          now - flow.waiting_since >= kResetWait;
+    const auto* const route =
+        is_stuck ? directory.FindRoute(flow.service) : nullptr;
+    if (route != nullptr && route->may_repeat) {
+      resets.push_back(ResetTracked(flow, ResetReason::kSilent));
+    }
+  });
+  return resets;
+}
+
+auto FlowWatch::ResetTracked(TrackedFlow& flow, ResetReason reason)
+    -> ResetFlow {
+  const auto reset =
+      ResetFlow{flow.caller, flow.service, flow.last_ack, reason};
+  notes_.Add({.kind = RouterNote::Kind::kFlowReset,
+              .caller = flow.caller,
+              .service = flow.service,
+              .token = flow.token,
+              .detail = ToString(reason)});
+  Forget(flow);
+  return reset;
+}
+
 void FlowWatch::NoteShared(const std::vector<SharedSuspect>& suspects,
                            const DirectorySnapshot& directory, TimePoint now) {
   for (const auto& suspect : suspects) {
--- a/Source/Flow/flow_watch.h
+++ b/Source/Flow/flow_watch.h
@@ -34,9 +34,10 @@
   void OnOpened(const TokenPacket& packet, FlowToken token, TimePoint now);
 
   // Takes a packet of an open flow of the endpoint. When the flow is to be
-  // reset, returns how long its endpoint has been silent.
-  auto OnPacket(const TokenPacket& packet, FlowToken token, TimePoint now)
-      -> std::optional<Duration>;
+  // reset, which `may_reset` allows, returns how long its endpoint has been
+  // silent.
+  auto OnPacket(const TokenPacket& packet, FlowToken token, bool may_reset,
+                TimePoint now) -> std::optional<Duration>;
 
   // Takes the end of a flow.
   void OnEnded(FlowKey key);
@@ -46,10 +47,8 @@
   auto OnTick(const DirectorySnapshot* directory, TimePoint now)
       -> std::vector<ResetFlow>;
 
-  // Ends the flows of an endpoint that have waited since `silent_since` or
-  // earlier; of a departed endpoint all of them.
-  auto ResetTracked(FlowToken token, ResetReason reason, TimePoint silent_since)
-      -> std::vector<ResetFlow>;
+  // Ends the flows of a departed endpoint.
+  auto ResetDeparted(FlowToken token) -> std::vector<ResetFlow>;
 
   // Takes what other instances have found.
   void NoteShared(const std::vector<SharedSuspect>& suspects,
@@ -96,6 +95,9 @@
   void CheckSuspension(TimePoint now);
   void JudgeOpenings(TimePoint now);
   void JudgeRequests(TimePoint now);
+  auto ResetSilent(FlowToken token, const DirectorySnapshot& directory,
+                   TimePoint now) -> std::vector<ResetFlow>;
+  auto ResetTracked(TrackedFlow& flow, ResetReason reason) -> ResetFlow;
   template <typename Judge>
   void JudgeOverdue(std::deque<PendingReply>& pending, Duration time,
                     TimePoint now, Judge&& judge);
--- a/Source/Flow/route_table.h
+++ b/Source/Flow/route_table.h
@@ -25,6 +25,11 @@
 struct Route {
   SocketAddress address;
   std::vector<RouteTarget> targets;
+  // Its requests may run more than once, so that their callers try again when a
+  // flow is reset.
+  bool may_repeat = false;
+
+  friend auto operator==(const Route&, const Route&) -> bool = default;
 };
 
 // Whether new flows of the route may go to the service.
--- a/Source/Flow/token_router.cc
+++ b/Source/Flow/token_router.cc
@@ -30,8 +30,7 @@
     if (was_departed || !IsGone(departed, now)) {
       continue;
     }
-    auto ended =
-        watch_.ResetTracked(departed.token, ResetReason::kDeparted, now);
+    auto ended = watch_.ResetDeparted(departed.token);
     resets.insert(resets.end(), ended.begin(), ended.end());
   }
   std::erase_if(unknown_since_, [this](const auto& unknown) {
@@ -84,11 +83,11 @@
   const auto resolved = directory_->Resolve(TokenOf(packet), route, now);
   if (const auto* const present =
           std::get_if<const DirectoryEndpoint*>(&resolved)) {
-    return Forward(packet, (*present)->report, now);
+    return Forward(packet, (*present)->report, route, now);
   }
   if (const auto* const departed =
           std::get_if<const DepartedEndpoint*>(&resolved)) {
-    return ToDeparted(packet, **departed, now);
+    return ToDeparted(packet, **departed, route, now);
   }
   if (std::holds_alternative<ForeignEndpoint>(resolved)) {
     return Drop(packet, DropReason::kForeignEndpoint);
@@ -97,9 +96,10 @@
 }
 
 auto TokenRouter::Forward(const TokenPacket& packet,
-                          const EndpointReport& endpoint, TimePoint now)
-    -> TokenAction {
-  const auto silent_for = watch_.OnPacket(packet, TokenOf(packet), now);
+                          const EndpointReport& endpoint, const Route& route,
+                          TimePoint now) -> TokenAction {
+  const auto silent_for =
+      watch_.OnPacket(packet, TokenOf(packet), route.may_repeat, now);
   if (silent_for) {
     return Reset(packet, ResetReason::kSilent, *silent_for);
   }
@@ -114,13 +114,13 @@
 }
 
 auto TokenRouter::ToDeparted(const TokenPacket& packet,
-                             const DepartedEndpoint& endpoint, TimePoint now)
-    -> TokenAction {
+                             const DepartedEndpoint& endpoint,
+                             const Route& route, TimePoint now) -> TokenAction {
   if (packet.resets) {
     return Drop(packet, DropReason::kUnknownEndpoint);
   }
   if (!IsGone(endpoint, now)) {
-    return Forward(packet, endpoint.report, now);
+    return Forward(packet, endpoint.report, route, now);
   }
   return Reset(packet, ResetReason::kDeparted, now - endpoint.since);
 }
--- a/Source/Flow/token_router.h
+++ b/Source/Flow/token_router.h
@@ -85,10 +85,10 @@
   auto Continue(const TokenPacket& packet, const Route& route, TimePoint now)
       -> TokenAction;
   auto ToDeparted(const TokenPacket& packet, const DepartedEndpoint& endpoint,
-                  TimePoint now) -> TokenAction;
+                  const Route& route, TimePoint now) -> TokenAction;
   auto ToUnknown(const TokenPacket& packet, TimePoint now) -> TokenAction;
   auto Forward(const TokenPacket& packet, const EndpointReport& endpoint,
-               TimePoint now) -> TokenAction;
+               const Route& route, TimePoint now) -> TokenAction;
   [[nodiscard]] auto IsGone(const DepartedEndpoint& endpoint,
                             TimePoint now) const -> bool;
   auto Reset(const TokenPacket& packet, ResetReason reason, Duration age)
--- a/Source/Measure/token_world.cc
+++ b/Source/Measure/token_world.cc
@@ -126,7 +126,7 @@
   }
   auto routes = std::make_shared<RouteSet>();
   routes->version = Version(1);
-  routes->routes.push_back({kAddress, {{kService, 1}}});
+  routes->routes.push_back({kAddress, {{kService, 1}}, true});
   directory_.Publish(std::move(routes), kStart);
   for (std::size_t i = 0; i < pattern_.instances; ++i) {
     instances_.push_back(MakeRouter<Router>(
--- a/Tests/Edge/relay_test.cc
+++ b/Tests/Edge/relay_test.cc
@@ -28,7 +28,8 @@
   routes->version = Version(version);
   for (auto port = first; port <= last; ++port) {
     routes->routes.push_back({{Ipv4Address(1), Port(port)},
-                              {{ServiceId(7), 90}, {ServiceId(8), 10}}});
+                              {{ServiceId(7), 90}, {ServiceId(8), 10}},
+                              port % 2 == 0});
   }
   return routes;
 }
@@ -166,7 +167,7 @@
   cr_assert(answer.update.reports == update.reports);
   cr_assert(answer.update.removed == update.removed);
   cr_assert(answer.update.unreadable == update.unreadable);
-  cr_assert_eq(answer.update.routes->routes.size(), 100U);
+  cr_assert(answer.update.routes->routes == update.routes->routes);
   cr_assert(answer.data_centre == DataCentreId(4));
   cr_assert_eq(answer.age, Duration(kSecond));
   cr_assert_eq(*answer.since_outage, Duration(2 * kSecond));
--- a/Tests/Flow/token_router_test.cc
+++ b/Tests/Flow/token_router_test.cc
@@ -24,7 +24,7 @@
     Put(2);
     auto routes = std::make_shared<RouteSet>();
     routes->version = Version(1);
-    routes->routes.push_back({kAddress, {{kService, 1}}});
+    routes->routes.push_back({kAddress, {{kService, 1}}, true});
     directory_.Publish(routes, now_);
     Publish();
   }
@@ -471,6 +471,41 @@
   }));
 }
 
+// The same silence, but the endpoint only stands still and its callers' work
+// must not run again: nobody would try again, and what runs would be given up.
+Test(token_router, work_that_must_not_run_again_outlasts_a_silence) {
+  auto world = World();
+  world.PutRoutes(2, kService, kOtherService);
+  world.Publish();
+  const auto waiting = world.OpenAt(kFirst, 1000);
+  const auto other = world.OpenAt(kFirst, 3000);
+  world.Pass(20 * kMillisecond);
+  world.Packet(waiting, kFirst, 1, 1, 100);
+  world.Packet(other, kFirst, 1, 1, 100);
+  // A third one gets no reply to its opening; the other endpoint replies.
+  auto opening = std::uint16_t{5000};
+  for (auto token = TokenIn(world.Opening(opening)); token != kFirst;
+       token = TokenIn(world.Opening(opening))) {
+    world.Packet(opening, token, 1, 1, 0);
+    ++opening;
+  }
+  auto resets = world.Pass(600 * kMillisecond);
+  world.Packet(waiting, kFirst, 1, 1, 100);
+  const auto second = world.Packet(other, kFirst, 1, 1, 100);
+  const auto more = world.Pass(20 * kMillisecond);
+  resets.insert(resets.end(), more.begin(), more.end());
+  cr_assert(resets.empty());
+  cr_assert(std::holds_alternative<ForwardWithToken>(second));
+  // New flows go elsewhere meanwhile.
+  for (auto port = std::uint16_t{7000}; port < 7020; ++port) {
+    cr_assert_neq(TokenIn(world.Opening(port)), kFirst);
+  }
+  world.Pass(400 * kMillisecond);
+  // The answer of the endpoint has arrived.
+  const auto answered = world.Packet(waiting, kFirst, 101, 700, 0);
+  cr_assert(std::holds_alternative<ForwardWithToken>(answered));
+}
+
 Test(token_router, long_work_on_a_living_endpoint_resets_nothing) {
   auto world = World();
   const auto working = world.OpenAt(kFirst, 1000);
--- a/Tests/Platform/store_items_test.cc
+++ b/Tests/Platform/store_items_test.cc
@@ -71,6 +71,27 @@
   cr_assert_eq(routes.routes.at(1).targets.at(1).weight, 10U);
 }
 
+// Routes of each kind, of one that is not known, and of none.
+constexpr const char* kKinds =
+    "eyJ2ZXJzaW9uIjo4LCJyb3V0ZXMiOlt7Imhvc3QiOiIxOTguMTguMC4xIiwicHJlZml4Ijoi"
+    "LzEvIiwia2luZCI6InNhZmUiLCJzZXJ2aWNlIjoiYSJ9LHsiaG9zdCI6IjE5OC4xOC4wLjEi"
+    "LCJwcmVmaXgiOiIvMS8iLCJraW5kIjoiZG93bmxvYWQiLCJzZXJ2aWNlIjoiYSJ9LHsiaG9z"
+    "dCI6IjE5OC4xOC4wLjEiLCJwcmVmaXgiOiIvMS8iLCJraW5kIjoidW5zYWZlIiwic2Vydmlj"
+    "ZSI6ImEifSx7Imhvc3QiOiIxOTguMTguMC4xIiwicHJlZml4IjoiLzEvIiwia2luZCI6InVw"
+    "bG9hZCIsInNlcnZpY2UiOiJhIn0seyJob3N0IjoiMTk4LjE4LjAuMSIsInByZWZpeCI6Ii8x"
+    "LyIsImtpbmQiOiJvdGhlciIsInNlcnZpY2UiOiJhIn0seyJob3N0IjoiMTk4LjE4LjAuMSIs"
+    "InByZWZpeCI6Ii8yLyIsInNlcnZpY2UiOiJhIn1dfQ==";
+
+Test(store_items, kind_of_a_route_says_what_may_run_again) {
+  const auto page = Items(Item("op/config", kKinds));
+  const auto& routes = page.update.routes->routes;
+  cr_assert_eq(routes.size(), 6U);
+  for (std::size_t i = 0; i < routes.size(); ++i) {
+    const auto is_read_or_download = i < 2;
+    cr_assert_eq(routes.at(i).may_repeat, is_read_or_download);
+  }
+}
+
 Test(store_items, entries_of_other_writers_name_no_endpoint) {
   const auto page = Items(
       Item("servers/i-1", kOtherState) + "," + Item("servers/i-2", "e30=") +
