--- a/Tests/Edge/news_test.cc
+++ b/Tests/Edge/news_test.cc
@@ -259,6 +259,28 @@
   AssertInForce(SpreadOfChange(world));
 }
 
+// One seed hears nothing any more, and the platform refuses an instance that
+// starts: what has left must not stay in use on it.
+Test(news, a_restart_from_an_outdated_relay_is_soon_brought_up_to_date) {
+  constexpr auto kSoon = kSecond;
+  for (auto seed = std::uint64_t{1}; seed <= 10; ++seed) {
+    auto world = Settled({.instances = 30, .data_centres = 3, .seed = seed});
+    const auto restarted = world.size() - 1;
+    world.Refuse(0, true);
+    for (std::size_t i = 0; i < restarted; ++i) {
+      world.CutOneWay(i, 0);
+    }
+    world.RunFor(10 * kSecond);
+    world.Change();
+    world.Refuse(restarted, true);
+    world.Kill(restarted);
+    world.Start(restarted);
+    world.RunFor(kSoon);
+    cr_assert_leq(world.Spread().missing, 1U, "but for the seed itself");
+    cr_assert_leq(world.Age(restarted).count(), Duration(2 * kSecond).count());
+  }
+}
+
 // The platform forgets its history: the seeds read everything, nobody else.
 Test(news, lost_history_makes_only_seeds_read_everything) {
   auto world = Settled({.seed = 2});
