Command: Ignore a reload signal until the process serves

Log: edge-3 was started again after a planned stop at 3.4 s, SIGHUP was sent at 3.586 s, it ended before its first line and was started once more.

Cause: until the handler is set, SIGHUP ends a process. Ruled out: a crash (the log holds no report of the sanitizer), the stop signal of 1.4 s (that process had written 'stopped').

Change: the signal is ignored from the first statement on that knows a settings file; the handler takes over later. What remains is the time before main, in which no program can say what a signal does: the soak sends SIGHUP as soon as the process ignores or handles it, and as before at any moment after.

Test, which failed first: processes a_reload_during_the_start_does_not_end_it.

--- a/Source/Command/settings_argument.cc
+++ b/Source/Command/settings_argument.cc
@@ -1,5 +1,6 @@
 #include "Command/settings_argument.h"
 
+#include <csignal>
 #include <cxxopts.hpp>
 #include <iostream>
 #include <optional>
@@ -57,6 +58,9 @@
                      const std::function<Result<ExitCode>(
                          const std::string& file, const ServeSettings&)>& serve)
     -> ExitCode {
+  // Until it serves, a process that is told to read its settings again has
+  // nothing to do: it is about to read them.
+  std::signal(SIGHUP, SIG_IGN);
   const auto program = "hemlockwick " + name;
   return RunWithOptions(
       NewOptions(program, summary), arguments,
--- a/Tests/Runtime/processes_test.cc
+++ b/Tests/Runtime/processes_test.cc
@@ -2,9 +2,13 @@
 // endpoints: each change or failure is followed by awaiting what the others
 // report about it.
 #include <criterion/criterion.h>
+#include <sys/stat.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <csignal>
+#include <filesystem>
+#include <fstream>
 #include <memory>
 #include <string>
 #include <thread>
@@ -18,6 +22,7 @@
 #include "StandIn/await.h"
 #include "StandIn/flow_caller.h"
 #include "StandIn/flow_endpoint.h"
+#include "StandIn/instance_process.h"
 #include "StandIn/local_fleet.h"
 #include "StandIn/request_endpoint.h"
 
@@ -187,6 +192,27 @@
   cr_assert_eq(world.flows().totals().open, kFlows);
 }
 
+// A platform may tell a process that its settings have changed right after it
+// was started; it then reads them for the first time.
+Test(processes, a_reload_during_the_start_does_not_end_it) {
+  const auto folder = std::filesystem::temp_directory_path() /
+                      ("start-" + std::to_string(getpid()));
+  std::filesystem::create_directory(folder);
+  const auto settings = (folder / "settings.yaml").string();
+  cr_assert_eq(mkfifo(settings.c_str(), 0600), 0);
+  {
+    const auto process = Require(InstanceProcess::Start(
+        HEMLOCKWICK_PROGRAM, "edge", settings, folder / "log"));
+    // Opens once the process reads its settings, which are not there yet.
+    auto file = std::ofstream(settings);
+    process->Signal(SIGHUP);
+    const auto ended =
+        Await([&] { return process->Ended(); }, std::chrono::milliseconds(300));
+    cr_assert_not(ended);
+  }
+  std::filesystem::remove_all(folder);
+}
+
 // A request in progress of one process that is stopped twice.
 Test(processes, end_at_once_on_a_second_signal, .timeout = 600) {
   auto ledger = RunLedger();
--- a/Utilities/Soak/edges.cc
+++ b/Utilities/Soak/edges.cc
@@ -15,6 +15,7 @@
 constexpr std::size_t kSeeds = 3;
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(450);
 constexpr Duration kRestartDelay = std::chrono::milliseconds(300);
+constexpr Duration kReloadRetry = std::chrono::milliseconds(5);
 const auto kZones = std::array<std::string, 3>{"a", "b", "c"};
 
 // Ports of the proxies on an instance's connections; the seeds' follow.
@@ -149,6 +150,19 @@
   edge.process->Signal(signal);
 }
 
+void Edges::Reload(std::size_t index) {
+  const auto& process = edges_[index]->process;
+  if (!process) {
+    return;
+  }
+  if (process->Handles(SIGHUP)) {
+    process->Signal(SIGHUP);
+  } else {
+    // It has not run its first instructions.
+    world_.After(kReloadRetry, [this, index] { Reload(index); });
+  }
+}
+
 void Edges::Pause(std::size_t index, Duration time) {
   auto& edge = *edges_[index];
   if (edge.paused || edge.may_end || !edge.process) {
--- a/Utilities/Soak/edges.h
+++ b/Utilities/Soak/edges.h
@@ -60,6 +60,9 @@
   // Sends a signal that ends the process; it is started again when it has.
   void End(std::size_t index, int signal);
 
+  // Tells the process to read its settings again, as soon as it can be told.
+  void Reload(std::size_t index);
+
   // Stops the process and lets it go on after `time`.
   void Pause(std::size_t index, Duration time);
 
--- a/Utilities/Soak/run.cc
+++ b/Utilities/Soak/run.cc
@@ -256,9 +256,7 @@
       world_.Say("change settings of edge-" + std::to_string(edge));
       edges_->WriteSettings(edge,
                             world_.random().Chance(0.5) ? "warning" : "info");
-      if (edges_->at(edge).process) {
-        edges_->at(edge).process->Signal(SIGHUP);
-      }
+      edges_->Reload(edge);
       break;
     }
     case 2:
--- a/Utilities/StandIn/instance_process.cc
+++ b/Utilities/StandIn/instance_process.cc
@@ -9,6 +9,8 @@
 #include <cerrno>
 #include <csignal>
 #include <cstring>
+#include <fstream>
+#include <string>
 
 namespace hemlockwick {
 
@@ -79,6 +81,21 @@
   }
 }
 
+auto InstanceProcess::Handles(int signal) const -> bool {
+  constexpr auto kHex = 16;
+  auto status = std::ifstream("/proc/" + std::to_string(id_) + "/status");
+  auto name = std::string();
+  auto signals = std::string();
+  auto handled = 0ULL;
+  while (status >> name) {
+    if (name == "SigIgn:" || name == "SigCgt:") {
+      status >> signals;
+      handled |= std::stoull(signals, nullptr, kHex);
+    }
+  }
+  return ((handled >> static_cast<unsigned>(signal - 1)) & 1U) != 0;
+}
+
 auto InstanceProcess::Ended() -> bool {
   auto status = 0;
   if (!ended_ && waitpid(id_, &status, WNOHANG) == id_) {
--- a/Utilities/StandIn/instance_process.h
+++ b/Utilities/StandIn/instance_process.h
@@ -29,6 +29,10 @@
 
   void Signal(int signal) const;
 
+  // Whether the program has said by now what a signal does to it. A new process
+  // ends by signals that it could not handle yet.
+  [[nodiscard]] auto Handles(int signal) const -> bool;
+
   // Whether the process has ended.
   [[nodiscard]] auto Ended() -> bool;
 
