Edge: Split calls from answers of a relay, and share what reports mean

For how long a report counts and how many it takes stood in three files. FlowWatch's list of packets whose reply is due is a class of its own.

--- a/Source/Edge/relay_client.cc
+++ b/Source/Edge/relay_client.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "Edge/relay_codec.h"
+
 namespace hemlockwick {
 
 namespace {
--- a/Source/Edge/relay_client.h
+++ b/Source/Edge/relay_client.h
@@ -9,7 +9,7 @@
 #include "Core/net_address.h"
 #include "Edge/directory_sync.h"
 #include "Edge/http_connection.h"
-#include "Edge/relay_codec.h"
+#include "Edge/relay_call.h"
 #include "Runtime/system_clock.h"
 
 namespace hemlockwick {
--- a/Source/Edge/relay_codec.cc
+++ b/Source/Edge/relay_codec.cc
@@ -1,43 +1,18 @@
 #include "Edge/relay_codec.h"
 
 #include <algorithm>
-#include <array>
-#include <charconv>
 #include <nlohmann/json.hpp>
 #include <unordered_map>
 #include <utility>
 
+#include "Edge/packed_address.h"
+
 namespace hemlockwick {
 
 namespace {
 
 using Json = nlohmann::json;
 
-constexpr std::string_view kPath = "/directory";
-constexpr std::string_view kSignsPath = "/signs";
-
-// Endpoints that one report may name, of each kind, and reports in one call.
-constexpr std::size_t kMaxTokens = 64;
-constexpr std::size_t kMaxReports = 256;
-
-constexpr std::uint64_t kPortBits = 16;
-
-// Bounds what a watcher says of itself.
-constexpr std::uint64_t kMaxCapacity = 4096;
-
-// Names of the kinds of endpoints in a report.
-struct ReportField {
-  std::string_view name;
-  std::vector<FlowToken> EndpointNews::*tokens;
-};
-constexpr auto kReportFields =
-    std::array<ReportField, 3>{{{"silent", &EndpointNews::silent},
-                                {"alive", &EndpointNews::alive},
-                                {"failing", &EndpointNews::failing}}};
-
-// Longest time for which a relay holds a call.
-constexpr std::uint64_t kMaxWaitMillis = 30'000;
-
 auto EncodeReport(const EndpointReport& report, TimePoint now) -> Json {
   const auto cold = std::max(report.cold_until - now, Duration(0));
   return Json::array({report.id.value(), report.service.value(),
@@ -169,16 +144,6 @@
   return result;
 }
 
-auto PackAddress(const SocketAddress& address) -> std::uint64_t {
-  return (std::uint64_t{address.ip.value()} << kPortBits) |
-         address.port.value();
-}
-
-auto UnpackAddress(std::uint64_t packed) -> SocketAddress {
-  return {Ipv4Address(static_cast<std::uint32_t>(packed >> kPortBits)),
-          Port(static_cast<std::uint16_t>(packed))};
-}
-
 auto EncodeAddresses(const std::vector<SocketAddress>& addresses) -> Json {
   auto result = Json::array();
   for (const auto& address : addresses) {
@@ -280,41 +245,6 @@
   return answer;
 }
 
-auto ParseNumber(std::string_view text) -> std::optional<std::uint64_t> {
-  auto value = std::uint64_t{0};
-  const auto* const end = text.data() + text.size();
-  const auto parsed = std::from_chars(text.data(), end, value);
-  const auto is_whole = parsed.ec == std::errc() && parsed.ptr == end;
-  return is_whole ? std::optional(value) : std::nullopt;
-}
-
-using QueryFields = std::vector<std::pair<std::string_view, std::uint64_t>>;
-
-// The fields of a query whose values are all numbers; nothing when the path is
-// another one or a value is no number.
-auto ParseFields(std::string_view target, std::string_view path)
-    -> std::optional<QueryFields> {
-  const auto mark = target.find('?');
-  if (mark == std::string_view::npos || target.substr(0, mark) != path) {
-    return std::nullopt;
-  }
-  auto fields = QueryFields();
-  auto rest = target.substr(mark + 1);
-  while (!rest.empty()) {
-    const auto end = std::min(rest.find('&'), rest.size());
-    const auto field = rest.substr(0, end);
-    rest.remove_prefix(std::min(end + 1, rest.size()));
-    const auto equals = std::min(field.find('='), field.size());
-    const auto value =
-        ParseNumber(field.substr(std::min(equals + 1, field.size())));
-    if (!value) {
-      return std::nullopt;
-    }
-    fields.emplace_back(field.substr(0, equals), *value);
-  }
-  return fields;
-}
-
 }  // namespace
 
 auto EncodeUpdate(const DirectoryUpdate& update, const RelayState& state,
@@ -356,90 +286,4 @@
   }
 }
 
-auto FormatQuery(const RelayQuery& query) -> std::string {
-  auto target = std::string(kPath) +
-                "?version=" + std::to_string(query.version.value()) +
-                "&wait=" + std::to_string(ToMillis(query.wait));
-  if (query.after) {
-    target += "&after=" + std::to_string(query.after->value());
-  }
-  const auto& watcher = query.watcher;
-  if (watcher.relay.port != Port()) {
-    target += "&relay=" + std::to_string(PackAddress(watcher.relay)) +
-              "&data_centre=" + std::to_string(watcher.data_centre.value()) +
-              "&capacity=" + std::to_string(watcher.capacity) +
-              "&room=" + std::to_string(watcher.has_room ? 1 : 0);
-  }
-  return target;
-}
-
-auto ParseQuery(std::string_view target) -> std::optional<RelayQuery> {
-  const auto fields = ParseFields(target, kPath);
-  if (!fields) {
-    return std::nullopt;
-  }
-  auto query = RelayQuery();
-  for (const auto& [name, value] : *fields) {
-    if (name == "after") {
-      query.after = Revision(value);
-    } else if (name == "version") {
-      query.version = Version(value);
-    } else if (name == "wait") {
-      query.wait = std::chrono::milliseconds(std::min(value, kMaxWaitMillis));
-    } else if (name == "relay") {
-      query.watcher.relay = UnpackAddress(value);
-    } else if (name == "data_centre") {
-      query.watcher.data_centre = DataCentreId(value);
-    } else if (name == "capacity") {
-      query.watcher.capacity =
-          static_cast<std::uint32_t>(std::min(value, kMaxCapacity));
-    } else if (name == "room") {
-      query.watcher.has_room = value != 0;
-    }
-  }
-  return query;
-}
-
-auto FormatReports(const SignReports& reports) -> std::string {
-  auto target = std::string(kSignsPath) +
-                "?peer=" + std::to_string(reports.from_peer ? 1 : 0);
-  for (const auto& report : reports.reports) {
-    target += "&from=" + std::to_string(report.reporter.value());
-    for (const auto& [name, tokens] : kReportFields) {
-      for (const auto token : report.news.*tokens) {
-        target += "&" + std::string(name) + "=" + std::to_string(token.value());
-      }
-    }
-  }
-  return target;
-}
-
-auto ParseReports(std::string_view target) -> std::optional<SignReports> {
-  const auto fields = ParseFields(target, kSignsPath);
-  if (!fields) {
-    return std::nullopt;
-  }
-  auto result = SignReports();
-  for (const auto& [name, value] : *fields) {
-    if (name == "peer") {
-      result.from_peer = value != 0;
-      continue;
-    }
-    if (name == "from" && result.reports.size() < kMaxReports) {
-      result.reports.push_back({InstanceId(value), {}});
-      continue;
-    }
-    const auto field =
-        std::ranges::find(kReportFields, name, &ReportField::name);
-    if (field == kReportFields.end() || result.reports.empty()) {
-      continue;
-    }
-    auto& tokens = result.reports.back().news.*(field->tokens);
-    if (tokens.size() < kMaxTokens) {
-      tokens.emplace_back(static_cast<std::uint32_t>(value));
-    }
-  }
-  return result;
-}
-
 }  // namespace hemlockwick
--- a/Source/Edge/relay_codec.h
+++ b/Source/Edge/relay_codec.h
@@ -10,12 +10,10 @@
 #include "Core/error.h"
 #include "Core/time.h"
 #include "Edge/directory_sync.h"
-#include "Edge/sign_report.h"
 
 namespace hemlockwick {
 
-// Messages between edge processes: a relay passes directory updates on, as
-// CBOR over HTTP.
+// Answers of a relay to edge processes: directory updates, as CBOR over HTTP.
 
 // What a relay says of itself beside an update.
 struct RelayState {
@@ -37,27 +35,6 @@
 [[nodiscard]] auto DecodeUpdate(std::string_view body, const RouteSet* base,
                                 TimePoint now) -> Result<SyncAnswer>;
 
-// A call to a relay, as its path and query.
-struct RelayQuery {
-  std::optional<Revision> after;  // Nothing: everything.
-  Version version;                // Of the routes that the caller holds.
-  Duration wait{0};
-  Watcher watcher;
-};
-
-[[nodiscard]] auto FormatQuery(const RelayQuery& query) -> std::string;
-
-// Nothing when `target` is not such a call.
-[[nodiscard]] auto ParseQuery(std::string_view target)
-    -> std::optional<RelayQuery>;
-
-// A call with reports about endpoints to a relay, as its path and query.
-[[nodiscard]] auto FormatReports(const SignReports& reports) -> std::string;
-
-// Nothing when `target` is not such a call.
-[[nodiscard]] auto ParseReports(std::string_view target)
-    -> std::optional<SignReports>;
-
 }  // namespace hemlockwick
 
 #endif  // HEMLOCKWICK_EDGE_RELAY_CODEC_H_
--- a/Source/Edge/relay_server.h
+++ b/Source/Edge/relay_server.h
@@ -13,6 +13,7 @@
 #include "Core/time.h"
 #include "Edge/directory_history.h"
 #include "Edge/http_listener.h"
+#include "Edge/relay_call.h"
 #include "Edge/relay_codec.h"
 #include "Edge/report_funnel.h"
 #include "Edge/sign_exchange.h"
--- a/Source/Edge/report_funnel.cc
+++ b/Source/Edge/report_funnel.cc
@@ -6,15 +6,10 @@
 
 namespace {
 
-// Reporters of one endpoint that are named, and how often each is.
-constexpr std::size_t kReporters = 2;
+// How often a reporter of an endpoint is named.
 constexpr Duration kRepeatTime = std::chrono::milliseconds(500);
 
-// A reporter that has said nothing for this long makes room for another one.
-constexpr Duration kReporterTime = std::chrono::milliseconds(1500);
-
-// Bounds the memory: endpoints and reporters at a time.
-constexpr std::size_t kMaxEndpoints = 4096;
+// Bounds the memory: reporters at a time.
 constexpr std::size_t kMaxWaiting = 256;
 
 }  // namespace
@@ -46,16 +41,16 @@
 
 auto ReportFunnel::Passes(Passed& passed, FlowToken token, InstanceId reporter,
                           TimePoint now) -> bool {
-  if (passed.size() >= kMaxEndpoints && !passed.contains(token)) {
+  if (passed.size() >= kMaxReportedEndpoints && !passed.contains(token)) {
     passed.clear();
   }
   auto& reporters = passed[token];
   std::erase_if(reporters, [now](const auto& entry) {
-    return now - entry.second >= kReporterTime;
+    return now - entry.second >= kReportTime;
   });
   const auto found = reporters.find(reporter);
   if (found == reporters.end()) {
-    return reporters.size() < kReporters &&
+    return reporters.size() < kReportersNeeded &&
            reporters.emplace(reporter, now).second;
   }
   if (now - found->second < kRepeatTime) {
--- a/Source/Edge/sign_exchange.cc
+++ b/Source/Edge/sign_exchange.cc
@@ -2,21 +2,16 @@
 
 #include <algorithm>
 
+#include "Edge/sign_report.h"
+
 namespace hemlockwick {
 
 namespace {
 
-// Instances that have to report an endpoint, and for how long a report counts.
-constexpr std::ptrdiff_t kReportersNeeded = 2;
-constexpr Duration kReportTime = std::chrono::milliseconds(1500);
-
 // For how long a suspicion may be renewed by one report: until every instance
 // has had its turn to try the endpoint again.
 constexpr Duration kRenewTime = std::chrono::milliseconds(5000);
 
-// Bounds the memory: endpoints reported at a time.
-constexpr std::size_t kMaxEndpoints = 4096;
-
 constexpr Duration kCleanInterval = std::chrono::seconds(5);
 
 }  // namespace
@@ -24,7 +19,7 @@
 auto SuspectReports::Add(InstanceId reporter, FlowToken token, TimePoint now)
     -> bool {
   ForgetOld(now);
-  if (reports_.size() >= kMaxEndpoints && !reports_.contains(token)) {
+  if (reports_.size() >= kMaxReportedEndpoints && !reports_.contains(token)) {
     return false;
   }
   auto& reports = reports_[token];
@@ -59,7 +54,7 @@
   const auto recent = std::ranges::count_if(
       reports.latest,
       [now](const auto& report) { return now - report.second < kReportTime; });
-  return recent >= kReportersNeeded;
+  return static_cast<std::size_t>(recent) >= kReportersNeeded;
 }
 
 void SuspectReports::ForgetOld(TimePoint now) {
--- a/Source/Edge/sign_report.h
+++ b/Source/Edge/sign_report.h
@@ -1,13 +1,24 @@
 #ifndef HEMLOCKWICK_EDGE_SIGN_REPORT_H_
 #define HEMLOCKWICK_EDGE_SIGN_REPORT_H_
 
+#include <chrono>
+#include <cstddef>
 #include <vector>
 
 #include "Core/ids.h"
+#include "Core/time.h"
 #include "Flow/endpoint_load.h"
 
 namespace hemlockwick {
 
+// Instances that have to report an endpoint to make it suspect, and for how
+// long a report counts.
+inline constexpr std::size_t kReportersNeeded = 2;
+inline constexpr Duration kReportTime = std::chrono::milliseconds(1500);
+
+// Bounds the memory: endpoints reported at a time.
+inline constexpr std::size_t kMaxReportedEndpoints = 4096;
+
 // What one instance has found of endpoints.
 struct SignReport {
   InstanceId reporter;
--- a/Source/Edge/suspect_list.cc
+++ b/Source/Edge/suspect_list.cc
@@ -2,26 +2,19 @@
 
 #include <algorithm>
 
-namespace hemlockwick {
-
-namespace {
-
-// How long a suspect is passed on after its latest report.
-constexpr Duration kSuspectTime = std::chrono::milliseconds(1500);
+#include "Edge/sign_report.h"
 
-// Bounds the memory.
-constexpr std::size_t kMaxSuspects = 4096;
-
-}  // namespace
+namespace hemlockwick {
 
 auto SuspectList::Add(const std::vector<SharedSuspect>& suspects, TimePoint now)
     -> bool {
   std::erase_if(latest_, [now](const auto& entry) {
-    return now - entry.second >= kSuspectTime;
+    return now - entry.second >= kReportTime;
   });
   auto has_new = false;
   for (const auto& suspect : suspects) {
-    if (now - suspect.at >= kSuspectTime || latest_.size() >= kMaxSuspects) {
+    if (now - suspect.at >= kReportTime ||
+        latest_.size() >= kMaxReportedEndpoints) {
       continue;
     }
     const auto [entry, is_new] =
@@ -41,7 +34,7 @@
 auto SuspectList::Present(TimePoint now) const -> std::vector<SharedSuspect> {
   auto present = std::vector<SharedSuspect>();
   for (const auto& [key, at] : latest_) {
-    if (now - at < kSuspectTime) {
+    if (now - at < kReportTime) {
       present.push_back({key.first, at, key.second});
     }
   }
--- a/Source/Edge/upstream_list.cc
+++ b/Source/Edge/upstream_list.cc
@@ -3,17 +3,12 @@
 #include <algorithm>
 
 #include "Core/hash.h"
+#include "Edge/packed_address.h"
 
 namespace hemlockwick {
 
 namespace {
 
-auto NumberOf(const SocketAddress& address) -> std::uint64_t {
-  constexpr auto kPortBits = 16;
-  return (std::uint64_t{address.ip.value()} << kPortBits) |
-         address.port.value();
-}
-
 auto OrderOf(const Upstream& upstream) -> std::uint64_t {
   return upstream.distance == Upstream::Distance::kNear ? upstream.near_order
                                                         : upstream.far_order;
@@ -35,7 +30,7 @@
         {.relay = seed,
          .retry_at = now,
          .near_order = random.engine()(),
-         .far_order = MixWords(data_centre.value(), NumberOf(seed))});
+         .far_order = MixWords(data_centre.value(), PackAddress(seed))});
   }
   std::ranges::sort(seeds_, IsBefore);
 }
--- a/Source/Flow/flow_watch.cc
+++ b/Source/Flow/flow_watch.cc
@@ -74,7 +74,7 @@
   SetToken(flow, token, now);
   StopWaiting(flow);
   StartWaiting(flow, now);
-  openings_.push_back({flow.key, token, now});
+  openings_.Add(flow.key, token, now);
 }
 
 auto FlowWatch::OnPacket(const TokenPacket& packet, FlowToken token,
@@ -175,7 +175,7 @@
   flow.next_seq = end;
   if (!flow.waiting) {
     StartWaiting(flow, now);
-    requests_.push_back({flow.key, flow.token, now});
+    requests_.Add(flow.key, flow.token, now);
   }
   if (++flow.waiting_packets > kSendWindowPackets) {
     // The caller could not have sent more without acknowledgements.
@@ -318,42 +318,28 @@
   return resets;
 }
 
-// Calls `judge` with each flow that has waited `time` for its reply and still
-// waits for it.
-template <typename Judge>
-void FlowWatch::JudgeOverdue(std::deque<PendingReply>& pending, Duration time,
-                             TimePoint now, Judge&& judge) {
-  while (!pending.empty() && now - pending.front().sent_at >= time) {
-    const auto reply = pending.front();
-    pending.pop_front();
-    auto* const flow = flows_.Find(reply.flow);
-    if (flow != nullptr && flow->waiting && flow->token == reply.token &&
-        flow->waiting_since == reply.sent_at) {
-      judge(*flow);
-    }
-  }
-}
-
 void FlowWatch::JudgeOpenings(TimePoint now) {
-  JudgeOverdue(openings_, kOpeningReplyTime, now, [&](TrackedFlow& flow) {
-    if (!flow.established) {
-      NoteSilence(flow, SilentPacket::kOpening, now);
-    }
-  });
+  openings_.JudgeOverdue(flows_, kOpeningReplyTime, now,
+                         [&](TrackedFlow& flow) {
+                           if (!flow.established) {
+                             NoteSilence(flow, SilentPacket::kOpening, now);
+                           }
+                         });
 }
 
 // A request may be unanswered because its endpoint has reset the flow, which
 // passes unseen.
 void FlowWatch::JudgeRequests(TimePoint now) {
-  JudgeOverdue(requests_, kAnswerTime, now, [&](const TrackedFlow& flow) {
-    ++unanswered_;
-    AddOnce(news_.failing, flow.token);
-    notes_.Add({.kind = RouterNote::Kind::kRequestUnanswered,
-                .caller = flow.caller,
-                .service = flow.service,
-                .token = flow.token,
-                .age = now - flow.waiting_since});
-  });
+  requests_.JudgeOverdue(
+      flows_, kAnswerTime, now, [&](const TrackedFlow& flow) {
+        ++unanswered_;
+        AddOnce(news_.failing, flow.token);
+        notes_.Add({.kind = RouterNote::Kind::kRequestUnanswered,
+                    .caller = flow.caller,
+                    .service = flow.service,
+                    .token = flow.token,
+                    .age = now - flow.waiting_since});
+      });
 }
 
 // A process that did not run for a while has missed replies: what it takes for
@@ -364,8 +350,8 @@
     return;
   }
   notes_.Add({.kind = RouterNote::Kind::kSuspended, .age = now - previous});
-  openings_.clear();
-  requests_.clear();
+  openings_.Clear();
+  requests_.Clear();
   newly_silent_.clear();
   for (auto& [token, load] : loads_) {
     load.signs.Clear();
--- a/Source/Flow/flow_watch.h
+++ b/Source/Flow/flow_watch.h
@@ -3,7 +3,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <optional>
 #include <vector>
 
@@ -12,6 +11,7 @@
 #include "Flow/endpoint_directory.h"
 #include "Flow/endpoint_load.h"
 #include "Flow/flow_token.h"
+#include "Flow/pending_replies.h"
 #include "Flow/router_notes.h"
 #include "Flow/token_types.h"
 #include "Flow/tracked_flows.h"
@@ -71,13 +71,6 @@
   [[nodiscard]] auto unanswered() const -> std::uint64_t { return unanswered_; }
 
  private:
-  // An opening or a request whose reply is due.
-  struct PendingReply {
-    FlowKey flow;
-    FlowToken token;
-    TimePoint sent_at;
-  };
-
   auto Track(const TokenPacket& packet, TimePoint now) -> TrackedFlow&;
   void Establish(TrackedFlow& flow, const TokenPacket& packet, TimePoint now);
   void NotePacket(TrackedFlow& flow, const TokenPacket& packet, TimePoint now);
@@ -98,17 +91,14 @@
   auto ResetSilent(FlowToken token, const DirectorySnapshot& directory,
                    TimePoint now) -> std::vector<ResetFlow>;
   auto ResetTracked(TrackedFlow& flow, ResetReason reason) -> ResetFlow;
-  template <typename Judge>
-  void JudgeOverdue(std::deque<PendingReply>& pending, Duration time,
-                    TimePoint now, Judge&& judge);
   [[nodiscard]] auto TurnAt(const SharedSuspect& suspect) const -> double;
 
   const InstanceId instance_;
   TrackedFlows flows_;
   RouterNotes& notes_;
   EndpointLoads loads_;
-  std::deque<PendingReply> openings_;
-  std::deque<PendingReply> requests_;
+  PendingReplies openings_;
+  PendingReplies requests_;
   std::vector<FlowToken> newly_silent_;
   EndpointNews news_;
   std::vector<ReplySample> replies_;
