--- a/Source/Measure/news_world.cc
+++ b/Source/Measure/news_world.cc
@@ -91,6 +91,7 @@
   }
   node.has_power = true;
   ++node.life;
+  node.clock_offset = node.next_clock_offset;
   auto settings = SyncSettings();
   for (std::size_t seed = 0; seed < settings_.seeds; ++seed) {
     if (seed != instance) {
@@ -107,7 +108,7 @@
       settings_.is_flat ? SocketAddress() : settings.own_relay,
       settings.data_centre,
       is_large ? settings_.large_capacity : settings_.small_capacity, true};
-  node.sync = std::make_unique<DirectorySync>(settings, now_);
+  node.sync = std::make_unique<DirectorySync>(settings, ClockOf(instance));
   node.relay = std::make_unique<RelayServer>(
       self, settings.seed, [&node, settings](TimePoint at) {
         auto state = RelayState();
@@ -132,7 +133,11 @@
 }
 
 void NewsWorld::Leave(std::size_t instance) {
-  nodes_[instance]->relay->Leave(now_);
+  nodes_[instance]->relay->Leave(ClockOf(instance));
+}
+
+void NewsWorld::SetClock(std::size_t instance, Duration offset) {
+  nodes_[instance]->next_clock_offset = offset;
 }
 
 void NewsWorld::Refuse(std::size_t instance, bool is_refused) {
@@ -183,7 +188,7 @@
 
 void NewsWorld::MakeCall(std::size_t instance) {
   auto& node = *nodes_[instance];
-  const auto at = std::max(node.sync->next().at, now_);
+  const auto at = std::max(node.sync->next().at - node.clock_offset, now_);
   AtProcess(instance, node.life, at, [this, instance] {
     auto& caller = *nodes_[instance];
     const auto call = ++caller.call;
@@ -215,12 +220,13 @@
   }
   ++node.call;
   node.sync->NoteWatchers(node.relay->NearWatchers());
-  if (node.sync->OnAnswer(answer, now_)) {
-    node.relay->NoteSuspects(answer.suspects, now_);
-    node.relay->Add(answer.update, now_);
+  const auto now = ClockOf(instance);
+  if (node.sync->OnAnswer(answer, now)) {
+    node.relay->NoteSuspects(answer.suspects, now);
+    node.relay->Add(answer.update, now);
     NoteKnown(instance);
   }
-  node.relay->OnTick(now_);
+  node.relay->OnTick(now);
   MakeCall(instance);
 }
 
@@ -335,7 +341,10 @@
           auto decoded = SyncAnswer();
           if (answer.status == 200) {
             decoded = TryOr(
-                [&] { return DecodeUpdate(answer.body, base.get(), now_); },
+                [&] {
+                  return DecodeUpdate(answer.body, base.get(),
+                                      ClockOf(instance));
+                },
                 [](const Error&) { return SyncAnswer(); });
           } else {
             decoded.status = answer.status == 410 ? SyncStatus::kHistoryLost
@@ -344,12 +353,12 @@
           Answer(instance, call, now_ + DelayBetween(target, instance),
                  std::move(decoded));
         };
-        nodes_[target]->relay->Serve(query, reply, now_);
+        nodes_[target]->relay->Serve(query, reply, ClockOf(target));
       });
 }
 
 void NewsWorld::Tick(std::size_t instance, std::uint64_t life) {
-  nodes_[instance]->relay->OnTick(now_);
+  nodes_[instance]->relay->OnTick(ClockOf(instance));
   SendReports(instance);
   AtProcess(instance, life, now_ + kTickInterval,
             [this, instance, life] { Tick(instance, life); });
@@ -365,7 +374,7 @@
     SendToRelay(instance, target, FormatReports(reports),
                 [this, target, reports] {
                   nodes_[target]->reports_taken += reports.reports.size();
-                  nodes_[target]->relay->TakeReports(reports, now_);
+                  nodes_[target]->relay->TakeReports(reports, ClockOf(target));
                 });
   };
   if (const auto parent = Parent(instance)) {
@@ -382,11 +391,12 @@
 
 void NewsWorld::ReportSilent(std::size_t instance, FlowToken token) {
   const auto reporter = InstanceId(1 + instance);
-  nodes_[instance]->relay->TakeReports({{{reporter, {{token}, {}, {}}}}}, now_);
+  nodes_[instance]->relay->TakeReports({{{reporter, {{token}, {}, {}}}}},
+                                       ClockOf(instance));
 }
 
 auto NewsWorld::Suspects(std::size_t instance, FlowToken token) const -> bool {
-  const auto suspects = nodes_[instance]->relay->Suspects(now_);
+  const auto suspects = nodes_[instance]->relay->Suspects(ClockOf(instance));
   return std::ranges::find(suspects, token, &SharedSuspect::token) !=
          suspects.end();
 }
@@ -414,7 +424,7 @@
 }
 
 auto NewsWorld::Age(std::size_t instance) const -> Duration {
-  return now_ - nodes_[instance]->sync->last_fresh();
+  return ClockOf(instance) - nodes_[instance]->sync->last_fresh();
 }
 
 void NewsWorld::ResetCounts() {
--- a/Source/Measure/news_world.h
+++ b/Source/Measure/news_world.h
@@ -61,6 +61,9 @@
   void Freeze(std::size_t instance, Duration time);
   // The process is told to stop: it sends its watchers elsewhere.
   void Leave(std::size_t instance);
+  // The instance's clock differs from the others' by `offset`, from its next
+  // start on.
+  void SetClock(std::size_t instance, Duration offset);
   // The platform turns the instance away.
   void Refuse(std::size_t instance, bool is_refused);
   // The platform forgets its history of changes.
@@ -129,6 +132,8 @@
     bool has_power = true;
     bool is_refused = false;
     TimePoint frozen_until;
+    Duration next_clock_offset{0};
+    Duration clock_offset{0};
     std::size_t bytes_sent = 0;
     std::size_t reports_taken = 0;
   };
@@ -165,6 +170,10 @@
   [[nodiscard]] auto DelayBetween(std::size_t from, std::size_t to) -> Duration;
   [[nodiscard]] auto Find(const SocketAddress& relay) const
       -> std::optional<std::size_t>;
+  // What the instance's clock says.
+  [[nodiscard]] auto ClockOf(std::size_t instance) const -> TimePoint {
+    return now_ + nodes_[instance]->clock_offset;
+  }
   [[nodiscard]] auto IsRunning(std::size_t instance) const -> bool {
     return nodes_[instance]->sync != nullptr;
   }
--- a/Source/Measure/token_pattern.cc
+++ b/Source/Measure/token_pattern.cc
@@ -45,6 +45,28 @@
   return pattern;
 }
 
+// Crest of the large deployment.
+auto LargePattern() -> TokenPattern {
+  auto pattern = GrownPattern();
+  pattern.instances = 195;
+  pattern.data_centres = 5;
+  pattern.endpoints = 293;
+  pattern.kinds[0].per_second = 1460;
+  pattern.kinds[1].per_second = 417;
+  pattern.length = seconds(6);
+  return pattern;
+}
+
+// The pattern right after all instances have lost power: the callers of more
+// than a second come back in half of one.
+auto AfterOutage(TokenPattern pattern, const char* name) -> TokenPattern {
+  pattern.name = name;
+  pattern.crowd_factor = 4;
+  pattern.crowd_time = milliseconds(500);
+  pattern.length = seconds(4);
+  return pattern;
+}
+
 // The pattern with a fault of `endpoints` endpoints from `at` on.
 auto WithFault(TokenPattern pattern, const char* name, PatternFault fault,
                std::size_t endpoints, Duration at) -> TokenPattern {
@@ -79,7 +101,12 @@
                 PatternFault::kMute, 30, seconds(4)),
       // Answers the same day, its srv_grey with resets.
       WithFault(grown, "grown, quarter resets flows", PatternFault::kResetting,
-                30, seconds(4))};
+                30, seconds(4)),
+      // Answers the closing loss of power on kauri-roll, kauri-roll-grown and
+      // kauri-roll-large (inc-7f8e).
+      AfterOutage(calm, "crowd after a start"),
+      AfterOutage(grown, "grown, crowd after a start"),
+      AfterOutage(LargePattern(), "large, crowd after a start")};
 }
 
 }  // namespace hemlockwick
--- a/Source/Measure/token_pattern.h
+++ b/Source/Measure/token_pattern.h
@@ -51,6 +51,10 @@
   PatternFault fault = PatternFault::kNone;
   std::size_t faulty_endpoints = 0;
   Duration fault_at{0};
+  // Flows come so many times as often for some time after the start, when no
+  // instance knows anything.
+  double crowd_factor = 1;
+  Duration crowd_time{0};
 };
 
 // The patterns that the product is measured by.
--- a/Source/Measure/token_world.cc
+++ b/Source/Measure/token_world.cc
@@ -163,7 +163,9 @@
 
 template <typename Router>
 void TokenWorld<Router>::ScheduleArrival(const PatternKind& kind) {
-  const auto flows_per_second = kind.per_second / kind.requests_per_flow;
+  const auto is_crowd = now_ - kStart < pattern_.crowd_time;
+  const auto flows_per_second = kind.per_second / kind.requests_per_flow *
+                                (is_crowd ? pattern_.crowd_factor : 1);
   const auto mean = std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(1 / flows_per_second));
   const auto at = now_ + random_.Exponential(mean);
--- a/Tests/Edge/news_test.cc
+++ b/Tests/Edge/news_test.cc
@@ -240,6 +240,28 @@
   cr_assert_leq(world.platform_calls(), 2 * world.size());
 }
 
+// Clocks jump, and a process takes the time of day when it starts: ages pass
+// between instances, times never do.
+Test(news, clocks_that_differ_delay_no_change) {
+  auto world = Settled({.seed = 2});
+  for (std::size_t i = 0; i < world.size(); i += 3) {
+    world.SetClock(i, (i % 2 == 0 ? 1 : -1) * 5 * kSecond);
+    world.Kill(i);
+    world.Start(i);
+  }
+  world.RunFor(10 * kSecond);
+  AssertInForce(SpreadOfChange(world));
+  for (std::size_t i = 3; i < world.size(); ++i) {
+    cr_assert(world.Parent(i).has_value());
+  }
+  world.ReportSilent(203, FlowToken(5));
+  world.ReportSilent(204, FlowToken(5));
+  world.RunFor(1200 * kMillisecond);
+  for (std::size_t i = 0; i < world.size(); ++i) {
+    cr_assert(world.Suspects(i, FlowToken(5)));
+  }
+}
+
 // One of the addresses names nobody.
 Test(news, a_stale_seed_address_delays_no_change) {
   auto world = NewsWorld({.seed = 2});
