Edge: Ask every seed when the platform does not answer a start

After each seed that had no directory yet the platform was called again, a second each time; and an instance did not take the directory from a relay whose path named it from before its start.

Ruled out: the time of a start itself (0.1 s), the tree's referrals (no relay was full).

Change: once the platform has not answered a start, the seeds are asked in turn; a ring only matters to an instance that has a directory.

--- a/Source/Edge/directory_sync.cc
+++ b/Source/Edge/directory_sync.cc
@@ -98,12 +98,13 @@
 
 // Nothing that is older than what is known: from an older directory, or a copy
 // of an earlier answer, what has left would return. Nothing either that has
-// come round to this instance again.
+// come round to this instance again; one that has just started may stand in the
+// path by its earlier life.
 auto DirectorySync::MayTake(const SyncAnswer& answer) const -> bool {
   const auto& path = answer.advice.path;
   const auto is_older = answer.update.revision < revision_;
   const auto is_ring =
-      std::ranges::find(path, settings_.own_relay) != path.end();
+      has_read_ && std::ranges::find(path, settings_.own_relay) != path.end();
   return !is_older && !is_ring && path.size() <= kMaxPath;
 }
 
@@ -111,6 +112,7 @@
                               TimePoint now) {
   upstream.failures = 0;
   has_read_ = true;
+  platform_has_failed_ = false;
   revision_ = std::max(revision_, answer.update.revision);
   last_fresh_ = std::max(last_fresh_, now - answer.age);
   is_at_platform_ = !upstream.relay;
@@ -228,6 +230,10 @@
     Schedule(now, now);
     return;
   }
+  platform_has_failed_ = true;
+  if (!has_read_) {
+    failed_relays_ = 0;
+  }
   if (is_searching_) {
     EndSearch(now);
   }
@@ -248,8 +254,11 @@
 void DirectorySync::Schedule(TimePoint not_before, TimePoint now) {
   // One that others watch has to be in touch while it tries relays again.
   const auto stays_in_touch = is_top_ && failed_relays_ > 0;
-  const auto prefers_platform = settings_.is_relay || stays_in_touch;
-  const auto platform_first = !has_read_ ||
+  // A read that the platform has not answered goes to every seed in turn.
+  const auto starts_reading = !has_read_ && !platform_has_failed_;
+  const auto prefers_platform =
+      has_read_ && (settings_.is_relay || stays_in_touch);
+  const auto platform_first = starts_reading ||
                               (prefers_platform && !is_searching_) ||
                               failed_relays_ >= kMaxFailedRelays;
   const auto& upstream = upstreams_.Choose(platform_first, now);
--- a/Source/Edge/directory_sync.h
+++ b/Source/Edge/directory_sync.h
@@ -150,6 +150,8 @@
   // The latest answer to be taken came from the platform.
   bool is_at_platform_ = false;
   bool is_top_ = false;  // The same, and it was one to a watch.
+  // The platform has since the latest answer to be taken.
+  bool platform_has_failed_ = false;
   // Relays that have failed since the latest answer to be taken.
   std::uint32_t failed_relays_ = 0;
   std::optional<SocketAddress> parent_;
--- a/Source/Measure/news_world.cc
+++ b/Source/Measure/news_world.cc
@@ -233,7 +233,8 @@
   ++platform_calls_;
   const auto& node = *nodes_[instance];
   const auto& next = node.sync->next();
-  if (is_cut_[DataCentreOf(instance)] || random_.Chance(settings_.loss)) {
+  if (is_platform_silent_ || is_cut_[DataCentreOf(instance)] ||
+      random_.Chance(settings_.loss)) {
     return;
   }
   if (node.is_refused) {
@@ -261,7 +262,7 @@
 // `after` is zero for a read of everything.
 void NewsWorld::AnswerFromPlatform(std::size_t instance, std::uint64_t call,
                                    Revision after) {
-  if (is_cut_[DataCentreOf(instance)]) {
+  if (is_platform_silent_ || is_cut_[DataCentreOf(instance)]) {
     return;
   }
   auto answer = SyncAnswer();
--- a/Source/Measure/news_world.h
+++ b/Source/Measure/news_world.h
@@ -66,6 +66,8 @@
   void SetClock(std::size_t instance, Duration offset);
   // The platform turns the instance away.
   void Refuse(std::size_t instance, bool is_refused);
+  // The platform answers nobody.
+  void SilencePlatform(bool is_silent) { is_platform_silent_ = is_silent; }
   // The platform forgets its history of changes.
   void ForgetHistory();
   // The data centre and all else have no path to each other.
@@ -92,6 +94,9 @@
   // Relays between the platform and the instance.
   [[nodiscard]] auto RelaysAbove(std::size_t instance) const -> std::size_t;
   [[nodiscard]] auto Watchers(std::size_t instance) const -> std::size_t;
+  [[nodiscard]] auto HasDirectory(std::size_t instance) const -> bool {
+    return nodes_[instance]->sync->revision() != Revision();
+  }
   // Time since the platform was last known to be in touch.
   [[nodiscard]] auto Age(std::size_t instance) const -> Duration;
 
@@ -187,6 +192,7 @@
   Revision revision_{1};
   Revision history_from_{1};  // Changes after it are kept.
   std::vector<PlatformWatch> watches_;
+  bool is_platform_silent_ = false;
   std::vector<bool> is_cut_;  // By data centre.
   std::set<std::pair<std::size_t, std::size_t>> one_way_cuts_;
   Published latest_;
--- a/Tests/Edge/news_test.cc
+++ b/Tests/Edge/news_test.cc
@@ -305,6 +305,31 @@
   }
 }
 
+// deploy/days/cut-and-outage.toml on kauri-roll-large: the platform is silent,
+// and half of the instances start, two of the three seeds among them. The seed
+// that goes on has the directory.
+Test(news, a_start_while_the_platform_is_silent_asks_every_seed) {
+  // One call to the platform, and one to each seed.
+  constexpr Duration kPlatformTimeout = kSecond;
+  constexpr Duration kSeeds = 800 * kMillisecond;
+  for (auto seed = std::uint64_t{1}; seed <= 10; ++seed) {
+    auto world = Settled({.instances = 30, .data_centres = 3, .seed = seed});
+    world.SilencePlatform(true);
+    world.RunFor(2 * kSecond);
+    for (std::size_t i = 0; i < world.size(); i += 2) {
+      world.Kill(i);
+    }
+    for (std::size_t i = 0; i < world.size(); i += 2) {
+      world.Start(i);
+    }
+    world.RunFor(kPlatformTimeout + kSeeds);
+    for (std::size_t i = 0; i < world.size(); ++i) {
+      cr_assert(world.HasDirectory(i), "instance %zu, seed %zu", i,
+                static_cast<std::size_t>(seed));
+    }
+  }
+}
+
 // The platform forgets its history: the seeds read everything, nobody else.
 Test(news, lost_history_makes_only_seeds_read_everything) {
   auto world = Settled({.seed = 2});
