--- a/Tests/Runtime/settings_test.cc
+++ b/Tests/Runtime/settings_test.cc
@@ -81,6 +81,24 @@
   cr_assert_eq(result.findings.size(), 13);
 }
 
+Test(settings, reads_what_an_instance_has_of_processor_and_link) {
+  const auto given = Parse(std::string(kValid) +
+                           "processor_cores: 0.038\nlink_mbps: 1000.0\n");
+  cr_assert(given.findings.empty());
+  cr_assert_float_eq(given.settings.processor_cores, 0.038, 1e-9);
+  cr_assert_float_eq(given.settings.link_mbps, 1000.0, 1e-9);
+  // A platform that does not say it leaves the value empty.
+  const auto empty =
+      Parse(std::string(kValid) + "processor_cores:\nlink_mbps: \n");
+  cr_assert(empty.findings.empty());
+  cr_assert_eq(empty.settings.processor_cores, 0.0);
+  for (const auto* const amount : {"-1", "0", "much", "1e99", "nan", "[1]"}) {
+    const auto result =
+        Parse(std::string(kValid) + "link_mbps: " + amount + "\n");
+    cr_assert_eq(result.findings.size(), 1U, "%s", amount);
+  }
+}
+
 Test(settings, names_the_nearest_known_key) {
   const auto result = Parse(std::string(kValid) + "trafic_thread: 2\n");
   cr_assert_eq(result.findings.size(), 1);
