Command: Hold a stop signal until the process can stop in order

Ruled out: a stop that was cut short. The process had not run its first line.

Change: RunWithSettings blocks the stop signals before it reads the settings, as it ignores SIGHUP; the edge lets them through when its handlers stand, serve takes them with sigwait as before. What is left is the time of the dynamic loader and of static initialisation; the soak waits for that end as it does for SIGHUP, since no program can handle a signal before its first instruction.

--- a/Source/Command/serve_command.cc
+++ b/Source/Command/serve_command.cc
@@ -9,6 +9,7 @@
 #include "Runtime/instance.h"
 #include "Runtime/log.h"
 #include "Runtime/settings.h"
+#include "Runtime/stop_signals.h"
 #include "Runtime/system_clock.h"
 
 namespace hemlockwick {
@@ -18,23 +19,7 @@
 // Interval at which a stopping process checks whether it has finished.
 constexpr auto kStopPollInterval = timespec{0, 20'000'000};
 
-// The signals that stop the process. They are blocked in every thread; the main
-// thread waits for them.
-auto StopSignals() -> sigset_t {
-  auto signals = sigset_t{};
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  return signals;
-}
-
-void BlockSignals() {
-  const auto signals = StopSignals();
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  // Writing to a connection that the peer has closed must not end the process.
-  std::signal(SIGPIPE, SIG_IGN);
-}
-
+// Waits for a stop signal, which is blocked in every thread.
 void WaitForSignal() {
   const auto signals = StopSignals();
   auto signal = 0;
@@ -69,7 +54,8 @@
 }
 
 auto Serve(const ServeSettings& settings) -> Result<ExitCode> {
-  BlockSignals();
+  // Writing to a connection that the peer has closed must not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
   StartLog(settings.name, settings.log_level);
   BOOST_LEAF_AUTO(instance, Instance::Start(settings));
   Log(LogLevel::kInfo, "serving",
--- a/Source/Command/settings_argument.cc
+++ b/Source/Command/settings_argument.cc
@@ -6,6 +6,7 @@
 #include <optional>
 
 #include "Command/options.h"
+#include "Runtime/stop_signals.h"
 
 namespace hemlockwick {
 
@@ -58,9 +59,11 @@
                      const std::function<Result<ExitCode>(
                          const std::string& file, const ServeSettings&)>& serve)
     -> ExitCode {
-  // A reload signal that arrives before the settings are read needs no action;
-  // its default action would end the process.
+  // The default action of these signals would end the process at once. A reload
+  // before the settings are read needs no action; a stop waits until `serve`
+  // can stop in order.
   std::signal(SIGHUP, SIG_IGN);
+  BlockStopSignals();
   const auto program = "hemlockwick " + name;
   return RunWithOptions(
       MakeOptions(program, summary), arguments,
--- a/Source/Edge/edge_process.h
+++ b/Source/Edge/edge_process.h
@@ -25,6 +25,7 @@
 #include "Runtime/log.h"
 #include "Runtime/settings.h"
 #include "Runtime/socket.h"
+#include "Runtime/stop_signals.h"
 #include "Runtime/system_clock.h"
 
 namespace hemlockwick {
@@ -83,6 +84,7 @@
   // second stop signal arrives.
   void Run() {
     WaitForSignal();
+    UnblockStopSignals();
     ScheduleCall();
     Tick();
     context_.run();
--- a/Utilities/Soak/edges.cc
+++ b/Utilities/Soak/edges.cc
@@ -15,7 +15,7 @@
 constexpr std::size_t kSeeds = 3;
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(450);
 constexpr Duration kRestartDelay = std::chrono::milliseconds(300);
-constexpr Duration kReloadRetry = std::chrono::milliseconds(5);
+constexpr Duration kSignalRetry = std::chrono::milliseconds(5);
 const auto kZones = std::array<std::string, 3>{"a", "b", "c"};
 
 // Ports of the proxies on an instance's connections; the seeds' follow.
@@ -144,6 +144,11 @@
   if (edge.paused || !edge.process) {
     return;
   }
+  if (signal != SIGKILL && !edge.process->Handles(signal)) {
+    // It has not run its first instructions.
+    world_.After(kSignalRetry, [this, index, signal] { End(index, signal); });
+    return;
+  }
   edge.may_end = true;
   edge.was_killed = edge.was_killed || signal == SIGKILL;
   edge.calm.Disturb(world_.Now());
@@ -159,7 +164,7 @@
     process->Signal(SIGHUP);
   } else {
     // It has not run its first instructions.
-    world_.After(kReloadRetry, [this, index] { Reload(index); });
+    world_.After(kSignalRetry, [this, index] { Reload(index); });
   }
 }
 
--- a/Utilities/Soak/edges.h
+++ b/Utilities/Soak/edges.h
@@ -57,7 +57,8 @@
                            const SocketAddress& service,
                            const std::string& zone) const -> SocketAddress;
 
-  // Sends a signal that ends the process; it is started again when it has.
+  // Sends a signal that ends the process, SIGTERM as soon as it can be told; it
+  // is started again when it has ended.
   void End(std::size_t index, int signal);
 
   // Tells the process to read its settings again, as soon as it can be told.
--- a/Utilities/StandIn/instance_process.cc
+++ b/Utilities/StandIn/instance_process.cc
@@ -88,7 +88,7 @@
   auto signals = std::string();
   auto handled = 0ULL;
   while (status >> name) {
-    if (name == "SigIgn:" || name == "SigCgt:") {
+    if (name == "SigBlk:" || name == "SigIgn:" || name == "SigCgt:") {
       status >> signals;
       handled |= std::stoull(signals, nullptr, kHex);
     }
--- a/Utilities/StandIn/instance_process.h
+++ b/Utilities/StandIn/instance_process.h
@@ -29,8 +29,8 @@
 
   void Signal(int signal) const;
 
-  // Whether the program has said by now what a signal does to it. A new process
-  // ends by signals that it could not handle yet.
+  // Whether the program has handled, ignored or blocked a signal by now. A new
+  // process ends by signals for which it has done none of these yet.
   [[nodiscard]] auto Handles(int signal) const -> bool;
 
   // Whether the process has ended.
