Edge: Log each answer at level debug

Change: while lines of level debug are written, the flow tracker makes an event of the first reply to each request: flow, endpoint, time, flows waiting there. Nothing is built at other levels; the limit of 200 lines a second holds for it.

--- a/Source/Edge/edge_forwarder.h
+++ b/Source/Edge/edge_forwarder.h
@@ -130,6 +130,7 @@
   }
 
   void Report(TimePoint now) {
+    router_.set_reports_answers(IsLogged(LogLevel::kDebug));
     const auto observations = router_.TakeObservations();
     if (!observations.empty()) {
       mailbox_.AddLocal(observations);
--- a/Source/Edge/router_log.cc
+++ b/Source/Edge/router_log.cc
@@ -40,7 +40,13 @@
          kind == RouterEvent::Kind::kFlowReset ||
          kind == RouterEvent::Kind::kPacketDropped ||
          kind == RouterEvent::Kind::kTokenChanged ||
-         kind == RouterEvent::Kind::kRequestUnanswered;
+         kind == RouterEvent::Kind::kRequestUnanswered ||
+         kind == RouterEvent::Kind::kRequestAnswered;
+}
+
+auto LevelOf(RouterEvent::Kind kind) -> LogLevel {
+  return kind == RouterEvent::Kind::kRequestAnswered ? LogLevel::kDebug
+                                                     : LogLevel::kInfo;
 }
 
 }  // namespace
@@ -55,7 +61,8 @@
 
 void LogRouterEvent(const RouterEvent& event,
                     const DirectorySnapshot* directory, TimePoint now) {
-  if (IsAboutFlow(event.kind) && !AllowDecisionLine(now)) {
+  const auto level = LevelOf(event.kind);
+  if (IsAboutFlow(event.kind) && !AllowDecisionLine(level, now)) {
     return;
   }
   auto fields = Fields();
@@ -68,6 +75,9 @@
   }
   if (event.kind == RouterEvent::Kind::kFlowOpened) {
     fields["copy"] = std::to_string(event.copy);
+  }
+  if (event.kind == RouterEvent::Kind::kFlowOpened ||
+      event.kind == RouterEvent::Kind::kRequestAnswered) {
     fields["waiting"] = std::to_string(event.waiting);
   }
   if (event.unanswered_packets > 0) {
@@ -77,7 +87,7 @@
     fields["age_ms"] = MillisOf(event.age);
   }
   AddDirectory(directory, now, fields);
-  LogBuffered(LogLevel::kInfo, ToString(event.kind), fields);
+  LogBuffered(level, ToString(event.kind), fields);
 }
 
 namespace {
--- a/Source/Flow/flow_tracker.cc
+++ b/Source/Flow/flow_tracker.cc
@@ -141,11 +141,7 @@
     flow.last_ack = packet.ack;
     RecordReply(flow.token, now);
     if (flow.waiting) {
-      const auto time = now - flow.waiting_since;
-      StatsOf(flow.token, now).AddReplyTime(time);
-      if (reply_samples_.size() < kMaxReplySamples) {
-        reply_samples_.push_back({ReplySample::Kind::kData, time});
-      }
+      RecordAnswer(flow, now);
     }
     StopWaiting(flow);
   }
@@ -262,6 +258,24 @@
   });
 }
 
+// Records the first reply to the request that the flow waits for.
+void FlowTracker::RecordAnswer(const TrackedFlow& flow, TimePoint now) {
+  const auto time = now - flow.waiting_since;
+  auto& stats = StatsOf(flow.token, now);
+  stats.AddReplyTime(time);
+  if (reply_samples_.size() < kMaxReplySamples) {
+    reply_samples_.push_back({ReplySample::Kind::kData, time});
+  }
+  if (reports_answers_) {
+    events_.Add({.kind = RouterEvent::Kind::kRequestAnswered,
+                 .caller = flow.caller,
+                 .service = flow.service,
+                 .token = flow.token,
+                 .waiting = stats.waiting_flows,
+                 .age = time});
+  }
+}
+
 void FlowTracker::RecordReply(FlowToken token, TimePoint now) {
   auto& health = StatsOf(token, now).health;
   if (health.IsSuspect(now) || health.IsSilent(now)) {
--- a/Source/Flow/flow_tracker.h
+++ b/Source/Flow/flow_tracker.h
@@ -63,6 +63,11 @@
   // time of the last reply.
   auto StatsOf(FlowToken token, TimePoint now) -> EndpointStats&;
 
+  // Whether each answer is an event from now on, for a detailed log.
+  void set_reports_answers(bool reports_answers) {
+    reports_answers_ = reports_answers;
+  }
+
   // Observations for other instances since the last call.
   [[nodiscard]] auto TakeObservations() -> EndpointObservations;
   [[nodiscard]] auto TakeReplySamples() -> std::vector<ReplySample>;
@@ -91,6 +96,7 @@
   void Release(TrackedFlow& flow);
   void Untrack(TrackedFlow& flow);
   void UntrackIdle(const DirectorySnapshot* directory, TimePoint now);
+  void RecordAnswer(const TrackedFlow& flow, TimePoint now);
   void RecordReply(FlowToken token, TimePoint now);
   void RecordUnanswered(TrackedFlow& flow, UnansweredPacket packet,
                         TimePoint now);
@@ -113,6 +119,7 @@
   std::vector<FlowToken> newly_silent_;
   EndpointObservations observations_;
   std::vector<ReplySample> reply_samples_;
+  bool reports_answers_ = false;
   std::uint64_t unanswered_packets_ = 0;
   std::uint64_t unanswered_requests_ = 0;
   TimePoint last_tick_;
--- a/Source/Flow/token_router.h
+++ b/Source/Flow/token_router.h
@@ -58,6 +58,11 @@
     return tracker_.TakeObservations();
   }
 
+  // Whether each answer is an event from now on.
+  void set_reports_answers(bool reports_answers) {
+    tracker_.set_reports_answers(reports_answers);
+  }
+
   // Events since the last call.
   [[nodiscard]] auto TakeEvents() -> std::vector<RouterEvent> {
     return events_.Take();
--- a/Source/Flow/token_types.cc
+++ b/Source/Flow/token_types.cc
@@ -50,6 +50,8 @@
       return "endpoint_failing";
     case RouterEvent::Kind::kRequestUnanswered:
       return "request_unanswered";
+    case RouterEvent::Kind::kRequestAnswered:
+      return "request_answered";
     case RouterEvent::Kind::kSuspended:
       return "process_suspended";
   }
--- a/Source/Flow/token_types.h
+++ b/Source/Flow/token_types.h
@@ -79,6 +79,7 @@
     kEndpointAlive,      // A suspect endpoint answered again.
     kEndpointFailing,    // Requests failed at several instances.
     kRequestUnanswered,  // A flow's request had no answer in time.
+    kRequestAnswered,    // Only while answers are reported.
     kSuspended,          // This process did not run for a while.
   };
 
--- a/Source/Runtime/log.cc
+++ b/Source/Runtime/log.cc
@@ -113,21 +113,23 @@
 
 void LogBuffered(LogLevel level, std::string_view message,
                  const std::map<std::string, std::string>& fields) {
-  const auto& logger = GlobalLog().logger;
-  if (logger == nullptr || !logger->should_log(ToSpdlog(level))) {
+  if (!IsLogged(level)) {
     return;
   }
+  const auto& logger = GlobalLog().logger;
   Write(*logger, level, message, fields);
   if (level >= LogLevel::kWarning) {
     logger->flush();
   }
 }
 
-auto AllowDecisionLine(TimePoint now) -> bool {
-  auto& log = GlobalLog();
-  const auto is_wanted =
-      log.logger != nullptr && log.logger->should_log(spdlog::level::info);
-  return is_wanted && log.limiter.TryTake(now);
+auto IsLogged(LogLevel level) -> bool {
+  const auto& logger = GlobalLog().logger;
+  return logger != nullptr && logger->should_log(ToSpdlog(level));
+}
+
+auto AllowDecisionLine(LogLevel level, TimePoint now) -> bool {
+  return IsLogged(level) && GlobalLog().limiter.TryTake(now);
 }
 
 void FlushLog() {
--- a/Source/Runtime/log.h
+++ b/Source/Runtime/log.h
@@ -30,11 +30,14 @@
 void LogBuffered(LogLevel level, std::string_view message,
                  const std::map<std::string, std::string>& fields = {});
 
-// Returns whether a line of level info about a routing decision may be written
-// now. To be called before building the fields of the line. At most
+// Whether lines of severity `level` are written.
+[[nodiscard]] auto IsLogged(LogLevel level) -> bool;
+
+// Returns whether a line of severity `level` about a routing decision may be
+// written now. To be called before building the fields of the line. At most
 // kMaxDecisionLinesPerSecond lines are allowed; lines refused because of that
 // limit are counted as dropped.
-[[nodiscard]] auto AllowDecisionLine(TimePoint now) -> bool;
+[[nodiscard]] auto AllowDecisionLine(LogLevel level, TimePoint now) -> bool;
 inline constexpr std::uint32_t kMaxDecisionLinesPerSecond = 200;
 
 // Writes the buffered lines.
--- a/Tests/Edge/router_log_test.cc
+++ b/Tests/Edge/router_log_test.cc
@@ -34,5 +34,29 @@
             std::string::npos);
 }
 
+auto Answered() -> RouterEvent {
+  return {.kind = RouterEvent::Kind::kRequestAnswered,
+          .caller = {Ipv4Address(0x64400007), Port(1000)},
+          .service = {Ipv4Address(0xC6120001), Port(443)},
+          .token = TokenOf(EndpointId(1)),
+          .waiting = 2,
+          .age = std::chrono::milliseconds(40)};
+}
+
+// At a few hundred requests a second and instance, lines about answers would
+// displace those about decisions.
+Test(router_log, answers_are_logged_at_level_debug_only) {
+  constexpr auto kNow = TimePoint(std::chrono::hours(500'000));
+  const auto log = [] { LogRouterEvent(Answered(), nullptr, kNow); };
+  cr_assert_eq(LinesOf(log).size(), 0U);
+  const auto lines = LinesOf([&] {
+    SetLogLevel(LogLevel::kDebug);
+    log();
+  });
+  cr_assert_eq(lines.size(), 1U);
+  cr_assert(lines.front().find(R"("age_ms":"40")") != std::string::npos);
+  cr_assert(lines.front().find(R"("waiting":"2")") != std::string::npos);
+}
+
 }  // namespace
 }  // namespace hemlockwick
--- a/Tests/Flow/token_router_test.cc
+++ b/Tests/Flow/token_router_test.cc
@@ -642,6 +642,26 @@
   cr_assert(fixture.router().TakeObservations().failing.empty());
 }
 
+// The detailed log shows which answers were late and at which endpoint.
+Test(token_router, answers_are_events_while_they_are_reported) {
+  auto fixture = RouterFixture();
+  const auto token = fixture.Open(1000);
+  const auto answer = [&](std::uint32_t request) {
+    fixture.Packet(1000, token, 1 + 100 * request, 1 + 500 * request, 100);
+    fixture.Advance(40 * kMillisecond);
+    fixture.Packet(1000, token, 101 + 100 * request, 501 + 500 * request, 0);
+  };
+  answer(0);
+  cr_assert_eq(fixture.CountEvents(RouterEvent::Kind::kRequestAnswered), 0U);
+  fixture.router().set_reports_answers(true);
+  answer(1);
+  const auto events = fixture.router().TakeEvents();
+  cr_assert_eq(events.size(), 1U);
+  cr_assert(events.front().kind == RouterEvent::Kind::kRequestAnswered);
+  cr_assert(events.front().age == 40 * kMillisecond);
+  cr_assert_eq(events.front().waiting, 1U);
+}
+
 // After a power loss of all instances, flows that opened here move to other
 // instances as these come back, and their answers are seen there. This gave
 // 16,000 log lines that reported healthy endpoints as failing (kauri-roll-large
