Flow: Count the load that other instances put on remote endpoints

Hypothesis: an instance sees the load that its own flows put on endpoints, so endpoints of other data centres look idle. Flows that open there are late or lost when a data centre is cut off.

Change: an endpoint of another data centre is thought to have as much load of other instances as the flows of this instance usually put on an endpoint here (a mean over 10 s), less four waiting requests a slot for each usual reply time by which replies from there are faster. Usual times are kept by service address. SelectEndpoint is the class EndpointSelector now.

--- /dev/null
+++ b/Source/Flow/endpoint_selector.cc
@@ -0,0 +1,143 @@
+#include "Flow/endpoint_selector.h"
+
+#include <algorithm>
+#include <limits>
+#include <vector>
+
+#include "Core/hash.h"
+
+namespace hemlockwick {
+
+namespace {
+
+// Costs, in units of one waiting request on an endpoint with one slot.
+// Added for an endpoint in another data centre, and for one that has not
+// answered an earlier copy of the opening.
+constexpr double kRemoteCost = 1.0;
+constexpr double kAlreadyTriedCost = 1e3;
+// Added for an endpoint that leaves requests unanswered. It is still used once
+// the others are busier by this much, so that an overload does not exclude many
+// endpoints.
+constexpr double kFailingCost = 2.0;
+// Added for a suspect endpoint; larger than any other cost.
+constexpr double kSuspectCost = 1e6;
+// Factor for an endpoint that has just started and is still slow.
+constexpr double kColdFactor = 1.6;
+// Cost of an idle endpoint before the factors, so that slow endpoints rank
+// behind.
+constexpr double kIdleCost = 0.05;
+// Load by which replies take longer by their usual time.
+constexpr double kLoadOfUsualReplyTime = 4.0;
+// Usual loads are learnt anew when there are more services than this.
+constexpr std::size_t kMaxServices = 1 << 14;
+// Reply time up to which endpoints count as equally fast.
+constexpr auto kNormalReplyTime = std::chrono::milliseconds(100);
+
+auto SlownessFactor(const EndpointStats& stats) -> double {
+  if (stats.reply_time <= kNormalReplyTime) {
+    return 1.0;
+  }
+  return static_cast<double>(stats.reply_time.count()) /
+         static_cast<double>(Duration(kNormalReplyTime).count());
+}
+
+// Cost of the candidate, without what depends on its data centre.
+auto CostOf(const EndpointCandidate& candidate, FlowToken tried_endpoint,
+            TimePoint now) -> double {
+  const auto& endpoint = *candidate.endpoint;
+  auto cost = kIdleCost / endpoint.report.slots + OwnLoadOf(candidate);
+  cost *= now < endpoint.report.cold_until ? kColdFactor : 1.0;
+  if (const auto* const stats = candidate.stats) {
+    cost *= SlownessFactor(*stats);
+    cost += stats->health.IsSuspect(now) ? kSuspectCost : 0;
+    cost += stats->health.IsFailing(now) ? kFailingCost : 0;
+  }
+  cost += endpoint.token == tried_endpoint ? kAlreadyTriedCost : 0;
+  return cost;
+}
+
+auto CandidatesOf(std::span<const EndpointPointer> endpoints,
+                  const EndpointStatsMap& endpoint_stats)
+    -> std::vector<EndpointCandidate> {
+  auto candidates = std::vector<EndpointCandidate>();
+  candidates.reserve(endpoints.size());
+  for (const auto& endpoint : endpoints) {
+    const auto found = endpoint_stats.find(endpoint->token);
+    const auto* const stats =
+        found == endpoint_stats.end() ? nullptr : &found->second;
+    candidates.push_back({endpoint.get(), stats});
+  }
+  return candidates;
+}
+
+// Selects the service of a flow, in proportion to the weights of the targets.
+auto SelectService(const Route& route, FlowKey flow) -> ServiceId {
+  auto total = std::uint64_t{0};
+  for (const auto& target : route.targets) {
+    total += target.weight;
+  }
+  if (total == 0) {
+    return ServiceId();
+  }
+  auto point = MixWords(flow.value(), total) % total;
+  for (const auto& target : route.targets) {
+    if (point < target.weight) {
+      return target.service;
+    }
+    point -= target.weight;
+  }
+  return ServiceId();
+}
+
+}  // namespace
+
+auto EndpointSelector::Select(const DirectorySnapshot& directory,
+                              const EndpointStatsMap& endpoint_stats,
+                              const OpeningRequest& request, TimePoint now)
+    -> const DirectoryEndpoint* {
+  const auto service = SelectService(request.route, request.flow);
+  const auto candidates =
+      CandidatesOf(directory.EligibleEndpointsOf(service), endpoint_stats);
+  const auto loads = DataCentreLoads(candidates, now);
+  const auto here = request.data_centre;
+  auto& usual = UsualLoadOf(service, now);
+  usual.Update(loads.OwnLoadIn(here), now);
+
+  const DirectoryEndpoint* best = nullptr;
+  auto best_cost = std::numeric_limits<double>::max();
+  auto best_tie = std::uint64_t{0};
+  for (const auto& candidate : candidates) {
+    const auto& endpoint = *candidate.endpoint;
+    auto cost = CostOf(candidate, request.tried_endpoint, now);
+    const auto there = endpoint.report.data_centre;
+    if (there != here) {
+      cost += kRemoteCost + HiddenLoad(loads, usual, here, there);
+    }
+    // Equal costs are common. Ties are broken by a hash, so that instances do
+    // not all prefer the same endpoint.
+    const auto tie = MixWords(request.flow.value(), endpoint.token.value());
+    if (cost < best_cost || (cost == best_cost && tie > best_tie)) {
+      best = &endpoint;
+      best_cost = cost;
+      best_tie = tie;
+    }
+  }
+  return best;
+}
+
+auto EndpointSelector::HiddenLoad(const DataCentreLoads& loads,
+                                  const UsualLoad& usual, DataCentreId here,
+                                  DataCentreId there) -> double {
+  const auto faster = kLoadOfUsualReplyTime * loads.Delay(here, there);
+  return std::max(0.0, usual.load() - faster);
+}
+
+auto EndpointSelector::UsualLoadOf(ServiceId service, TimePoint now)
+    -> UsualLoad& {
+  if (usual_loads_.size() >= kMaxServices) {
+    usual_loads_.clear();
+  }
+  return usual_loads_.try_emplace(service, now).first->second;
+}
+
+}  // namespace hemlockwick
--- /dev/null
+++ b/Source/Flow/endpoint_selector.h
@@ -0,0 +1,56 @@
+#ifndef HEMLOCKWICK_FLOW_ENDPOINT_SELECTOR_H_
+#define HEMLOCKWICK_FLOW_ENDPOINT_SELECTOR_H_
+
+#include <unordered_map>
+
+#include "Core/ids.h"
+#include "Core/time.h"
+#include "Flow/data_centre_loads.h"
+#include "Flow/endpoint_directory.h"
+#include "Flow/endpoint_stats.h"
+#include "Flow/usual_load.h"
+
+namespace hemlockwick {
+
+// A new flow that needs an endpoint.
+struct OpeningRequest {
+  FlowKey flow;
+  const Route& route;
+  DataCentreId data_centre;  // Where this instance and its callers are.
+  // Endpoint that has not answered an earlier copy of the opening; kNoToken if
+  // there is none.
+  FlowToken tried_endpoint;
+};
+
+// Selects the endpoints of new flows. Used by one traffic thread only.
+class EndpointSelector {
+ public:
+  // Selects the endpoint with the least open work for its slots, in this data
+  // centre unless it is much busier than another one. Suspect endpoints are
+  // used only when no other is left. Null when the service has no endpoint that
+  // accepts new flows.
+  auto Select(const DirectorySnapshot& directory,
+              const EndpointStatsMap& endpoint_stats,
+              const OpeningRequest& request, TimePoint now)
+      -> const DirectoryEndpoint*;
+
+ private:
+  // Estimates the load that other instances put on the endpoints of another
+  // data centre. This instance sees what its own flows put on an endpoint, and
+  // few of them go to other data centres, so that endpoints there look idle.
+  // The estimate is what its flows usually put on the endpoints here, less what
+  // replies from there are faster.
+  [[nodiscard]] static auto HiddenLoad(const DataCentreLoads& loads,
+                                       const UsualLoad& usual,
+                                       DataCentreId here, DataCentreId there)
+      -> double;
+
+  auto UsualLoadOf(ServiceId service, TimePoint now) -> UsualLoad&;
+
+  // By service: load that this instance puts on an endpoint here.
+  std::unordered_map<ServiceId, UsualLoad> usual_loads_;
+};
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_FLOW_ENDPOINT_SELECTOR_H_
--- a/Source/Flow/endpoint_stats.h
+++ b/Source/Flow/endpoint_stats.h
@@ -68,10 +68,19 @@
   std::uint32_t waiting_flows = 0;  // Those with an unanswered packet.
   Duration reply_time{0};           // Smoothed time to the first reply byte.
 
-  void AddReplyTime(Duration time) {
+  // Smoothed ratio of reply times to the usual ones of their service address.
+  double slowness = 1.0;
+  std::uint32_t replies = 0;  // That `slowness` covers.
+
+  void AddReplyTime(Duration time, double ratio) {
     constexpr int kSmoothing = 8;  // Weight of one reply: 1/8.
     reply_time += (time - reply_time) / kSmoothing;
+    // A single long request must not count for more than this.
+    constexpr double kMaxRatio = 4.0;
+    replies = std::min(replies + 1, kMaxReplies);
+    slowness += (std::min(ratio, kMaxRatio) - slowness) / replies;
   }
+  static constexpr std::uint32_t kMaxReplies = 16;
 };
 
 // Stats by endpoint token. Used by one traffic thread only.
--- a/Source/Flow/flow_tracker.h
+++ b/Source/Flow/flow_tracker.h
@@ -15,6 +15,7 @@
 #include "Flow/router_event_buffer.h"
 #include "Flow/token_types.h"
 #include "Flow/tracked_flows.h"
+#include "Flow/usual_reply_times.h"
 
 namespace hemlockwick {
 
@@ -114,6 +115,7 @@
   TrackedFlows flows_;
   RouterEventBuffer& events_;
   EndpointStatsMap endpoint_stats_;
+  UsualReplyTimes usual_reply_times_;
   PendingReplies openings_;
   PendingReplies requests_;
   std::vector<FlowToken> newly_silent_;
--- a/Source/Flow/token_router.cc
+++ b/Source/Flow/token_router.cc
@@ -3,8 +3,6 @@
 #include <utility>
 #include <variant>
 
-#include "Flow/endpoint_selection.h"
-
 namespace hemlockwick {
 
 namespace {
@@ -56,9 +54,9 @@
                        TimePoint now) -> TokenAction {
   const auto flow = FlowKeyOf(packet.caller, packet.service);
   const auto tried_endpoint = tracker_.OnOpening(packet, now);
-  const auto* const endpoint =
-      SelectEndpoint(*directory_, tracker_.endpoint_stats(),
-                     {flow, route, settings_.data_centre, tried_endpoint}, now);
+  const auto* const endpoint = selector_.Select(
+      *directory_, tracker_.endpoint_stats(),
+      {flow, route, settings_.data_centre, tried_endpoint}, now);
   if (endpoint == nullptr) {
     tracker_.OnEnded(flow);
     return directory_->is_settled()
--- a/Source/Flow/token_router.h
+++ b/Source/Flow/token_router.h
@@ -10,6 +10,7 @@
 #include "Core/ids.h"
 #include "Core/time.h"
 #include "Flow/endpoint_directory.h"
+#include "Flow/endpoint_selector.h"
 #include "Flow/endpoint_stats.h"
 #include "Flow/flow_token.h"
 #include "Flow/flow_tracker.h"
@@ -112,6 +113,7 @@
   std::shared_ptr<const DirectorySnapshot> directory_;
   RouterEventBuffer events_;
   FlowTracker tracker_;
+  EndpointSelector selector_;
   std::unordered_map<FlowToken, TimePoint> unknown_since_;
 };
 
