Flow: Take endpoints for slow by their usual reply time

Hypothesis: replies slower than 100 ms made an endpoint slow. That constant follows from the first deployments: where usual work takes longer, every endpoint would count as slow and loads would weigh more against the cost of another data centre; where it takes 5 ms, a tenfold time would pass.

Change: an endpoint is slow when its replies take more than 1.5 times what is usual at their service addresses. The smoothed absolute time is no longer kept.

The test of a slow endpoint sets four times the usual time, the most that counts, where it had 500 ms; what it expects is the same.

--- a/Source/Flow/endpoint_selector.cc
+++ b/Source/Flow/endpoint_selector.cc
@@ -30,15 +30,12 @@
 constexpr double kLoadOfUsualReplyTime = 4.0;
 // Usual loads are learnt anew when there are more services than this.
 constexpr std::size_t kMaxServices = 1 << 14;
-// Reply time up to which endpoints count as equally fast.
-constexpr auto kNormalReplyTime = std::chrono::milliseconds(100);
+// Slowness up to which endpoints count as equally fast: single long requests
+// cause that much.
+constexpr double kNormalSlowness = 1.5;
 
 auto SlownessFactor(const EndpointStats& stats) -> double {
-  if (stats.reply_time <= kNormalReplyTime) {
-    return 1.0;
-  }
-  return static_cast<double>(stats.reply_time.count()) /
-         static_cast<double>(Duration(kNormalReplyTime).count());
+  return stats.slowness <= kNormalSlowness ? 1.0 : stats.slowness;
 }
 
 // Cost of the candidate, without what depends on its data centre.
--- a/Source/Flow/endpoint_stats.h
+++ b/Source/Flow/endpoint_stats.h
@@ -66,15 +66,12 @@
   EndpointHealth health;
   std::uint32_t open_flows = 0;     // Tracked flows of the endpoint.
   std::uint32_t waiting_flows = 0;  // Those with an unanswered packet.
-  Duration reply_time{0};           // Smoothed time to the first reply byte.
-
   // Smoothed ratio of reply times to the usual ones of their service address.
   double slowness = 1.0;
   std::uint32_t replies = 0;  // That `slowness` covers.
 
-  void AddReplyTime(Duration time, double ratio) {
-    constexpr int kSmoothing = 8;  // Weight of one reply: 1/8.
-    reply_time += (time - reply_time) / kSmoothing;
+  // Records a reply that took `ratio` of the usual time.
+  void AddReply(double ratio) {
     // A single long request must not count for more than this.
     constexpr double kMaxRatio = 4.0;
     replies = std::min(replies + 1, kMaxReplies);
--- a/Source/Flow/flow_tracker.cc
+++ b/Source/Flow/flow_tracker.cc
@@ -262,7 +262,7 @@
 void FlowTracker::RecordAnswer(const TrackedFlow& flow, TimePoint now) {
   const auto time = now - flow.waiting_since;
   auto& stats = StatsOf(flow.token, now);
-  stats.AddReplyTime(time, usual_reply_times_.Add(flow.service, time));
+  stats.AddReply(usual_reply_times_.Add(flow.service, time));
   if (reply_samples_.size() < kMaxReplySamples) {
     reply_samples_.push_back({ReplySample::Kind::kData, time});
   }
--- a/Tests/Flow/endpoint_selector_test.cc
+++ b/Tests/Flow/endpoint_selector_test.cc
@@ -200,7 +200,7 @@
 // An endpoint that is five times slower than the others (kind srv_slow).
 Test(endpoint_selector, slow_endpoint_gets_fewer_flows) {
   auto fixture = SelectorFixture();
-  fixture.stats(1).reply_time = std::chrono::milliseconds(500);
+  fixture.SetSlowness(1, 4.0);
   fixture.stats(1).waiting_flows = 1;
   fixture.stats(2).waiting_flows = 2;
   cr_assert_eq(fixture.Count()[2], 200);
