Flow: Tell a silent endpoint by its usual reply time

Ruled out: too few unanswered packets (two were counted after 0.4 s).

Change: when only data was left unanswered, the silence must last 12 usual reply times of the endpoint, 0.5 s at least, 2 s at most and where nothing is known.

Tests: endpoint_health, data_alone_needs_less_time_where_ replies_are_quick fails before.

--- a/Source/Flow/endpoint_health.cc
+++ b/Source/Flow/endpoint_health.cc
@@ -1,5 +1,7 @@
 #include "Flow/endpoint_health.h"
 
+#include <algorithm>
+
 namespace hemlockwick {
 
 namespace {
@@ -16,8 +18,11 @@
 // without a reply that is needed too.
 constexpr std::uint32_t kSilentThreshold = 2;
 constexpr Duration kSilenceTimeWithOpening = std::chrono::milliseconds(500);
-// Long requests delay replies to data, but never replies to openings.
-constexpr Duration kSilenceTimeDataOnly = std::chrono::milliseconds(2000);
+// Long requests delay replies to data, but never replies to openings. An
+// endpoint that replies at all does so within some ten times the usual time,
+// unless all of its slots are taken by long requests.
+constexpr int kSilencePerReplyTime = 12;
+constexpr Duration kMaxSilenceTime = std::chrono::milliseconds(2000);
 
 // Time at which an instance tries an endpoint again that was suspected at `at`.
 auto RetryAt(TimePoint at, double jitter) -> TimePoint {
@@ -91,10 +96,18 @@
       retransmitted_openings_ + retransmitted_data_ < kSilentThreshold) {
     return false;
   }
-  const auto has_openings = openings_ + retransmitted_openings_ > 0;
-  const auto needed =
-      has_openings ? kSilenceTimeWithOpening : kSilenceTimeDataOnly;
-  return now - last_alive_ >= needed;
+  return now - last_alive_ >= SilenceTime();
+}
+
+auto EndpointHealth::SilenceTime() const -> Duration {
+  if (openings_ + retransmitted_openings_ > 0) {
+    return kSilenceTimeWithOpening;
+  }
+  if (!usual_reply_time_) {
+    return kMaxSilenceTime;
+  }
+  return std::clamp(kSilencePerReplyTime * *usual_reply_time_,
+                    kSilenceTimeWithOpening, kMaxSilenceTime);
 }
 
 }  // namespace hemlockwick
--- a/Source/Flow/endpoint_health.h
+++ b/Source/Flow/endpoint_health.h
@@ -2,6 +2,7 @@
 #define HEMLOCKWICK_FLOW_ENDPOINT_HEALTH_H_
 
 #include <cstdint>
+#include <optional>
 
 #include "Core/time.h"
 
@@ -30,6 +31,10 @@
   // Records that a caller has received something that the endpoint sent.
   void RecordReply(TimePoint now);
 
+  // Sets the time that replies usually take. It decides how long a silence must
+  // be when only data was left unanswered.
+  void SetUsualReplyTime(Duration time) { usual_reply_time_ = time; }
+
   // Records a packet sent at `sent_at` that has had no reply. Returns whether
   // it counts; it does not if the endpoint has replied since.
   auto RecordUnanswered(UnansweredPacket packet, TimePoint sent_at,
@@ -71,7 +76,9 @@
 
  private:
   auto CountOf(UnansweredPacket packet) -> std::uint32_t&;
+  [[nodiscard]] auto SilenceTime() const -> Duration;
 
+  std::optional<Duration> usual_reply_time_;
   TimePoint last_alive_;
   TimePoint last_unanswered_;
   TimePoint shared_until_;
--- a/Source/Flow/endpoint_stats.h
+++ b/Source/Flow/endpoint_stats.h
@@ -10,6 +10,7 @@
 #include "Core/time.h"
 #include "Flow/endpoint_health.h"
 #include "Flow/flow_token.h"
+#include "Flow/usual_reply_times.h"
 
 namespace hemlockwick {
 
@@ -70,12 +71,12 @@
   double slowness = 1.0;
   std::uint32_t replies = 0;  // That `slowness` covers.
 
-  // Records a reply that took `ratio` of the usual time.
-  void AddReply(double ratio) {
+  void AddReply(const ReplyComparison& reply) {
     // A single long request must not count for more than this.
     constexpr double kMaxRatio = 4.0;
     replies = std::min(replies + 1, kMaxReplies);
-    slowness += (std::min(ratio, kMaxRatio) - slowness) / replies;
+    slowness += (std::min(reply.ratio, kMaxRatio) - slowness) / replies;
+    health.SetUsualReplyTime(reply.usual_time);
   }
   static constexpr std::uint32_t kMaxReplies = 16;
 };
--- a/Tests/Flow/endpoint_health_test.cc
+++ b/Tests/Flow/endpoint_health_test.cc
@@ -79,6 +79,32 @@
   cr_assert(health.IsSilent(kNow + 2100 * kMillisecond));
 }
 
+// Flows that are open leave data unanswered, but no openings. At ricamo-lb
+// trouble-2 they were reset two seconds after their endpoint fell dark, when
+// their callers had given up after 1.5 s.
+Test(endpoint_health, data_alone_needs_less_time_where_replies_are_quick) {
+  auto health = EndpointHealth(kNow);
+  health.SetUsualReplyTime(60 * kMillisecond);
+  for (auto i = 0; i < 2; ++i) {
+    health.RecordUnanswered(UnansweredPacket::kRetransmittedData,
+                            kNow + kMillisecond, kNow + 400 * kMillisecond);
+  }
+  cr_assert_not(health.IsSilent(kNow + 700 * kMillisecond));
+  cr_assert(health.IsSilent(kNow + 740 * kMillisecond));
+}
+
+// A queue before slots that are all taken by long requests.
+Test(endpoint_health, data_alone_needs_more_time_where_replies_are_slow) {
+  auto health = EndpointHealth(kNow);
+  health.SetUsualReplyTime(400 * kMillisecond);
+  for (auto i = 0; i < 2; ++i) {
+    health.RecordUnanswered(UnansweredPacket::kRetransmittedData,
+                            kNow + kMillisecond, kNow + 400 * kMillisecond);
+  }
+  cr_assert_not(health.IsSilent(kNow + 1900 * kMillisecond));
+  cr_assert(health.IsSilent(kNow + 2100 * kMillisecond));
+}
+
 // No flow has tried the endpoint since the unanswered packets, so the next
 // request of an idle flow must not be reset (kauri-roll-grown, own day
 // cut-and-outage 403956537829).
--- a/Tests/Flow/usual_load_test.cc
+++ b/Tests/Flow/usual_load_test.cc
@@ -45,8 +45,9 @@
   }
   const auto fast = usual.Add(kFast, std::chrono::milliseconds(20));
   const auto slow = usual.Add(kSlow, std::chrono::milliseconds(100));
-  cr_assert_float_eq(fast, 2.0, 0.02);
-  cr_assert_float_eq(slow, 1.0, 0.02);
+  cr_assert_float_eq(fast.ratio, 2.0, 0.02);
+  cr_assert_float_eq(slow.ratio, 1.0, 0.02);
+  cr_assert(slow.usual_time == std::chrono::milliseconds(100));
 }
 
 }  // namespace
