--- a/Source/Measure/token_world.cc
+++ b/Source/Measure/token_world.cc
@@ -16,7 +16,6 @@
 using std::chrono::seconds;
 
 constexpr TimePoint kStart{std::chrono::hours(500'000)};
-constexpr std::uint32_t kCallerNetwork = 0x64400000;
 
 // One way between callers and instances, and between instances and endpoints.
 constexpr Duration kCallerWay = milliseconds(3);
@@ -48,26 +47,6 @@
 constexpr std::uint16_t kRequestBytes = 100;
 constexpr std::uint32_t kAnswerBytes = 2000;
 
-// Spread of the usual work about its median (the standard deviation of its
-// logarithm), share of long requests, and how much longer they are.
-constexpr double kWorkSpread = 0.5;
-constexpr double kLongShare = 0.03;
-constexpr double kLongFactor = 7;
-
-auto CallerOf(std::uint64_t flow) -> SocketAddress {
-  constexpr auto kPortBits = 16;
-  return {Ipv4Address(kCallerNetwork +
-                      static_cast<std::uint32_t>(flow >> kPortBits)),
-          Port(static_cast<std::uint16_t>(flow))};
-}
-
-auto FlowOf(const SocketAddress& caller) -> std::uint64_t {
-  constexpr auto kPortBits = 16;
-  return (static_cast<std::uint64_t>(caller.ip.value() - kCallerNetwork)
-          << kPortBits) |
-         caller.port.value();
-}
-
 template <typename Router>
 auto MakeRouter(const PlacementInputs& inputs) -> std::unique_ptr<Router> {
   if constexpr (std::is_same_v<Router, TokenRouter>) {
@@ -81,21 +60,6 @@
 // Round trips of an opening and of a request.
 constexpr Duration kRoundTrips = 4 * (kCallerWay + kEndpointWay);
 
-auto CauseOf(bool was_disturbed, const PatternWork& work, Duration aim)
-    -> MissCause {
-  if (work.work + kRoundTrips > aim) {
-    return MissCause::kLongWork;
-  }
-  if (was_disturbed) {
-    return MissCause::kUnreachable;
-  }
-  if (work.work + work.waited + kRoundTrips <= aim) {
-    return MissCause::kOther;
-  }
-  return work.idle_elsewhere ? MissCause::kWaitedNeedlessly
-                             : MissCause::kWaited;
-}
-
 static_assert(FlowAffinity<RivalRouter<HashPlacement>>);
 static_assert(FlowAffinity<RivalRouter<OraclePlacement>>);
 
@@ -105,7 +69,7 @@
 TokenWorld<Router>::TokenWorld(const TokenPattern& pattern, std::uint64_t seed)
     : pattern_(pattern),
       random_(seed),
-      now_(kStart),
+      events_(kStart),
       end_(kStart + pattern.length),
       fleet_(pattern, kStart),
       instances_(pattern.data_centres.size()) {
@@ -136,39 +100,19 @@
   }
   ScheduleTicks();
   ScheduleFault();
-  while (!events_.empty()) {
-    const auto event = events_.top();
-    events_.pop();
-    now_ = event.at;
-    event.run();
-  }
+  events_.Run();
   outcome_.runs = fleet_.Runs();
   return outcome_;
 }
 
-template <typename Router>
-void TokenWorld<Router>::At(TimePoint time, std::function<void()> run) {
-  events_.push({time, next_order_++, std::move(run)});
-}
-
-template <typename Router>
-void TokenWorld<Router>::After(Duration time, std::function<void()> run) {
-  At(now_ + time, std::move(run));
-}
-
 template <typename Router>
 void TokenWorld<Router>::ScheduleArrival(const PatternKind& kind) {
-  const auto is_crowd = now_ - kStart < pattern_.crowd_time;
-  const auto flows_per_second = kind.per_second / kind.requests_per_flow *
-                                (is_crowd ? pattern_.crowd_factor : 1);
-  const auto mean = std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(1 / flows_per_second));
-  const auto at = now_ + random_.Exponential(mean);
+  const auto at = now() + DrawArrival(pattern_, kind, now() - kStart, random_);
   if (at >= end_) {
     return;
   }
   At(at, [this, &kind] {
-    StartFlow(kind, kind.requests_per_flow, now_);
+    StartFlow(kind, kind.requests_per_flow, now());
     ScheduleArrival(kind);
   });
 }
@@ -176,16 +120,11 @@
 // As many flows as carry the load, each somewhere in its life.
 template <typename Router>
 void TokenWorld<Router>::ScheduleStandingFlows(const PatternKind& kind) {
-  if (!pattern_.has_standing_flows || kind.requests_per_flow == 1) {
-    return;
-  }
-  const auto pause = std::chrono::duration<double>(kind.pause).count();
-  const auto flows = static_cast<int>(kind.per_second * pause);
-  for (auto i = 0; i < flows; ++i) {
+  for (auto left = StandingFlows(pattern_, kind); left > 0; --left) {
     const auto requests =
         static_cast<std::uint32_t>(1 + random_.Below(kind.requests_per_flow));
     At(kStart + random_.DurationBelow(kOpeningTime),
-       [this, &kind, requests] { StartFlow(kind, requests, now_); });
+       [this, &kind, requests] { StartFlow(kind, requests, now()); });
   }
 }
 
@@ -194,7 +133,7 @@
   for (auto at = kStart; at < end_; at += kTick) {
     At(at, [this] {
       ForEachInstance(
-          [this](Router& instance) { TakeResets(instance.OnTick(now_)); });
+          [this](Router& instance) { TakeResets(instance.OnTick(now())); });
     });
   }
   for (auto at = kStart; at < end_; at += kSignInterval) {
@@ -217,7 +156,7 @@
       break;
     case PatternFault::kDark:
       At(begin + kListingTime, [this] {
-        fleet_.EndListing(now_);
+        fleet_.EndListing(now());
         Publish();
       });
       [[fallthrough]];
@@ -240,20 +179,20 @@
 
 template <typename Router>
 void TokenWorld<Router>::Publish() {
-  const auto snapshot = fleet_.TakeSnapshot(now_);
+  const auto snapshot = fleet_.TakeSnapshot(now());
   ForEachInstance(
-      [&](Router& instance) { TakeResets(instance.Update(snapshot, now_)); });
+      [&](Router& instance) { TakeResets(instance.Update(snapshot, now())); });
 }
 
 template <typename Router>
 void TokenWorld<Router>::ShareSigns() {
   auto reporter = std::uint64_t{1};
   ForEachInstance([&](Router& instance) {
-    signs_.Report(InstanceId(reporter++), instance.TakeObservations(), now_);
+    signs_.Report(InstanceId(reporter++), instance.TakeObservations(), now());
   });
-  const auto suspects = signs_.Suspects(now_);
+  const auto suspects = signs_.Suspects(now());
   ForEachInstance(
-      [&](Router& instance) { instance.ApplySharedSuspects(suspects, now_); });
+      [&](Router& instance) { instance.ApplySharedSuspects(suspects, now()); });
 }
 
 template <typename Router>
@@ -319,7 +258,7 @@
 template <typename Router>
 auto TokenWorld<Router>::DecideFor(std::uint64_t id, const TokenPacket& packet)
     -> std::optional<ForwardWithToken> {
-  const auto action = InstanceOf(id).Decide(packet, now_);
+  const auto action = InstanceOf(id).Decide(packet, now());
   if (std::holds_alternative<ResetFlow>(action)) {
     After(kCallerWay, [this, id] { OnReset(id); });
   }
@@ -331,7 +270,8 @@
 void TokenWorld<Router>::CountOpening(const PatternEndpoint& endpoint) {
   const auto is_dark = pattern_.fault == PatternFault::kDark;
   const auto grace = is_dark ? kDarkGrace : kFailingGrace;
-  if (!MakesFail(pattern_.fault) || now_ < kStart + pattern_.fault_at + grace) {
+  if (!MakesFail(pattern_.fault) ||
+      now() < kStart + pattern_.fault_at + grace) {
     return;
   }
   ++outcome_.flows_since_found;
@@ -358,12 +298,12 @@
     return;
   }
   auto& flow = found->second;
-  flow.asked = now_;
+  flow.asked = now();
   flow.answered = false;
   flow.disturbed = false;
   const auto request = flow.request;
   SendData(id, request, kResend);
-  At(now_ + flow.kind->deadline, [this, id, request] { Expire(id, request); });
+  At(now() + flow.kind->deadline, [this, id, request] { Expire(id, request); });
 }
 
 template <typename Router>
@@ -409,12 +349,12 @@
     After(kEndpointWay + kCallerWay, [this, id] { OnReset(id); });
     return;
   }
-  auto work = DrawWork(*flow.kind);
+  auto work = DrawWork(*flow.kind, random_);
   work.flow = id;
   work.request = request;
-  work.arrived = now_;
+  work.arrived = now();
   work.idle_elsewhere = fleet_.HasIdleSlotBeside(to);
-  RunAt(to, endpoint.Accept(work, now_));
+  RunAt(to, endpoint.Accept(work, now()));
 }
 
 template <typename Router>
@@ -433,7 +373,7 @@
     }
     After(kEndpointWay + kCallerWay,
           [this, id, done] { OnAnswer(done, fleet_.at(id).is_draining()); });
-    RunAt(id, endpoint.Finish(now_));
+    RunAt(id, endpoint.Finish(now()));
   });
 }
 
@@ -462,7 +402,7 @@
   const auto pause = random_.Exponential(kind.pause);
   if (ends) {
     After(pause, [this, &kind, requests_left] {
-      StartFlow(kind, requests_left, now_);
+      StartFlow(kind, requests_left, now());
     });
   } else {
     After(pause, [this, id = work.flow] { BeginRequest(id); });
@@ -481,7 +421,7 @@
     flows_.erase(found);
   }
   After(kCallerWay,
-        [this, id, packet] { InstanceOf(id).Decide(packet, now_); });
+        [this, id, packet] { InstanceOf(id).Decide(packet, now()); });
 }
 
 // The caller's flow has ended without an answer: what is left of it goes to a
@@ -495,10 +435,10 @@
   const auto flow = found->second;
   flows_.erase(found);
   CountReset(id, flow);
-  const auto asked = flow.answered ? now_ : flow.asked;
+  const auto asked = flow.answered ? now() : flow.asked;
   if (flow.open && !flow.answered && !flow.kind->idempotent) {
     CountFailed(flow);
-  } else if (now_ < asked + flow.kind->deadline) {
+  } else if (now() < asked + flow.kind->deadline) {
     StartFlow(*flow.kind, flow.requests_left, asked, true);
   }
 }
@@ -518,11 +458,12 @@
 void TokenWorld<Router>::CountAnswered(const Flow& flow,
                                        const PatternWork& work) {
   ++outcome_.requests;
-  if (now_ - flow.asked <= flow.kind->aim) {
+  if (now() - flow.asked <= flow.kind->aim) {
     return;
   }
   ++outcome_.late;
-  outcome_.CountMiss(CauseOf(flow.disturbed, work, flow.kind->aim));
+  outcome_.CountMiss(
+      CauseOfDelay(work, kRoundTrips, flow.kind->aim, flow.disturbed));
 }
 
 template <typename Router>
@@ -556,49 +497,16 @@
   return packet;
 }
 
-// The position of the data centre where the flow's caller is.
-template <typename Router>
-auto TokenWorld<Router>::DataCentreOf(std::uint64_t id) const -> std::size_t {
-  constexpr std::uint64_t kSeed = 0x63616C6C;
-  constexpr std::uint64_t kSteps = 1 << 20;
-  auto total = 0.0;
-  for (const auto& data_centre : pattern_.data_centres) {
-    total += data_centre.callers;
-  }
-  auto left = total * static_cast<double>(MixWords(id, kSeed) % kSteps) /
-              static_cast<double>(kSteps);
-  for (std::size_t i = 0; i < pattern_.data_centres.size(); ++i) {
-    left -= pattern_.data_centres[i].callers;
-    if (left < 0) {
-      return i;
-    }
-  }
-  return pattern_.data_centres.size() - 1;
-}
-
 template <typename Router>
 auto TokenWorld<Router>::InstanceOf(std::uint64_t id) -> Router& {
   constexpr std::uint64_t kSeed = 0x726F757465;
-  const auto& near = instances_[DataCentreOf(id)];
+  const auto& near = instances_[CallerDataCentre(pattern_, id)];
   return *near[MixWords(id, kSeed) % near.size()];
 }
 
 template <typename Router>
 auto TokenWorld<Router>::IsReachable(std::uint64_t id, EndpointId to) -> bool {
-  return fleet_.IsReachable(DataCentreAt(DataCentreOf(id)), to);
-}
-
-template <typename Router>
-auto TokenWorld<Router>::DrawWork(const PatternKind& kind) -> PatternWork {
-  constexpr double kTurn = 6.283185307179586;
-  const auto radius = std::sqrt(-2 * std::log(1 - random_.Uniform01()));
-  const auto normal = radius * std::cos(kTurn * random_.Uniform01());
-  const auto usual = std::exp(kWorkSpread * (normal - kWorkSpread / 2));
-  auto work = PatternWork();
-  work.is_long = random_.Chance(kLongShare);
-  const auto factor = work.is_long ? kLongFactor * usual : usual;
-  work.work = std::chrono::duration_cast<Duration>(kind.mean_work * factor);
-  return work;
+  return fleet_.IsReachable(DataCentreAt(CallerDataCentre(pattern_, id)), to);
 }
 
 template class TokenWorld<TokenRouter>;
--- a/Source/Measure/token_world.h
+++ b/Source/Measure/token_world.h
@@ -5,15 +5,17 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <queue>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "Core/random.h"
 #include "Edge/health_aggregator.h"
 #include "Flow/flow_affinity.h"
 #include "Flow/token_router.h"
+#include "Measure/event_queue.h"
 #include "Measure/pattern_fleet.h"
+#include "Measure/pattern_load.h"
 #include "Measure/token_outcome.h"
 #include "Measure/token_pattern.h"
 #include "Measure/token_rivals.h"
@@ -50,18 +52,13 @@
     // was reset.
     bool disturbed = false;
   };
-  struct Event {
-    TimePoint at;
-    std::uint64_t order;
-    std::function<void()> run;
-    friend auto operator>(const Event& left, const Event& right) -> bool {
-      return left.at != right.at ? left.at > right.at
-                                 : left.order > right.order;
-    }
-  };
-
-  void At(TimePoint time, std::function<void()> run);
-  void After(Duration time, std::function<void()> run);
+  [[nodiscard]] auto now() const -> TimePoint { return events_.now(); }
+  void At(TimePoint time, std::function<void()> run) {
+    events_.At(time, std::move(run));
+  }
+  void After(Duration time, std::function<void()> run) {
+    events_.After(time, std::move(run));
+  }
   void ScheduleArrival(const PatternKind& kind);
   void ScheduleTicks();
   void ScheduleFault();
@@ -88,8 +85,6 @@
   [[nodiscard]] auto IsReachable(std::uint64_t id, EndpointId to) -> bool;
   template <typename Visit>
   void ForEachInstance(Visit&& visit);
-  [[nodiscard]] auto DataCentreOf(std::uint64_t id) const -> std::size_t;
-  auto DrawWork(const PatternKind& kind) -> PatternWork;
   void CountOpening(const PatternEndpoint& endpoint);
   void CountAnswered(const Flow& flow, const PatternWork& work);
   void CountReset(std::uint64_t id, const Flow& flow);
@@ -100,14 +95,12 @@
 
   const TokenPattern pattern_;
   Random random_;
-  TimePoint now_;
-  TimePoint end_;
+  EventQueue events_;
+  const TimePoint end_;
   PatternFleet fleet_;
   // By data centre.
   std::vector<std::vector<std::unique_ptr<Router>>> instances_;
   HealthAggregator signs_;
-  std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
-  std::uint64_t next_order_ = 0;
   std::unordered_map<std::uint64_t, Flow> flows_;
   std::uint64_t next_flow_ = 0;
   TokenOutcome outcome_;
