--- a/Tests/Flow/endpoint_health_test.cc
+++ b/Tests/Flow/endpoint_health_test.cc
@@ -79,16 +79,21 @@
   cr_assert(health.IsSilent(kNow + 2100 * kMillisecond));
 }
 
+// Two flows retransmit data and have no reply.
+void LeaveDataUnanswered(EndpointHealth& health) {
+  for (auto flow = 0; flow < 2; ++flow) {
+    health.RecordUnanswered(UnansweredPacket::kRetransmittedData,
+                            kNow + kMillisecond, kNow + 400 * kMillisecond);
+  }
+}
+
 // Flows that are open leave data unanswered, but no openings. At ricamo-lb
 // trouble-2 they were reset two seconds after their endpoint fell dark, when
 // their callers had given up after 1.5 s.
 Test(endpoint_health, data_alone_needs_less_time_where_replies_are_quick) {
   auto health = EndpointHealth(kNow);
   health.SetUsualReplyTime(60 * kMillisecond);
-  for (auto i = 0; i < 2; ++i) {
-    health.RecordUnanswered(UnansweredPacket::kRetransmittedData,
-                            kNow + kMillisecond, kNow + 400 * kMillisecond);
-  }
+  LeaveDataUnanswered(health);
   cr_assert_not(health.IsSilent(kNow + 700 * kMillisecond));
   cr_assert(health.IsSilent(kNow + 740 * kMillisecond));
 }
@@ -97,10 +102,7 @@
 Test(endpoint_health, data_alone_needs_more_time_where_replies_are_slow) {
   auto health = EndpointHealth(kNow);
   health.SetUsualReplyTime(400 * kMillisecond);
-  for (auto i = 0; i < 2; ++i) {
-    health.RecordUnanswered(UnansweredPacket::kRetransmittedData,
-                            kNow + kMillisecond, kNow + 400 * kMillisecond);
-  }
+  LeaveDataUnanswered(health);
   cr_assert_not(health.IsSilent(kNow + 1900 * kMillisecond));
   cr_assert(health.IsSilent(kNow + 2100 * kMillisecond));
 }
