Measure: Name propagation of changes as the field does

Change: names alone. The command is `propagation`; `news` is still accepted (Command::earlier_name).

--- a/Source/Command/command.h
+++ b/Source/Command/command.h
@@ -23,6 +23,10 @@
   auto operator=(const Command&) -> Command& = delete;
 
   [[nodiscard]] virtual auto name() const -> std::string_view = 0;
+  // Another name under which it is found; empty if there is none.
+  [[nodiscard]] virtual auto earlier_name() const -> std::string_view {
+    return {};
+  }
   [[nodiscard]] virtual auto summary() const -> std::string_view = 0;
 
   // Runs with the arguments after the subcommand's name.
--- a/Source/Command/command_line.cc
+++ b/Source/Command/command_line.cc
@@ -47,7 +47,9 @@
 
 auto CommandLine::Find(std::string_view name) const -> Command* {
   for (const auto& command : commands_) {
-    if (command->name() == name) {
+    const auto earlier = command->earlier_name();
+    const auto is_earlier = !earlier.empty() && earlier == name;
+    if (command->name() == name || is_earlier) {
       return command.get();
     }
   }
--- a/Source/Measure/fleet_measure.cc
+++ b/Source/Measure/fleet_measure.cc
@@ -37,9 +37,9 @@
   return fleet.now() - start;
 }
 
-void NoteTraffic(const FleetSimulation& fleet,
-                 const std::vector<std::uint64_t>& before, Duration time,
-                 ChangeOutcome& outcome) {
+void RecordTraffic(const FleetSimulation& fleet,
+                   const std::vector<std::uint64_t>& before, Duration time,
+                   ChangeOutcome& outcome) {
   const auto after = fleet.SentBytes();
   for (std::size_t at = 0; at < after.size(); ++at) {
     const auto rate =
@@ -75,7 +75,7 @@
     outcome.slowest = std::max(outcome.slowest, time);
   }
   const auto time = fleet.now() - start;
-  NoteTraffic(fleet, bytes, time, outcome);
+  RecordTraffic(fleet, bytes, time, outcome);
   outcome.reads =
       static_cast<double>(fleet.platform().calls() - calls) / ToSeconds(time);
   outcome.false_deaths = fleet.false_deaths();
--- a/Source/Measure/fleet_simulation.cc
+++ b/Source/Measure/fleet_simulation.cc
@@ -192,7 +192,7 @@
     } else if (const auto* read = std::get_if<PlatformRead>(&action)) {
       Read(instance, *read);
     } else if (const auto* change = std::get_if<ConfigInForce>(&action)) {
-      NoteInForce(instance, change->config->version);
+      RecordInForce(instance, change->config->version);
     } else if (std::holds_alternative<ConfigRefused>(action)) {
       ++refusals_;
     } else {
@@ -273,7 +273,7 @@
   }
 }
 
-void FleetSimulation::NoteInForce(std::size_t at, Version version) {
+void FleetSimulation::RecordInForce(std::size_t at, Version version) {
   auto& instance = instances_[at];
   const auto is_first = instance.in_force == Version();
   if (version <= instance.in_force ||
--- a/Source/Measure/fleet_simulation.h
+++ b/Source/Measure/fleet_simulation.h
@@ -143,7 +143,7 @@
   void Read(std::size_t instance, const PlatformRead& read);
   void AnswerNow(std::size_t instance, const PlatformRead& read);
   void WakeWatches();
-  void NoteInForce(std::size_t instance, Version version);
+  void RecordInForce(std::size_t instance, Version version);
   void CheckDeaths(std::size_t instance);
   void WriteInstanceList();
   [[nodiscard]] auto CanReach(std::size_t from, std::size_t to) const -> bool;
--- a/Source/Measure/main.cc
+++ b/Source/Measure/main.cc
@@ -9,7 +9,7 @@
 #include "Measure/fleet_command.h"
 #include "Measure/flow_measure.h"
 #include "Measure/make_trace_command.h"
-#include "Measure/news_command.h"
+#include "Measure/propagation_command.h"
 #include "Measure/requests_command.h"
 #include "Measure/tokens_command.h"
 #include "Measure/udp_command.h"
@@ -21,7 +21,7 @@
   commands.push_back(std::make_unique<hemlockwick::FleetCommand>());
   commands.push_back(std::make_unique<hemlockwick::FlowMeasure>());
   commands.push_back(std::make_unique<hemlockwick::MakeTraceCommand>());
-  commands.push_back(std::make_unique<hemlockwick::NewsCommand>());
+  commands.push_back(std::make_unique<hemlockwick::PropagationCommand>());
   commands.push_back(std::make_unique<hemlockwick::RequestsCommand>());
   commands.push_back(std::make_unique<hemlockwick::TokensCommand>());
   commands.push_back(std::make_unique<hemlockwick::UdpCommand>());
--- a/Source/Measure/news_command.cc
+++ b/Source/Measure/propagation_command.cc
@@ -1,4 +1,4 @@
-#include "Measure/news_command.h"
+#include "Measure/propagation_command.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -8,7 +8,7 @@
 
 #include "Command/options.h"
 #include "Measure/fleet_target.h"
-#include "Measure/news_trials.h"
+#include "Measure/propagation_trials.h"
 #include "Measure/report.h"
 #include "Measure/svg_panel.h"
 #include "Measure/text_file.h"
@@ -32,8 +32,8 @@
     std::chrono::duration<double>(ControlBudget().in_force_seconds));
 
 auto NewOptions() -> cxxopts::Options {
-  auto options = cxxopts::Options("hemlockwick-measure news",
-                                  std::string(NewsCommand().summary()));
+  auto options = cxxopts::Options("hemlockwick-measure propagation",
+                                  std::string(PropagationCommand().summary()));
   options.add_options()                                      //
       ("instances", "Instances of the fleet",                //
        cxxopts::value<std::size_t>()->default_value("300"))  //
@@ -48,8 +48,9 @@
   return options;
 }
 
-auto SettingsFrom(const cxxopts::ParseResult& parsed) -> Result<NewsSettings> {
-  auto settings = NewsSettings();
+auto SettingsFrom(const cxxopts::ParseResult& parsed)
+    -> Result<PropagationSettings> {
+  auto settings = PropagationSettings();
   settings.instances = parsed["instances"].as<std::size_t>();
   settings.data_centres = parsed["data-centres"].as<std::size_t>();
   settings.seed = parsed["seed"].as<std::uint64_t>();
@@ -71,24 +72,25 @@
 
 // A trial by the tree and by the seeds alone.
 struct Comparison {
-  NewsTrial trial;
-  NewsOutcome tree;
-  NewsOutcome flat;
+  PropagationTrial trial;
+  PropagationOutcome tree;
+  PropagationOutcome flat;
 };
 
-auto Compare(const NewsTrial& trial, NewsSettings settings) -> Comparison {
+auto Compare(const PropagationTrial& trial, PropagationSettings settings)
+    -> Comparison {
   auto comparison = Comparison{trial, {}, {}};
-  comparison.tree = PlayNews(trial, settings, kInForce);
+  comparison.tree = PlayTrial(trial, settings, kInForce);
   settings.is_flat = true;
-  comparison.flat = PlayNews(trial, settings, kInForce);
+  comparison.flat = PlayTrial(trial, settings, kInForce);
   return comparison;
 }
 
 // Instances that a cut keeps from the change do not count.
-void Tell(const Comparison& comparison, Report& report) {
+void ReportComparison(const Comparison& comparison, Report& report) {
   const auto& [trial, tree, flat] = comparison;
   const auto name = trial.name + ": ";
-  const auto after = [](const NewsOutcome& outcome, double share) {
+  const auto after = [](const PropagationOutcome& outcome, double share) {
     return ToSeconds(outcome.spread.Quantile(share));
   };
   const auto usually = after(tree, 0.99);
@@ -111,7 +113,7 @@
 }
 
 // The share of the instances that know the change, over time.
-auto CurveOf(const NewsSpread& spread) -> Curve {
+auto CurveOf(const PropagationTimes& spread) -> Curve {
   auto curve = Curve();
   const auto all = static_cast<double>(spread.times.size() + spread.missing);
   for (std::size_t point = 0; point < kPoints; ++point) {
@@ -146,9 +148,9 @@
   auto report = Report("News by relays, " + std::to_string(settings.instances) +
                        " instances, seed " + std::to_string(settings.seed));
   auto comparisons = std::vector<Comparison>();
-  for (const auto& trial : NewsTrials()) {
+  for (const auto& trial : PropagationTrials()) {
     comparisons.push_back(Compare(trial, settings));
-    Tell(comparisons.back(), report);
+    ReportComparison(comparisons.back(), report);
   }
   if (parsed.count("plot") > 0) {
     BOOST_LEAF_CHECK(
@@ -159,7 +161,8 @@
 
 }  // namespace
 
-auto NewsCommand::Run(const std::vector<std::string>& arguments) -> ExitCode {
+auto PropagationCommand::Run(const std::vector<std::string>& arguments)
+    -> ExitCode {
   return RunWithOptions(NewOptions(), arguments, &Measure);
 }
 
--- a/Source/Measure/news_command.h
+++ b/Source/Measure/propagation_command.h
@@ -1,5 +1,5 @@
-#ifndef HEMLOCKWICK_MEASURE_NEWS_COMMAND_H_
-#define HEMLOCKWICK_MEASURE_NEWS_COMMAND_H_
+#ifndef HEMLOCKWICK_MEASURE_PROPAGATION_COMMAND_H_
+#define HEMLOCKWICK_MEASURE_PROPAGATION_COMMAND_H_
 
 #include <string>
 #include <string_view>
@@ -9,11 +9,14 @@
 
 namespace hemlockwick {
 
-// `news`: plays how changes of the platform spread over a fleet, by the tree of
-// relays and by the seeds alone.
-class NewsCommand : public Command {
+// `propagation`: plays how changes of the platform spread over a fleet, by the
+// tree of relays and by the seeds alone.
+class PropagationCommand : public Command {
  public:
   [[nodiscard]] auto name() const -> std::string_view override {
+    return "propagation";
+  }
+  [[nodiscard]] auto earlier_name() const -> std::string_view override {
     return "news";
   }
   [[nodiscard]] auto summary() const -> std::string_view override {
@@ -25,4 +28,4 @@
 
 }  // namespace hemlockwick
 
-#endif  // HEMLOCKWICK_MEASURE_NEWS_COMMAND_H_
+#endif  // HEMLOCKWICK_MEASURE_PROPAGATION_COMMAND_H_
--- a/Source/Measure/news_world.cc
+++ b/Source/Measure/propagation_world.cc
@@ -1,4 +1,4 @@
-#include "Measure/news_world.h"
+#include "Measure/propagation_world.h"
 
 #include <algorithm>
 #include <string>
@@ -32,7 +32,7 @@
 
 }  // namespace
 
-auto NewsSpread::Quantile(double share) const -> Duration {
+auto PropagationTimes::Quantile(double share) const -> Duration {
   if (times.empty()) {
     return Duration::max();
   }
@@ -40,7 +40,7 @@
   return times[static_cast<std::size_t>(share * last)];
 }
 
-NewsWorld::NewsWorld(const NewsSettings& settings)
+PropagationWorld::PropagationWorld(const PropagationSettings& settings)
     : settings_(settings),
       random_(settings.seed),
       now_(kStart),
@@ -53,12 +53,12 @@
   }
 }
 
-void NewsWorld::At(TimePoint time, Task task) {
+void PropagationWorld::At(TimePoint time, Task task) {
   events_.push({time, order_++, std::move(task)});
 }
 
-void NewsWorld::AtProcess(std::size_t instance, std::uint64_t life,
-                          TimePoint time, Task task) {
+void PropagationWorld::AtProcess(std::size_t instance, std::uint64_t life,
+                                 TimePoint time, Task task) {
   At(time, [this, instance, life, task = std::move(task)]() mutable {
     const auto& node = *nodes_[instance];
     if (node.sync == nullptr || node.life != life) {
@@ -72,7 +72,7 @@
   });
 }
 
-void NewsWorld::RunFor(Duration time) {
+void PropagationWorld::RunFor(Duration time) {
   const auto end = now_ + time;
   while (!events_.empty() && events_.top().at <= end) {
     auto event = events_.top();
@@ -83,7 +83,7 @@
   now_ = end;
 }
 
-void NewsWorld::Start(std::size_t instance) {
+void PropagationWorld::Start(std::size_t instance) {
   auto& node = *nodes_[instance];
   if (node.sync != nullptr) {
     return;
@@ -120,40 +120,40 @@
   Tick(instance, node.life);
 }
 
-void NewsWorld::Kill(std::size_t instance, bool with_power) {
+void PropagationWorld::Kill(std::size_t instance, bool with_power) {
   auto& node = *nodes_[instance];
   node.sync.reset();
   node.relay.reset();
   node.has_power = !with_power;
 }
 
-void NewsWorld::Freeze(std::size_t instance, Duration time) {
+void PropagationWorld::Freeze(std::size_t instance, Duration time) {
   nodes_[instance]->frozen_until = now_ + time;
 }
 
-void NewsWorld::Leave(std::size_t instance) {
+void PropagationWorld::Leave(std::size_t instance) {
   nodes_[instance]->relay->RedirectWatchers(ClockOf(instance));
 }
 
-void NewsWorld::SetClock(std::size_t instance, Duration offset) {
+void PropagationWorld::SetClock(std::size_t instance, Duration offset) {
   nodes_[instance]->next_clock_offset = offset;
 }
 
-void NewsWorld::Refuse(std::size_t instance, bool is_refused) {
+void PropagationWorld::Refuse(std::size_t instance, bool is_refused) {
   nodes_[instance]->is_refused = is_refused;
 }
 
-void NewsWorld::ForgetHistory() { history_from_ = revision_; }
+void PropagationWorld::ForgetHistory() { history_from_ = revision_; }
 
-void NewsWorld::CutOff(std::size_t data_centre, bool is_cut) {
+void PropagationWorld::CutOff(std::size_t data_centre, bool is_cut) {
   is_cut_[data_centre] = is_cut;
 }
 
-void NewsWorld::CutOneWay(std::size_t from, std::size_t to) {
+void PropagationWorld::CutOneWay(std::size_t from, std::size_t to) {
   one_way_cuts_.emplace(from, to);
 }
 
-void NewsWorld::Change() {
+void PropagationWorld::Change() {
   revision_ = Revision(revision_.value() + 1);
   latest_ = {revision_, now_};
   std::ranges::fill(known_after_, std::nullopt);
@@ -162,8 +162,8 @@
   }
 }
 
-auto NewsWorld::Spread() const -> NewsSpread {
-  auto spread = NewsSpread();
+auto PropagationWorld::Spread() const -> PropagationTimes {
+  auto spread = PropagationTimes();
   for (std::size_t i = 0; i < nodes_.size(); ++i) {
     if (!IsRunning(i)) {
       continue;
@@ -178,14 +178,14 @@
   return spread;
 }
 
-void NewsWorld::NoteKnown(std::size_t instance) {
+void PropagationWorld::RecordKnown(std::size_t instance) {
   auto& known = known_after_[instance];
   if (!known && nodes_[instance]->sync->revision() >= latest_.revision) {
     known = now_ - latest_.at;
   }
 }
 
-void NewsWorld::MakeCall(std::size_t instance) {
+void PropagationWorld::MakeCall(std::size_t instance) {
   auto& node = *nodes_[instance];
   const auto at = std::max(node.sync->next().at - node.clock_offset, now_);
   AtProcess(instance, node.life, at, [this, instance] {
@@ -203,16 +203,16 @@
 
 // Answers the call unless it has been answered; without an answer by then it
 // has failed.
-void NewsWorld::Answer(std::size_t instance, std::uint64_t call, TimePoint at,
-                       SyncAnswer answer) {
+void PropagationWorld::Answer(std::size_t instance, std::uint64_t call,
+                              TimePoint at, SyncAnswer answer) {
   AtProcess(instance, nodes_[instance]->life, at,
             [this, instance, call, answer = std::move(answer)] {
               Take(instance, call, answer);
             });
 }
 
-void NewsWorld::Take(std::size_t instance, std::uint64_t call,
-                     const SyncAnswer& answer) {
+void PropagationWorld::Take(std::size_t instance, std::uint64_t call,
+                            const SyncAnswer& answer) {
   auto& node = *nodes_[instance];
   if (node.call != call) {
     return;
@@ -223,13 +223,13 @@
   if (node.sync->OnAnswer(answer, now)) {
     node.relay->AddUpstreamSuspects(answer.suspects, now);
     node.relay->Add(answer.update, now);
-    NoteKnown(instance);
+    RecordKnown(instance);
   }
   node.relay->OnTick(now);
   MakeCall(instance);
 }
 
-void NewsWorld::CallPlatform(std::size_t instance, std::uint64_t call) {
+void PropagationWorld::CallPlatform(std::size_t instance, std::uint64_t call) {
   ++platform_calls_;
   const auto& node = *nodes_[instance];
   const auto& next = node.sync->next();
@@ -260,8 +260,8 @@
 }
 
 // `after` is zero for a read of everything.
-void NewsWorld::AnswerFromPlatform(std::size_t instance, std::uint64_t call,
-                                   Revision after) {
+void PropagationWorld::AnswerFromPlatform(std::size_t instance,
+                                          std::uint64_t call, Revision after) {
   if (is_platform_silent_ || is_cut_[DataCentreOf(instance)]) {
     return;
   }
@@ -280,7 +280,7 @@
   Answer(instance, call, now_ + kPlatformDelay, std::move(answer));
 }
 
-auto NewsWorld::RoutesAt(Revision revision) const
+auto PropagationWorld::RoutesAt(Revision revision) const
     -> std::shared_ptr<const RouteSet> {
   constexpr auto kRoutes = std::uint64_t{20};
   auto routes = std::make_shared<RouteSet>();
@@ -294,8 +294,8 @@
   return routes;
 }
 
-void NewsWorld::SendToRelay(std::size_t from, std::size_t target,
-                            const std::string& request, Task deliver) {
+void PropagationWorld::SendToRelay(std::size_t from, std::size_t target,
+                                   const std::string& request, Task deliver) {
   const auto bytes = request.size() + kHeadBytes;
   nodes_[from]->bytes_sent += bytes;
   far_bytes_ += DataCentreOf(from) == DataCentreOf(target) ? 0 : bytes;
@@ -307,8 +307,8 @@
             std::move(deliver));
 }
 
-void NewsWorld::CallRelay(std::size_t instance, std::uint64_t call,
-                          std::size_t target) {
+void PropagationWorld::CallRelay(std::size_t instance, std::uint64_t call,
+                                 std::size_t target) {
   auto& node = *nodes_[instance];
   const auto& next = node.sync->next();
   const auto arrival = now_ + DelayBetween(instance, target);
@@ -357,14 +357,14 @@
       });
 }
 
-void NewsWorld::Tick(std::size_t instance, std::uint64_t life) {
+void PropagationWorld::Tick(std::size_t instance, std::uint64_t life) {
   nodes_[instance]->relay->OnTick(ClockOf(instance));
   SendReports(instance);
   AtProcess(instance, life, now_ + kTickInterval,
             [this, instance, life] { Tick(instance, life); });
 }
 
-void NewsWorld::SendReports(std::size_t instance) {
+void PropagationWorld::SendReports(std::size_t instance) {
   auto& node = *nodes_[instance];
   auto reports = HealthReports{node.relay->TakePendingReports()};
   if (reports.reports.empty()) {
@@ -389,19 +389,20 @@
   }
 }
 
-void NewsWorld::ReportSilent(std::size_t instance, FlowToken token) {
+void PropagationWorld::ReportSilent(std::size_t instance, FlowToken token) {
   const auto reporter = InstanceId(1 + instance);
   nodes_[instance]->relay->AddReports({{{reporter, {{token}, {}, {}}}}},
                                       ClockOf(instance));
 }
 
-auto NewsWorld::Suspects(std::size_t instance, FlowToken token) const -> bool {
+auto PropagationWorld::Suspects(std::size_t instance, FlowToken token) const
+    -> bool {
   const auto suspects = nodes_[instance]->relay->Suspects(ClockOf(instance));
   return std::ranges::find(suspects, token, &SharedSuspect::token) !=
          suspects.end();
 }
 
-auto NewsWorld::BusiestBytes() const -> std::size_t {
+auto PropagationWorld::BusiestBytes() const -> std::size_t {
   auto busiest = std::size_t{0};
   for (const auto& node : nodes_) {
     busiest = std::max(busiest, node->bytes_sent);
@@ -409,25 +410,25 @@
   return busiest;
 }
 
-auto NewsWorld::Parent(std::size_t instance) const
+auto PropagationWorld::Parent(std::size_t instance) const
     -> std::optional<std::size_t> {
   const auto& parent = nodes_[instance]->sync->parent();
   return parent ? Find(*parent) : std::nullopt;
 }
 
-auto NewsWorld::RelaysAbove(std::size_t instance) const -> std::size_t {
+auto PropagationWorld::RelaysAbove(std::size_t instance) const -> std::size_t {
   return nodes_[instance]->sync->path().size();
 }
 
-auto NewsWorld::Watchers(std::size_t instance) const -> std::size_t {
+auto PropagationWorld::Watchers(std::size_t instance) const -> std::size_t {
   return nodes_[instance]->relay->watchers();
 }
 
-auto NewsWorld::Age(std::size_t instance) const -> Duration {
+auto PropagationWorld::Age(std::size_t instance) const -> Duration {
   return ClockOf(instance) - nodes_[instance]->sync->last_fresh();
 }
 
-void NewsWorld::ResetCounts() {
+void PropagationWorld::ResetCounts() {
   platform_calls_ = 0;
   whole_reads_ = 0;
   far_bytes_ = 0;
@@ -437,19 +438,20 @@
   }
 }
 
-auto NewsWorld::HasPath(std::size_t from, std::size_t to) const -> bool {
+auto PropagationWorld::HasPath(std::size_t from, std::size_t to) const -> bool {
   const auto is_near = DataCentreOf(from) == DataCentreOf(to);
   const auto is_cut = is_cut_[DataCentreOf(from)] || is_cut_[DataCentreOf(to)];
   return (is_near || !is_cut) && !one_way_cuts_.contains({from, to});
 }
 
-auto NewsWorld::DelayBetween(std::size_t from, std::size_t to) -> Duration {
+auto PropagationWorld::DelayBetween(std::size_t from, std::size_t to)
+    -> Duration {
   const auto is_near = DataCentreOf(from) == DataCentreOf(to);
   return (is_near ? kNearDelay : kFarDelay) +
          random_.DurationBelow(kDelaySpread);
 }
 
-auto NewsWorld::Find(const SocketAddress& relay) const
+auto PropagationWorld::Find(const SocketAddress& relay) const
     -> std::optional<std::size_t> {
   const auto index = relay.ip.value() - RelayOf(0).ip.value();
   return index < nodes_.size() ? std::optional<std::size_t>(index)
--- a/Source/Measure/news_world.h
+++ b/Source/Measure/propagation_world.h
@@ -1,5 +1,5 @@
-#ifndef HEMLOCKWICK_MEASURE_NEWS_WORLD_H_
-#define HEMLOCKWICK_MEASURE_NEWS_WORLD_H_
+#ifndef HEMLOCKWICK_MEASURE_PROPAGATION_WORLD_H_
+#define HEMLOCKWICK_MEASURE_PROPAGATION_WORLD_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -18,7 +18,7 @@
 
 namespace hemlockwick {
 
-struct NewsSettings {
+struct PropagationSettings {
   std::size_t instances = 300;
   std::size_t data_centres = 5;
   std::size_t seeds = 3;  // Each in a data centre of its own, if there are.
@@ -32,7 +32,7 @@
 };
 
 // How one change spread.
-struct NewsSpread {
+struct PropagationTimes {
   std::vector<Duration> times;  // Until it was known, in order.
   std::size_t missing = 0;      // Running instances that do not know it.
 
@@ -42,16 +42,16 @@
 
 // Instances that learn the directory from the platform and from each other, by
 // the decisions of an edge process, in virtual time and without a network.
-class NewsWorld {
+class PropagationWorld {
  public:
-  explicit NewsWorld(const NewsSettings& settings);
+  explicit PropagationWorld(const PropagationSettings& settings);
 
   void RunFor(Duration time);
 
   // The platform publishes a change.
   void Change();
   // How the latest change has spread.
-  [[nodiscard]] auto Spread() const -> NewsSpread;
+  [[nodiscard]] auto Spread() const -> PropagationTimes;
 
   // A process ends; calls to it fail at once, or get no answer when its machine
   // loses power.
@@ -168,7 +168,7 @@
   void Take(std::size_t instance, std::uint64_t call, const SyncAnswer& answer);
   void Tick(std::size_t instance, std::uint64_t life);
   void SendReports(std::size_t instance);
-  void NoteKnown(std::size_t instance);
+  void RecordKnown(std::size_t instance);
   [[nodiscard]] auto RoutesAt(Revision revision) const
       -> std::shared_ptr<const RouteSet>;
   [[nodiscard]] auto HasPath(std::size_t from, std::size_t to) const -> bool;
@@ -183,7 +183,7 @@
     return nodes_[instance]->sync != nullptr;
   }
 
-  const NewsSettings settings_;
+  const PropagationSettings settings_;
   Random random_;
   TimePoint now_;
   std::uint64_t order_ = 0;
@@ -204,4 +204,4 @@
 
 }  // namespace hemlockwick
 
-#endif  // HEMLOCKWICK_MEASURE_NEWS_WORLD_H_
+#endif  // HEMLOCKWICK_MEASURE_PROPAGATION_WORLD_H_
--- a/Source/Measure/request_measures.cc
+++ b/Source/Measure/request_measures.cc
@@ -52,8 +52,9 @@
 template <typename Figure>
 void AddRivals(const PolicyComparison& comparison, Figure figure,
                ReportRow& row) {
-  row.rivals.push_back({"central", figure(comparison.patient_limit)});
-  row.rivals.push_back({"central-prompt", figure(comparison.prompt_limit)});
+  row.rivals.push_back({"central", figure(comparison.central_until_deadline)});
+  row.rivals.push_back(
+      {"central-prompt", figure(comparison.central_within_bound)});
   for (const auto& rival : comparison.rivals) {
     row.rivals.push_back({rival.policy, figure(rival)});
   }
@@ -66,7 +67,7 @@
     return ShortWaitMillis(comparison.trace, outcome, kTail);
   };
   // The limit's wait holds no hop to the endpoint.
-  const auto limit = wait(comparison.prompt_limit) + kHopMillis;
+  const auto limit = wait(comparison.central_within_bound) + kHopMillis;
   AddRivals(comparison, wait,
             report.AtMost(where + ": p99 wait of short work",
                           kWaitFactor * limit + kWaitAllowanceMillis,
@@ -100,8 +101,8 @@
     -> PolicyComparison {
   auto comparison = PolicyComparison();
   const auto settings = ReplaySettings{.seed = seed};
-  comparison.patient_limit = ReplayCentral(trace, kEnd);
-  comparison.prompt_limit = ReplayCentral(trace, kShortBound);
+  comparison.central_until_deadline = ReplayCentral(trace, kEnd);
+  comparison.central_within_bound = ReplayCentral(trace, kShortBound);
   comparison.chosen = ReplayTrace<LikelyFreePolicy>(trace, settings);
   comparison.rivals.push_back(ReplayTrace<UniformPolicy>(trace, settings));
   comparison.rivals.push_back(ReplayTrace<TwoChoicePolicy>(trace, settings));
@@ -116,8 +117,8 @@
   const auto share = [&trace](const ReplayOutcome& outcome) {
     return ServedShare(trace, outcome, trace.peak_from, trace.peak_to);
   };
-  const auto limit =
-      std::max(share(comparison.patient_limit), share(comparison.prompt_limit));
+  const auto limit = std::max(share(comparison.central_until_deadline),
+                              share(comparison.central_within_bound));
   AddRivals(comparison, share,
             report.AtLeast(trace.name + ": served share at peak",
                            kServedBound * limit, share(comparison.chosen), ""));
--- a/Source/Measure/request_measures.h
+++ b/Source/Measure/request_measures.h
@@ -15,8 +15,8 @@
   RequestTrace trace;
   // Central queues: one that waits up to the deadline, one that waits no
   // longer than the contract's short bound.
-  ReplayOutcome patient_limit;
-  ReplayOutcome prompt_limit;
+  ReplayOutcome central_until_deadline;
+  ReplayOutcome central_within_bound;
   ReplayOutcome chosen;
   std::vector<ReplayOutcome> rivals;
 };
--- a/Source/Measure/request_plot.cc
+++ b/Source/Measure/request_plot.cc
@@ -57,8 +57,8 @@
 }  // namespace
 
 auto PlotComparison(const PolicyComparison& comparison) -> std::string {
-  auto outcomes = std::vector<const ReplayOutcome*>{&comparison.patient_limit,
-                                                    &comparison.chosen};
+  auto outcomes = std::vector<const ReplayOutcome*>{
+      &comparison.central_until_deadline, &comparison.chosen};
   for (const auto& rival : comparison.rivals) {
     outcomes.push_back(&rival);
   }
--- a/Tests/Edge/directory_propagation_test.cc
+++ b/Tests/Edge/directory_propagation_test.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "Measure/news_world.h"
+#include "Measure/propagation_world.h"
 
 namespace hemlockwick {
 namespace {
@@ -15,7 +15,7 @@
 constexpr Duration kPropagationBoundP99 = 1500 * kMillisecond;
 // Calls to the platform that a fleet may make: 2,000 a second for 11,283
 // instances.
-auto ReadsAllowed(const NewsWorld& world, Duration time) -> std::size_t {
+auto ReadsAllowed(const PropagationWorld& world, Duration time) -> std::size_t {
   constexpr auto kReadsOfInstance = 2000.0 / 11'283.0;
   return static_cast<std::size_t>(kReadsOfInstance * ToSeconds(time) *
                                   static_cast<double>(world.size()));
@@ -25,22 +25,22 @@
 // kPropagationBound.
 constexpr std::size_t kMaxRelaysAbove = 8;
 
-auto SettledWorld(const NewsSettings& settings) -> NewsWorld {
-  auto world = NewsWorld(settings);
+auto SettledWorld(const PropagationSettings& settings) -> PropagationWorld {
+  auto world = PropagationWorld(settings);
   world.RunFor(10 * kSecond);
   world.ResetCounts();
   return world;
 }
 
 // Publishes a change and lets it propagate.
-auto SpreadOfChange(NewsWorld& world, Duration time = kPropagationBound)
-    -> NewsSpread {
+auto SpreadOfChange(PropagationWorld& world, Duration time = kPropagationBound)
+    -> PropagationTimes {
   world.Change();
   world.RunFor(time);
   return world.Spread();
 }
 
-void AssertInForce(const NewsSpread& spread,
+void AssertInForce(const PropagationTimes& spread,
                    Duration bound = kPropagationBound) {
   cr_assert_eq(spread.missing, 0U, "%zu lack the change", spread.missing);
   cr_assert_leq(ToMillis(spread.Quantile(1)), ToMillis(bound));
@@ -48,7 +48,8 @@
 
 // The number of instances whose parent is the relay. Instances whose parent is
 // unknown are not counted.
-auto ChildrenOf(const NewsWorld& world, std::size_t relay) -> std::size_t {
+auto ChildrenOf(const PropagationWorld& world, std::size_t relay)
+    -> std::size_t {
   auto children = std::size_t{0};
   for (std::size_t i = 0; i < world.size(); ++i) {
     children += world.Parent(i) == relay ? 1 : 0;
@@ -57,7 +58,7 @@
 }
 
 // The instance with the most children that is not a seed.
-auto BusiestRelay(const NewsWorld& world) -> std::size_t {
+auto BusiestRelay(const PropagationWorld& world) -> std::size_t {
   auto best = std::size_t{3};
   for (std::size_t i = 3; i < world.size(); ++i) {
     best = ChildrenOf(world, i) > ChildrenOf(world, best) ? i : best;
@@ -86,7 +87,7 @@
 // Connections and bytes of the seeds must not grow with the fleet.
 Test(directory_propagation, no_relay_exceeds_its_capacity) {
   const auto settings =
-      NewsSettings{.instances = 500, .data_centres = 5, .seed = 4};
+      PropagationSettings{.instances = 500, .data_centres = 5, .seed = 4};
   auto world = SettledWorld(settings);
   for (std::size_t i = 0; i < world.size(); ++i) {
     const auto far = kMaxRemoteWatchers * (settings.data_centres - 1);
@@ -270,7 +271,7 @@
 
 // One of the seed addresses belongs to no instance.
 Test(directory_propagation, a_stale_seed_address_delays_no_change) {
-  auto world = NewsWorld({.seed = 2});
+  auto world = PropagationWorld({.seed = 2});
   world.RunFor(kSecond / 2);
   world.Kill(1, true);
   world.RunFor(10 * kSecond);
@@ -395,14 +396,14 @@
   world.RunFor(kSecond);
   for (std::size_t i = 0; i < world.size(); ++i) {
     const auto watchers =
-        NewsSettings().large_capacity + 2 * kMaxRemoteWatchers * 5;
+        PropagationSettings().large_capacity + 2 * kMaxRemoteWatchers * 5;
     cr_assert_leq(world.reports_taken(i), 2 * watchers);
   }
 }
 
 Test(directory_propagation,
      a_fleet_that_starts_at_once_reads_the_platform_once_each) {
-  auto world = NewsWorld({.seed = 2});
+  auto world = PropagationWorld({.seed = 2});
   world.RunFor(5 * kSecond);
   cr_assert_leq(world.whole_reads(), world.size());
   for (std::size_t i = 3; i < world.size(); ++i) {
--- a/Tests/Edge/health_aggregator_test.cc
+++ b/Tests/Edge/health_aggregator_test.cc
@@ -114,15 +114,15 @@
   cr_assert(exchange.Suspects(kNow).empty());
 }
 
-Test(endpoint_news, names_each_endpoint_once) {
-  auto news = Silent();
-  news.Merge(Silent());
-  news.Merge(Alive());
-  news.Merge(Failing());
-  news.Merge(Failing());
-  cr_assert_eq(news.silent.size(), 1U);
-  cr_assert_eq(news.alive.size(), 1U);
-  cr_assert_eq(news.failing.size(), 1U);
+Test(endpoint_observations, names_each_endpoint_once) {
+  auto observations = Silent();
+  observations.Merge(Silent());
+  observations.Merge(Alive());
+  observations.Merge(Failing());
+  observations.Merge(Failing());
+  cr_assert_eq(observations.silent.size(), 1U);
+  cr_assert_eq(observations.alive.size(), 1U);
+  cr_assert_eq(observations.failing.size(), 1U);
 }
 
 }  // namespace
