Flow: Bound what is kept of each service

Found on the last reading: usual reply times were kept for every service address ever forwarded, and beyond 16,384 services the usual loads were forgotten at each opening.

--- a/Source/Flow/endpoint_selector.cc
+++ b/Source/Flow/endpoint_selector.cc
@@ -26,10 +26,8 @@
 // Cost of an idle endpoint before the factors, so that slow endpoints rank
 // behind.
 constexpr double kIdleCost = 0.05;
-// Load by which replies take longer by their usual time.
+// Waiting requests for each slot by which a reply takes its usual time longer.
 constexpr double kLoadOfUsualReplyTime = 4.0;
-// Usual loads are learnt anew when there are more services than this.
-constexpr std::size_t kMaxServices = 1 << 14;
 // Slowness up to which endpoints count as equally fast: single long requests
 // cause that much.
 constexpr double kNormalSlowness = 1.5;
@@ -97,7 +95,7 @@
       CandidatesOf(directory.EligibleEndpointsOf(service), endpoint_stats);
   const auto loads = DataCentreLoads(candidates, now);
   const auto here = request.data_centre;
-  auto& usual = UsualLoadOf(service, now);
+  auto& usual = usual_loads_.FindOrAdd(service, now);
   usual.Update(loads.OwnLoadIn(here), now);
 
   const DirectoryEndpoint* best = nullptr;
@@ -129,12 +127,4 @@
   return std::max(0.0, usual.load() - faster);
 }
 
-auto EndpointSelector::UsualLoadOf(ServiceId service, TimePoint now)
-    -> UsualLoad& {
-  if (usual_loads_.size() >= kMaxServices) {
-    usual_loads_.clear();
-  }
-  return usual_loads_.try_emplace(service, now).first->second;
-}
-
 }  // namespace hemlockwick
--- a/Source/Flow/endpoint_selector.h
+++ b/Source/Flow/endpoint_selector.h
@@ -1,10 +1,9 @@
 #ifndef HEMLOCKWICK_FLOW_ENDPOINT_SELECTOR_H_
 #define HEMLOCKWICK_FLOW_ENDPOINT_SELECTOR_H_
 
-#include <unordered_map>
-
 #include "Core/ids.h"
 #include "Core/time.h"
+#include "Flow/by_service.h"
 #include "Flow/data_centre_loads.h"
 #include "Flow/endpoint_directory.h"
 #include "Flow/endpoint_stats.h"
@@ -45,10 +44,8 @@
                                        DataCentreId here, DataCentreId there)
       -> double;
 
-  auto UsualLoadOf(ServiceId service, TimePoint now) -> UsualLoad&;
-
-  // By service: load that this instance puts on an endpoint here.
-  std::unordered_map<ServiceId, UsualLoad> usual_loads_;
+  // Load that this instance puts on an endpoint here.
+  ByService<ServiceId, UsualLoad> usual_loads_;
 };
 
 }  // namespace hemlockwick
--- a/Source/Flow/usual_reply_times.h
+++ b/Source/Flow/usual_reply_times.h
@@ -4,10 +4,10 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
-#include <unordered_map>
 
 #include "Core/net_address.h"
 #include "Core/time.h"
+#include "Flow/by_service.h"
 
 namespace hemlockwick {
 
@@ -24,7 +24,7 @@
   auto Add(const SocketAddress& service, Duration time) -> ReplyComparison {
     // Replies that the mean covers.
     constexpr std::uint32_t kReplies = 256;
-    auto& usual = by_service_[service];
+    auto& usual = by_service_.FindOrAdd(service);
     usual.replies = std::min(usual.replies + 1, kReplies);
     const auto seconds = std::chrono::duration<double>(time).count();
     usual.seconds += (seconds - usual.seconds) / usual.replies;
@@ -39,7 +39,7 @@
     std::uint32_t replies = 0;
   };
 
-  std::unordered_map<SocketAddress, Usual> by_service_;
+  ByService<SocketAddress, Usual> by_service_;
 };
 
 }  // namespace hemlockwick
--- a/Tests/Flow/usual_load_test.cc
+++ b/Tests/Flow/usual_load_test.cc
@@ -2,6 +2,9 @@
 
 #include <criterion/criterion.h>
 
+#include <cstdint>
+
+#include "Flow/by_service.h"
 #include "Flow/usual_reply_times.h"
 
 namespace hemlockwick {
@@ -36,6 +39,19 @@
   cr_assert_float_eq(often.load(), once.load(), 1e-9);
 }
 
+// A process that runs for months sees many services come and go.
+Test(by_service, holds_a_bounded_number_of_services) {
+  using Counts = ByService<std::uint64_t, int>;
+  auto counts = Counts();
+  for (auto service = std::uint64_t{0}; service < Counts::kMaxServices;
+       ++service) {
+    counts.FindOrAdd(service) = 1;
+  }
+  cr_assert_eq(counts.FindOrAdd(7), 1);
+  cr_assert_eq(counts.FindOrAdd(Counts::kMaxServices, 2), 2);
+  cr_assert_eq(counts.size(), 1U);
+}
+
 // Two kinds of requests with other times are compared each with its own.
 Test(usual_reply_times, are_kept_by_service_address) {
   auto usual = UsualReplyTimes();
