Command: Block stop signals before SIGHUP is ignored

early_stop_test sends SIGTERM when it sees that SIGHUP is ignored; the process could be stopped between the two calls and end by the signal.

--- a/Source/Command/settings_argument.cc
+++ b/Source/Command/settings_argument.cc
@@ -62,8 +62,8 @@
   // The default action of these signals would end the process at once. A reload
   // before the settings are read needs no action; a stop waits until `serve`
   // can stop in order.
-  std::signal(SIGHUP, SIG_IGN);
   BlockStopSignals();
+  std::signal(SIGHUP, SIG_IGN);
   const auto program = "hemlockwick " + name;
   return RunWithOptions(
       MakeOptions(program, summary), arguments,
--- a/Tests/Command/early_stop_test.cc
+++ b/Tests/Command/early_stop_test.cc
@@ -94,7 +94,7 @@
                                               pipe.path(), pipe.log());
   cr_assert(static_cast<bool>(started));
   auto& process = *started.value();
-  // The program ignores SIGHUP before it reads its settings.
+  // The program ignores SIGHUP last of all before it reads its settings.
   cr_assert(Await([&] { return process.Handles(SIGHUP); }, kAwaitBound));
   process.Signal(SIGTERM);
   const auto settings = SettingsText();
