--- a/Tests/Edge/router_log_test.cc
+++ b/Tests/Edge/router_log_test.cc
@@ -10,6 +10,8 @@
 namespace hemlockwick {
 namespace {
 
+constexpr TimePoint kNow{std::chrono::hours(500'000)};
+
 auto Missing(std::size_t count) -> std::vector<DirectoryEvent> {
   auto events = std::vector<DirectoryEvent>();
   for (std::size_t i = 0; i < count; ++i) {
@@ -46,7 +48,6 @@
 // At a few hundred requests a second and instance, lines about answers would
 // displace those about decisions.
 Test(router_log, answers_are_logged_at_level_debug_only) {
-  constexpr auto kNow = TimePoint(std::chrono::hours(500'000));
   const auto log = [] { LogRouterEvent(Answered(), nullptr, kNow); };
   cr_assert_eq(LinesOf(log).size(), 0U);
   const auto lines = LinesOf([&] {
