Review: Show that flows with one key get each other reset

FLOW breaks when a few backends turn slow: two flows of one client from neighbouring ports share a tracked flow, the wait of the one counts as a silence of the other one's backend, and a flow of a sound backend is reset.

--- a/review/build.sh
+++ b/review/build.sh
@@ -6,6 +6,6 @@
 mkdir -p target/review
 for case in review/[0-9]*/case.cc; do
   number="$(basename "$(dirname "$case")")"
-  "${CXX:-g++}" -std=c++20 -O2 -Wall -Wextra -Ireview \
+  "${CXX:-g++}" -std=c++20 -O2 -Wall -Wextra -Ireview -ISource \
     -o "target/review/case-$number" "$case" review/harness/*.cc
 done
--- a/review/harness/backend.cc
+++ b/review/harness/backend.cc
@@ -184,7 +184,7 @@
   ++running_;
   events_.ran(id_, job.request);
   const auto spread = std::uniform_real_distribution<double>(0.5, 1.5)(random_);
-  loop_.After(kMeanWork * spread, [this, job] {
+  loop_.After(kMeanWork * spread * slowness_, [this, job] {
     --running_;
     auto* const flow = FindFlow(job.flow, job.serial);
     if (flow != nullptr && flow->open) {
--- a/review/harness/backend.h
+++ b/review/harness/backend.h
@@ -44,6 +44,9 @@
 
   [[nodiscard]] auto id() const -> std::uint64_t { return id_; }
   [[nodiscard]] auto key() const -> std::string;
+  // Makes the work of requests `factor` times as long.
+  void SetSlowness(double factor) { slowness_ = factor; }
+
   // Its entry in the store.
   [[nodiscard]] auto Entry() const -> std::string;
 
@@ -88,6 +91,7 @@
   };
   std::deque<Job> queue_;
   int running_ = 0;
+  double slowness_ = 1;
   UdpSocket socket_;
 };
 
--- a/review/harness/client.cc
+++ b/review/harness/client.cc
@@ -155,7 +155,7 @@
     if (flow->state != State::kOpen) {
       return;
     }
-    if (flow->done == flow->plan.requests) {
+    if (flow->done == flow->plan.requests || loop_.Now() >= flow->plan.until) {
       Close(id, flow, FlowEnd::kDone);
       return;
     }
--- a/review/harness/client.h
+++ b/review/harness/client.h
@@ -22,6 +22,8 @@
   int requests = 1;      // On this flow, one after the other.
   Seconds pause = 0.5;   // Mean time between a response and the next request.
   Seconds deadline = 1;  // Of each request.
+  // The flow is closed after a response that comes later than this.
+  Seconds until = 1e9;
 };
 
 enum class FlowEnd : std::uint8_t {
@@ -62,6 +64,9 @@
   ClientHost(Loop& loop, Ip ip, std::uint64_t seed,
              std::function<bool(Ip)> is_machine, const ClientEvents& events);
 
+  // Ports are taken one after the other, beginning here.
+  void set_next_port(std::uint16_t port) { next_port_ = port; }
+
   // Opens a flow from a new port; `then` is called when it has ended.
   void Open(const FlowPlan& plan, std::function<void(FlowEnd)> then);
 
--- a/review/harness/world.cc
+++ b/review/harness/world.cc
@@ -254,6 +254,21 @@
   fleet_->Stop(machine);
 }
 
+void World::SlowBackend(std::size_t backend, double factor, Seconds time) {
+  auto& slow = *backends_[backend];
+  Note("backend " + HexOf(slow.id()) + " is slow for " + TextOf(time) + " s");
+  slow.SetSlowness(factor);
+  backend_disturbed_until_[slow.id()] = loop_.Now() + time;
+  loop_.After(time, [&slow] { slow.SetSlowness(1); });
+}
+
+// Whether the backend had no disruption in the last stabilityWindowMs.
+auto World::IsCalm(std::uint64_t backend) const -> bool {
+  const auto found = backend_disturbed_until_.find(backend);
+  return found == backend_disturbed_until_.end() ||
+         loop_.Now() > found->second + kStabilityWindow;
+}
+
 // In touch: no disruption of the machine in the last stabilityWindowMs. The
 // store is stable in all cases.
 auto World::IsInTouch(std::size_t machine) const -> bool {
@@ -288,8 +303,8 @@
 }
 
 // FLOW (a): a reset that the flow's backend did not send, while that backend
-// lives, by a machine in touch that took the flow's packet. No backend ends or
-// is disturbed in these cases, and no configuration drops a route.
+// lives and is calm, by a machine in touch that took the flow's packet. No
+// backend ends in these cases, and no configuration drops a route.
 void World::OnReset(const FlowId& id, Ip machine, std::uint32_t seq,
                     std::uint32_t last_ack, const std::string& waiting) {
   const auto& flow = flows_[id];
@@ -305,14 +320,14 @@
   if (static_cast<std::uint32_t>(std::abs(distance)) > kResetWindow) {
     text += ", seq not valid";
   }
-  if (is_open && IsInTouch(number)) {
+  if (is_open && IsInTouch(number) && IsCalm(*flow.owner)) {
     if (runs_.contains(waiting)) {
       Count("requests run whose answer a reset cut off");
     }
     Break(text);
   } else {
     Note("excused, " +
-         std::string(is_open ? "machine not in touch: "
+         std::string(is_open ? "machine or backend not calm: "
                              : "not open at a backend: ") +
          text);
   }
--- a/review/harness/world.h
+++ b/review/harness/world.h
@@ -71,6 +71,9 @@
   // Stops a machine with SIGTERM; it is started again (roll_term).
   void StopMachine(std::size_t machine);
 
+  // Makes a backend slow for a while (srv_slow).
+  void SlowBackend(std::size_t backend, double factor, Seconds time);
+
   // Writes a configuration with one route for each address; returns its
   // version. The store acknowledges it at once.
   auto Publish(const std::vector<Address>& routes, const std::string& kind)
@@ -91,6 +94,12 @@
   [[nodiscard]] auto host(std::size_t index) -> ClientHost& {
     return *hosts_[index];
   }
+  [[nodiscard]] auto ip_of_client(std::size_t index) const -> Ip {
+    return Address4(2, index);
+  }
+  [[nodiscard]] auto backends() const -> std::size_t {
+    return backends_.size();
+  }
   [[nodiscard]] auto zone_of_client(std::size_t index) const -> std::string;
 
   // Opens a flow from a client.
@@ -109,6 +118,7 @@
   void MakeEvents();
   void OnReset(const FlowId& flow, Ip machine, std::uint32_t seq,
                std::uint32_t last_ack, const std::string& waiting);
+  [[nodiscard]] auto IsCalm(std::uint64_t backend) const -> bool;
   [[nodiscard]] auto IsInTouch(std::size_t machine) const -> bool;
   void JudgeArrivals();
   void Break(const std::string& text);
@@ -131,8 +141,9 @@
   std::vector<std::string> broken_;
   std::uint64_t version_ = 0;
   double loss_ = 0;
-  // End of the last disruption of each machine.
+  // End of the last disruption of each machine, and of each backend by its id.
   std::map<std::size_t, Seconds> disturbed_until_;
+  std::map<std::uint64_t, Seconds> backend_disturbed_until_;
 };
 
 }  // namespace review
