Review: Show that a burst that fills the backends resets open flows

FLOW breaks when many users come at once: a full backend does not answer opening packets, the system takes it for dead and resets the flows that are open at it, long after the burst. The gravest case, so it comes first.

--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -1,10 +1,9 @@
-// Case 1: one machine is cut off from the store while a configuration adds a
-// route and another machine is restarted as planned. Flows that are open on the
-// new route move to a machine that still waits for news from the one that is
-// cut off. It does not know the route yet and resets them.
+// Case 1: many users come at once, and the backends are full for a few seconds.
+// A full backend does not answer opening packets. The system takes it for dead
+// and resets flows that are open at it.
 
 #include <cstddef>
-#include <vector>
+#include <random>
 
 #include "harness/world.h"
 
@@ -12,78 +11,99 @@
 
 using review::Seconds;
 
-// Limits of the site: core_cut with count 1 and for_s 5.5.
-constexpr Seconds kCut = 5.5;
+// Limits of the site: burst with x 1.75 and for_s 3.
+constexpr double kBurst = 1.75;
+constexpr Seconds kBurstTime = 3.0;
+
+// A fiftieth of the site's 2000 connections, so that few clients fill them.
+constexpr std::size_t kMaxConnections = 40;
+constexpr std::size_t kBackendsOfZone = 3;
+constexpr std::size_t kHostsOfZone = 30;
+constexpr std::size_t kUsersOfHost = 3;
 
-constexpr std::size_t kUsers = 20;  // Client addresses of each zone.
 constexpr std::size_t kRounds = 4;
-constexpr Seconds kRoundLength = 16.0;
-// When the machine is told to stop, before the cut, and when the configuration
-// is acknowledged, after it.
-constexpr Seconds kStopBefore = 0.5;
-constexpr Seconds kPublishAfter = 0.1;
-
-// Two seeds are in the zone nelson-a. Each takes its turn to be cut off while
-// the other one is restarted.
-constexpr std::size_t kFirstSeed = 0;
-constexpr std::size_t kSecondSeed = 1;
-constexpr std::size_t kThirdSeed = 3;
+constexpr Seconds kRoundLength = 15.0;
+constexpr Seconds kStartTime = 4.0;
 
 class Case {
  public:
   explicit Case(review::World& world) : world_(world) {}
 
   auto Run() -> int {
-    world_.AddMachines({kFirstSeed, kSecondSeed, kThirdSeed});
-    world_.AddBackends(3);
-    world_.AddClients(kUsers);
-    AddRoute();
+    world_.AddMachines({0, 3, 5});
+    world_.set_max_connections(kMaxConnections);
+    world_.AddBackends(kBackendsOfZone);
+    world_.AddClients(kHostsOfZone);
+    world_.Publish({world_.RouteAddress(0)}, "safe");
     world_.Start();
-    for (auto user = std::size_t{0}; user < world_.clients(); ++user) {
-      Use(user);
+    auto& loop = world_.loop();
+    const auto start = loop.Now();
+    const auto users = world_.clients() * kUsersOfHost;
+    for (auto user = std::size_t{0}; user < users; ++user) {
+      loop.After(Below(kStartTime), [this, user] { Use(user); });
     }
-    const auto start = world_.loop().Now();
-    for (auto round = std::size_t{0}; round < kRounds; ++round) {
-      const auto is_even = round % 2 == 0;
-      PlanRound(1 + kRoundLength * static_cast<double>(round),
-                is_even ? kFirstSeed : kSecondSeed,
-                is_even ? kSecondSeed : kFirstSeed);
+    if (world_.trouble()) {
+      for (auto round = std::size_t{0}; round < kRounds; ++round) {
+        loop.After(kRoundLength * static_cast<double>(round) + 2 * kStartTime,
+                   [this, users] { Burst(users); });
+      }
     }
-    world_.loop().RunUntil(start + kRoundLength * kRounds);
+    loop.RunUntil(start + kRoundLength * kRounds + kStartTime);
     return world_.Finish();
   }
 
  private:
-  void PlanRound(Seconds at, std::size_t cut, std::size_t stopped) {
-    auto& loop = world_.loop();
-    loop.After(at, [this, stopped] { world_.StopMachine(stopped); });
-    if (world_.trouble()) {
-      loop.After(at + kStopBefore,
-                 [this, cut] { world_.CutFromStore(cut, kCut); });
-    }
-    loop.After(at + kStopBefore + kPublishAfter, [this] { AddRoute(); });
+  [[nodiscard]] auto Below(Seconds time) -> Seconds {
+    return std::uniform_real_distribution<double>(0, time)(world_.random());
   }
 
-  void AddRoute() {
-    routes_.push_back(world_.RouteAddress(routes_.size()));
-    world_.Publish(routes_, "unsafe");
+  [[nodiscard]] auto PlanOf(Seconds until) const -> review::FlowPlan {
+    auto plan = review::FlowPlan();
+    plan.route = world_.RouteAddress(0);
+    plan.name = "watch";
+    plan.requests = 1'000'000;
+    plan.pause = 3.0;
+    plan.deadline = 1.2;
+    plan.until = until;
+    return plan;
   }
 
-  // Uses the newest route, a flow after the other.
+  // A user of the usual traffic, who holds a flow for 40 s (flowLifetimeS is
+  // 60) and opens another one when it has ended.
   void Use(std::size_t user) {
-    auto plan = review::FlowPlan();
-    plan.route = routes_.back();
-    plan.name = "order";
-    plan.requests = 8;
-    plan.pause = 0.15;
-    plan.deadline = 1.5;
-    world_.Open(user, plan, [this, user](review::FlowEnd) {
-      world_.loop().After(0.1, [this, user] { Use(user); });
-    });
+    constexpr auto kFlowLife = 40.0;
+    const auto until = world_.loop().Now() + kFlowLife;
+    world_.Open(
+        user % world_.clients(), PlanOf(until), [this, user](review::FlowEnd) {
+          world_.loop().After(0.5 + Below(1.0), [this, user] { Use(user); });
+        });
+  }
+
+  // More users open flows and leave when the burst is over.
+  void Burst(std::size_t users) {
+    const auto more =
+        static_cast<std::size_t>((kBurst - 1) * static_cast<double>(users));
+    world_.Note("many users come at once: " + std::to_string(more) + " more");
+    const auto end = world_.loop().Now() + kBurstTime;
+    for (auto user = std::size_t{0}; user < more; ++user) {
+      world_.loop().After(Below(1.0),
+                          [this, user, end] { Come(user, end, 0); });
+    }
+  }
+
+  // Clients retry twice.
+  void Come(std::size_t user, Seconds end, int tries) {
+    constexpr auto kMaxRetries = 2;
+    world_.Open(user % world_.clients(), PlanOf(end),
+                [this, user, end, tries](review::FlowEnd why) {
+                  if (why != review::FlowEnd::kDone && tries < kMaxRetries &&
+                      world_.loop().Now() < end) {
+                    Come(user, end, tries + 1);
+                  }
+                });
   }
 
   review::World& world_;
-  std::vector<review::Address> routes_;
 };
 
 }  // namespace
--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -1,128 +1,89 @@
-// Case 2: a few backends turn slow. Two flows of one client from neighbouring
-// ports have the same key in the system, which takes the wait of the one for a
-// silence of the other one's backend, and resets a flow of a sound backend.
+// Case 2: one machine is cut off from the store while a configuration adds a
+// route and another machine is restarted as planned. Flows that are open on the
+// new route move to a machine that still waits for news from the one that is
+// cut off. It does not know the route yet and resets them.
 
 #include <cstddef>
-#include <cstdint>
 #include <vector>
 
-#include "Core/hash.h"
 #include "harness/world.h"
 
 namespace {
 
 using review::Seconds;
 
-// Limits of the pages: srv_slow with share 0.16, x 5 and for_s 6.5.
-constexpr double kSlowness = 5.0;
-constexpr Seconds kSlowTime = 6.5;
-constexpr double kSlowShare = 0.16;
+// Limits of the site: core_cut with count 1 and for_s 5.5.
+constexpr Seconds kCut = 5.5;
 
-constexpr std::size_t kBackendsOfZone = 8;
-constexpr std::size_t kHostsOfZone = 8;
-constexpr Seconds kFlowLife = 40.0;  // flowLifetimeS is 60.
-constexpr std::size_t kGenerations = 2;
-constexpr std::uint16_t kFirstPort = 1024;
+constexpr std::size_t kUsers = 20;  // Client addresses of each zone.
+constexpr std::size_t kRounds = 4;
+constexpr Seconds kRoundLength = 16.0;
+// When the machine is told to stop, before the cut, and when the configuration
+// is acknowledged, after it.
+constexpr Seconds kStopBefore = 0.5;
+constexpr Seconds kPublishAfter = 0.1;
 
-auto WordOf(const review::Address& address) -> std::uint64_t {
-  return (std::uint64_t{address.ip} << 16) | address.port;
-}
+// Two seeds are in the zone nelson-a. Each takes its turn to be cut off while
+// the other one is restarted.
+constexpr std::size_t kFirstSeed = 0;
+constexpr std::size_t kSecondSeed = 1;
+constexpr std::size_t kThirdSeed = 3;
 
 class Case {
  public:
   explicit Case(review::World& world) : world_(world) {}
 
   auto Run() -> int {
-    world_.AddMachines({0, 3, 5});
-    world_.AddBackends(kBackendsOfZone);
-    world_.AddClients(kHostsOfZone);
-    ChooseRoute();
-    world_.Publish({route_}, "safe");
+    world_.AddMachines({kFirstSeed, kSecondSeed, kThirdSeed});
+    world_.AddBackends(3);
+    world_.AddClients(kUsers);
+    AddRoute();
     world_.Start();
-    auto& loop = world_.loop();
-    const auto start = loop.Now();
-    for (auto generation = std::size_t{0}; generation < kGenerations;
-         ++generation) {
-      const auto at = kFlowLife * static_cast<double>(generation);
-      loop.After(at, [this] { OpenFlows(); });
+    for (auto user = std::size_t{0}; user < world_.clients(); ++user) {
+      Use(user);
     }
-    if (world_.trouble()) {
-      loop.After(3, [this] { SlowNext(); });
+    const auto start = world_.loop().Now();
+    for (auto round = std::size_t{0}; round < kRounds; ++round) {
+      const auto is_even = round % 2 == 0;
+      PlanRound(1 + kRoundLength * static_cast<double>(round),
+                is_even ? kFirstSeed : kSecondSeed,
+                is_even ? kSecondSeed : kFirstSeed);
     }
-    loop.RunUntil(start + kFlowLife * kGenerations);
+    world_.loop().RunUntil(start + kRoundLength * kRounds);
     return world_.Finish();
   }
 
  private:
-  // Each host opens two flows from neighbouring ports.
-  void OpenFlows() {
-    ports_.resize(world_.clients(), kFirstPort);
-    for (auto host = std::size_t{0}; host < world_.clients(); ++host) {
-      const auto port = NextPair(host, ports_[host]);
-      ports_[host] = static_cast<std::uint16_t>(port + 2);
-      world_.host(host).set_next_port(port);
-      Open(host, "busy", 0.1);
-      Open(host, "watch", 0.4);
-    }
-  }
-
-  void Open(std::size_t host, const char* name, Seconds pause) {
-    auto plan = review::FlowPlan();
-    plan.route = route_;
-    plan.name = name;
-    plan.requests = 1'000'000;
-    plan.pause = pause;
-    plan.deadline = 1.2;
-    plan.until = world_.loop().Now() + kFlowLife - 2;
-    world_.Open(host, plan, [](review::FlowEnd) {});
-  }
-
-  // An address of a route at which neighbouring ports of a client may have one
-  // key: one address in 16. The address 198.18.0.1:8443 of the pages' examples
-  // is such a one for all clients of 100.64.0.0/10.
-  void ChooseRoute() {
-    constexpr auto kMaxRoutes = std::size_t{1000};
-    for (auto number = std::size_t{0}; number < kMaxRoutes; ++number) {
-      route_ = world_.RouteAddress(number);
-      if (NextPair(0, kFirstPort) != 0) {
-        return;
-      }
+  void PlanRound(Seconds at, std::size_t cut, std::size_t stopped) {
+    auto& loop = world_.loop();
+    loop.After(at, [this, stopped] { world_.StopMachine(stopped); });
+    if (world_.trouble()) {
+      loop.After(at + kStopBefore,
+                 [this, cut] { world_.CutFromStore(cut, kCut); });
     }
-    review::CannotRun("no address with two neighbouring ports of one key");
+    loop.After(at + kStopBefore + kPublishAfter, [this] { AddRoute(); });
   }
 
-  // The next two neighbouring ports of the host whose flows have one key, one
-  // pair in 512; 0 when there is none.
-  [[nodiscard]] auto NextPair(std::size_t host, std::uint16_t first) const
-      -> std::uint16_t {
-    constexpr auto kLastPort = std::uint16_t{10'000};
-    const auto ip = world_.ip_of_client(host);
-    const auto key = [&](std::uint16_t port) {
-      return hemlockwick::MixWords(WordOf({ip, port}), WordOf(route_));
-    };
-    for (auto port = first; port < kLastPort; ++port) {
-      if (key(port) == key(static_cast<std::uint16_t>(port + 1))) {
-        return port;
-      }
-    }
-    return 0;
+  void AddRoute() {
+    routes_.push_back(world_.RouteAddress(routes_.size()));
+    world_.Publish(routes_, "unsafe");
   }
 
-  // The backends turn slow one group after the other.
-  void SlowNext() {
-    const auto count = static_cast<std::size_t>(
-        kSlowShare * static_cast<double>(world_.backends()));
-    for (auto index = std::size_t{0}; index < count; ++index) {
-      world_.SlowBackend(next_slow_, kSlowness, kSlowTime);
-      next_slow_ = (next_slow_ + 7) % world_.backends();
-    }
-    world_.loop().After(kSlowTime, [this] { SlowNext(); });
+  // Uses the newest route, a flow after the other.
+  void Use(std::size_t user) {
+    auto plan = review::FlowPlan();
+    plan.route = routes_.back();
+    plan.name = "order";
+    plan.requests = 8;
+    plan.pause = 0.15;
+    plan.deadline = 1.5;
+    world_.Open(user, plan, [this, user](review::FlowEnd) {
+      world_.loop().After(0.1, [this, user] { Use(user); });
+    });
   }
 
   review::World& world_;
-  review::Address route_;
-  std::vector<std::uint16_t> ports_;
-  std::size_t next_slow_ = 0;
+  std::vector<review::Address> routes_;
 };
 
 }  // namespace
--- a/review/harness/backend.cc
+++ b/review/harness/backend.cc
@@ -15,6 +15,8 @@
 constexpr Seconds kMeanWork = 0.034;
 // A lone packet is acknowledged after this time unless a response comes first.
 constexpr Seconds kAckDelay = 0.04;
+// A flow that is idle for this long is closed; less than idleTimeoutMs.
+constexpr Seconds kIdleTime = 12.0;
 
 auto IntendedOf(std::string_view bytes) -> std::uint64_t {
   auto number = std::uint64_t{0};
@@ -39,7 +41,9 @@
       socket_(loop, address,
               [this](std::string_view bytes, const Address& sender) {
                 Receive(bytes, sender);
-              }) {}
+              }) {
+  loop_.Every(1.0, [this] { CloseIdle(); });
+}
 
 auto Backend::key() const -> std::string {
   auto text = std::array<char, 32>();
@@ -100,6 +104,7 @@
     flow.acked = flow.sent;
     events_.opened(id_, id);
   }
+  flow.last_packet = loop_.Now();
   flow.echo = packet.echo;
   flow.acked = std::max(flow.acked, packet.ack);
   if (!packet.data.empty()) {
@@ -115,6 +120,10 @@
 }
 
 void Backend::HandleSyn(const FlowId& id, const Packet& packet) {
+  if (!flows_.contains(id) && flows_.size() >= max_connections_) {
+    events_.full(id_);
+    return;
+  }
   auto& flow = flows_[id];
   if (flow.open) {
     return;
@@ -232,6 +241,25 @@
   Send(id, packet);
 }
 
+void Backend::CloseIdle() {
+  for (auto entry = flows_.begin(); entry != flows_.end();) {
+    const auto& [id, flow] = *entry;
+    if (!flow.open || loop_.Now() - flow.last_packet < kIdleTime) {
+      ++entry;
+      continue;
+    }
+    auto packet = Packet();
+    packet.ack_flag = true;
+    packet.fin = true;
+    packet.seq = flow.sent;
+    packet.ack = flow.expected;
+    packet.echo = flow.echo;
+    Send(id, packet);
+    events_.closed(id_, id);
+    entry = flows_.erase(entry);
+  }
+}
+
 auto Backend::FindFlow(const FlowId& id, std::uint64_t serial) -> Flow* {
   const auto found = flows_.find(id);
   return found == flows_.end() || found->second.serial != serial
--- a/review/harness/backend.h
+++ b/review/harness/backend.h
@@ -30,6 +30,8 @@
   std::function<void(std::uint64_t backend, const std::string& request)> ran;
   // The backend has closed the flow, or it never opened.
   std::function<void(std::uint64_t backend, const FlowId&)> closed;
+  // A SYN got no answer because the backend is full.
+  std::function<void(std::uint64_t backend)> full;
   // A packet was changed on its way.
   std::function<void(std::uint64_t backend)> damaged;
 };
@@ -47,6 +49,10 @@
   // Makes the work of requests `factor` times as long.
   void SetSlowness(double factor) { slowness_ = factor; }
 
+  // The number of flows that it holds. When it is full, it sends nothing in
+  // answer to a SYN.
+  void set_max_connections(std::size_t flows) { max_connections_ = flows; }
+
   // Its entry in the store.
   [[nodiscard]] auto Entry() const -> std::string;
 
@@ -60,6 +66,7 @@
     bool open = false;
     bool closed = false;
     std::uint64_t serial = 0;
+    Seconds last_packet = 0;
   };
 
   void Receive(std::string_view bytes, const Address& sender);
@@ -72,6 +79,7 @@
                 const std::string& data, Seconds again, int resends);
   void SendAck(const FlowId& id, const Flow& flow);
   void RunNext();
+  void CloseIdle();
   auto FindFlow(const FlowId& id, std::uint64_t serial) -> Flow*;
   void Send(const FlowId& id, Packet packet);
 
@@ -92,6 +100,7 @@
   std::deque<Job> queue_;
   int running_ = 0;
   double slowness_ = 1;
+  std::size_t max_connections_ = 2000;
   UdpSocket socket_;
 };
 
--- a/review/harness/world.cc
+++ b/review/harness/world.cc
@@ -127,6 +127,9 @@
   backend_events_.damaged = [this](std::uint64_t backend) {
     Note("a changed packet at " + HexOf(backend));
   };
+  backend_events_.full = [this](std::uint64_t) {
+    Count("SYNs that a full backend did not answer");
+  };
   client_events_.send = [this](const FlowId& id, const std::string& zone,
                                std::string_view bytes,
                                const UdpSocket& socket) {
@@ -196,6 +199,7 @@
       const auto address = Address{Address4(3, backends_.size()), kBackendPort};
       backends_.push_back(std::make_unique<Backend>(
           loop_, id, "rollfloor", zone, address, random_(), backend_events_));
+      backends_.back()->set_max_connections(max_connections_);
       store_.Put(backends_.back()->key(), backends_.back()->Entry());
     }
   }
@@ -293,7 +297,9 @@
             R"("priority":1,"service":"rollfloor","maxAttempts":2})";
   }
   text += R"(],"services":[{"name":"rollfloor","healthCheckPath":"/health",)"
-          R"("maxConnections":2000,"protocol":"h1","tls":false}],"limits":)"
+          R"("maxConnections":)" +
+          std::to_string(max_connections_) +
+          R"(,"protocol":"h1","tls":false}],"limits":)"
           R"({"maxHeaderBytes":16384,"maxBodyBytes":262144,)"
           R"("headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
   store_.Put("op/config", text);
--- a/review/harness/world.h
+++ b/review/harness/world.h
@@ -56,6 +56,8 @@
   // Adds the machines, as on the site kauri-roll: three, two and two.
   // `seeds` are the machines that their settings name.
   void AddMachines(const std::vector<std::size_t>& seeds);
+  // The `maxConnections` of the service; to be set before AddBackends.
+  void set_max_connections(std::size_t flows) { max_connections_ = flows; }
   // Adds `per_zone` backends of the service "rollfloor" in each zone, with
   // their entries in the store.
   void AddBackends(std::size_t per_zone);
@@ -141,6 +143,7 @@
   std::vector<std::string> broken_;
   std::uint64_t version_ = 0;
   double loss_ = 0;
+  std::size_t max_connections_ = 2000;
   // End of the last disruption of each machine, and of each backend by its id.
   std::map<std::size_t, Seconds> disturbed_until_;
   std::map<std::uint64_t, Seconds> backend_disturbed_until_;
