--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -21,9 +21,9 @@
 constexpr std::size_t kHostsOfZone = 30;
 constexpr std::size_t kUsersOfHost = 3;
 
-constexpr std::size_t kRounds = 4;
-constexpr Seconds kRoundLength = 15.0;
-constexpr Seconds kStartTime = 4.0;
+constexpr Seconds kStartTime = 4.0;  // Within which the usual users come.
+constexpr Seconds kBurstAt = 8.0;
+constexpr Seconds kLength = 45.0;
 
 class Case {
  public:
@@ -43,12 +43,9 @@
       loop.After(Below(kStartTime), [this, user] { Use(user); });
     }
     if (world_.trouble()) {
-      for (auto round = std::size_t{0}; round < kRounds; ++round) {
-        loop.After(kRoundLength * static_cast<double>(round) + 2 * kStartTime,
-                   [this, users] { Burst(users); });
-      }
+      loop.After(kBurstAt, [this, users] { Burst(users); });
     }
-    loop.RunUntil(start + kRoundLength * kRounds + kStartTime);
+    loop.RunUntil(start + kLength);
     return world_.Finish();
   }
 
