Flow: Keep open flows of a route that is not known here yet

Cause: instances learn of a version up to three seconds apart. A flow that was opened through one that knew the route and moved to one that did not was reset there: TokenRouter::Decide reset each packet to an address without a route, whether it opened a flow or not.

Ruled out: a late configuration (in force everywhere after 1.1 s at most, bound 3 s) and a removed route (no version removes one here).

Change: such a packet is dropped until its flow has been seen without a route for 3 s while the platform was in touch; then the flow is reset. The caller sends the packet again until then. A new flow is refused at once as before, and so is a flow that this instance has forwarded, since its route was removed. Forwarding by the token alone was weighed: it would let computed tokens reach endpoints of other services through addresses that are not published.

Tests that fail before: token_router open_flow_of_a_route_not_known_yet_is_kept, open_flow_without_a_route_is_reset_in_the_end, wait_for_an_unknown_route_starts_anew_after_a_gap, open_flow_of_an_unknown_route_is_kept_in_an_outage.

--- a/Source/Flow/flow_tracker.cc
+++ b/Source/Flow/flow_tracker.cc
@@ -117,6 +117,10 @@
   }
 }
 
+auto FlowTracker::IsTracked(FlowKey key) -> bool {
+  return flows_.Find(key) != nullptr;
+}
+
 auto FlowTracker::IsAlive(FlowToken token, TimePoint now) const -> bool {
   const auto stats = endpoint_stats_.find(token);
   return stats != endpoint_stats_.end() &&
--- a/Source/Flow/flow_tracker.h
+++ b/Source/Flow/flow_tracker.h
@@ -57,6 +57,9 @@
   void ApplySharedSuspects(const std::vector<SharedSuspect>& suspects,
                            const DirectorySnapshot& directory, TimePoint now);
 
+  // Whether this instance has seen the flow lately.
+  [[nodiscard]] auto IsTracked(FlowKey key) -> bool;
+
   // Whether the endpoint has answered recently.
   [[nodiscard]] auto IsAlive(FlowToken token, TimePoint now) const -> bool;
 
--- a/Source/Flow/token_router.cc
+++ b/Source/Flow/token_router.cc
@@ -12,11 +12,19 @@
 constexpr Duration kUnknownTokenTimeout = std::chrono::milliseconds(2500);
 constexpr std::size_t kMaxUnknownTokens = 256;
 
+// Time for which an instance may lack a route that another instance knows. A
+// new configuration is in force everywhere within this time.
+constexpr Duration kUnknownRouteTimeout = std::chrono::seconds(3);
+
+// Callers that wait for a reply retransmit more often than this.
+constexpr Duration kMaxPacketInterval = std::chrono::seconds(5);
+
 }  // namespace
 
 TokenRouter::TokenRouter(const TokenRouterSettings& settings)
     : settings_(settings),
-      tracker_(settings.instance, settings.tracked_flows, events_) {}
+      tracker_(settings.instance, settings.tracked_flows, events_),
+      flows_without_route_(kMaxPacketInterval) {}
 
 auto TokenRouter::Update(std::shared_ptr<const DirectorySnapshot> directory,
                          TimePoint now) -> std::vector<ResetFlow> {
@@ -44,7 +52,7 @@
   }
   const auto* const route = directory_->FindRoute(packet.service);
   if (route == nullptr) {
-    return Reset(packet, ResetReason::kNoRoute, Duration(0));
+    return DecideWithoutRoute(packet, now);
   }
   return packet.opens ? Open(packet, *route, now)
                       : Continue(packet, *route, now);
@@ -143,6 +151,27 @@
   return Drop(packet, DropReason::kUnknownEndpoint);
 }
 
+// Decides a packet to an address that has no route. A new flow is refused, and
+// so is one that this instance has forwarded: its route was removed. Another
+// open flow comes from an instance that knows the route. It is reset only when
+// this instance has had the time to learn of the route too.
+auto TokenRouter::DecideWithoutRoute(const TokenPacket& packet, TimePoint now)
+    -> TokenAction {
+  if (packet.opens) {
+    return Reset(packet, ResetReason::kNoRoute, Duration(0));
+  }
+  const auto flow = FlowKeyOf(packet.caller, packet.service);
+  const auto is_removed = tracker_.IsTracked(flow);
+  // Recorded for a removed route too: the reset may be lost, and with it the
+  // flow is no longer tracked.
+  const auto since = is_removed ? now - kUnknownRouteTimeout : now;
+  const auto age = flows_without_route_.SeeSince(flow, since, now);
+  if (age >= kUnknownRouteTimeout && (is_removed || directory_->is_settled())) {
+    return Reset(packet, ResetReason::kNoRoute, age);
+  }
+  return Drop(packet, DropReason::kUnknownService);
+}
+
 auto TokenRouter::Reset(const TokenPacket& packet, ResetReason reason,
                         Duration age) -> TokenAction {
   if (packet.resets) {
--- a/Source/Flow/token_router.h
+++ b/Source/Flow/token_router.h
@@ -12,6 +12,7 @@
 #include "Flow/endpoint_directory.h"
 #include "Flow/endpoint_selector.h"
 #include "Flow/endpoint_stats.h"
+#include "Flow/first_seen_times.h"
 #include "Flow/flow_token.h"
 #include "Flow/flow_tracker.h"
 #include "Flow/router_event_buffer.h"
@@ -101,6 +102,8 @@
                       const DepartedEndpoint& endpoint, const Route& route,
                       TimePoint now) -> TokenAction;
   auto DecideUnknown(const TokenPacket& packet, TimePoint now) -> TokenAction;
+  auto DecideWithoutRoute(const TokenPacket& packet, TimePoint now)
+      -> TokenAction;
   auto Forward(const TokenPacket& packet, const EndpointReport& endpoint,
                const Route& route, TimePoint now) -> TokenAction;
   [[nodiscard]] auto HasEnded(const DepartedEndpoint& endpoint,
@@ -115,6 +118,7 @@
   FlowTracker tracker_;
   EndpointSelector selector_;
   std::unordered_map<FlowToken, TimePoint> unknown_since_;
+  FirstSeenTimes<FlowKey> flows_without_route_;
 };
 
 }  // namespace hemlockwick
--- a/Tests/Flow/token_router_test.cc
+++ b/Tests/Flow/token_router_test.cc
@@ -347,6 +347,81 @@
   cr_assert_eq(ReasonOf(action), ResetReason::kNoRoute);
 }
 
+// An instance that is behind resets open flows of a new route that other
+// instances know (review/2).
+Test(token_router, open_flow_of_a_route_not_known_yet_is_kept) {
+  auto fixture = RouterFixture();
+  const auto token = ComputedToken(1, kOtherAddress);
+  for (auto sent = 0; sent < 14; ++sent) {
+    const auto action = PacketTo(fixture, kOtherAddress, token);
+    cr_assert_eq(std::get<DropPacket>(action).reason,
+                 DropReason::kUnknownService);
+    fixture.Advance(200 * kMillisecond);
+  }
+  fixture.PutRoutes(2, kService, kService);
+  fixture.Publish();
+  cr_assert_eq(EndpointIn(PacketTo(fixture, kOtherAddress, token)), 1U);
+}
+
+// The longest time after which a new configuration is in force everywhere.
+constexpr Duration kConfigurationTime = std::chrono::seconds(3);
+
+Test(token_router, open_flow_without_a_route_is_reset_in_the_end) {
+  auto fixture = RouterFixture();
+  const auto token = ComputedToken(1, kOtherAddress);
+  const auto first_at = fixture.now();
+  auto action = PacketTo(fixture, kOtherAddress, token);
+  while (std::holds_alternative<DropPacket>(action)) {
+    fixture.Advance(200 * kMillisecond);
+    action = PacketTo(fixture, kOtherAddress, token);
+  }
+  cr_assert_eq(ReasonOf(action), ResetReason::kNoRoute);
+  cr_assert_eq(fixture.now() - first_at, kConfigurationTime);
+}
+
+// An earlier flow from the same port must not count.
+Test(token_router, wait_for_an_unknown_route_starts_anew_after_a_gap) {
+  auto fixture = RouterFixture();
+  const auto token = ComputedToken(1, kOtherAddress);
+  PacketTo(fixture, kOtherAddress, token);
+  fixture.Advance(10 * kConfigurationTime);
+  cr_assert(std::holds_alternative<DropPacket>(
+      PacketTo(fixture, kOtherAddress, token)));
+}
+
+// An instance that is cut off cannot learn of the route.
+Test(token_router, open_flow_of_an_unknown_route_is_kept_in_an_outage) {
+  auto fixture = RouterFixture();
+  fixture.directory().OnPlatformLost();
+  fixture.Publish();
+  const auto token = ComputedToken(1, kOtherAddress);
+  for (auto sent = 0; sent < 50; ++sent) {
+    const auto action = PacketTo(fixture, kOtherAddress, token);
+    cr_assert(std::holds_alternative<DropPacket>(action));
+    fixture.Advance(200 * kMillisecond);
+  }
+}
+
+// The caller of a removed route must not wait, also when the first reset is
+// lost.
+Test(token_router, flow_of_a_removed_route_is_reset_at_once) {
+  auto fixture = RouterFixture();
+  fixture.PutRoutes(2, kService, kService);
+  fixture.Publish();
+  const auto token = TokenIn(fixture.OpeningAt(kOtherAddress, 1000));
+  PacketTo(fixture, kOtherAddress, token);
+  auto routes = std::make_shared<RouteSet>();
+  routes->version = Version(3);
+  routes->routes.push_back({kAddress, {{kService, 1}}});
+  fixture.directory().Publish(routes, fixture.now());
+  fixture.Publish();
+  for (auto sent = 0; sent < 3; ++sent) {
+    cr_assert_eq(ReasonOf(PacketTo(fixture, kOtherAddress, token)),
+                 ResetReason::kNoRoute);
+    fixture.Advance(200 * kMillisecond);
+  }
+}
+
 // An opening that cannot be served is refused at once, so that the caller need
 // not wait for a timeout.
 Test(token_router, refuses_an_opening_when_the_service_has_no_endpoint) {
