Flow: Know tracked flows by their addresses, not by a hash

Cause: FlowTracker identified a flow by FlowKeyOf, a hash whose combination of two words is not unique: 8,489 of 4.2 million flows (256 callers, 16,384 ports, 198.18.0.1:8443) shared the key of another one. Such flows shared a TrackedFlow: data of the one looked like a retransmission of the other one's and counted against its endpoint; two counts made it silent, and its flows were reset. All resets of the case are of ports whose keys are equal.

Ruled out: the record plane. KeyOf in gue_codec.cc uses the same combination with other words: 0 equal keys of 4.2 million flows, and it is unique in the ports for one pair of addresses. Left as it is; instances of two builds must agree on it.

Change: FlowId, the addresses of both ends, identifies a flow in TrackedFlows, PendingReplies and FirstSeenTimes, and is compared whole. A slot says whether it is free; it was told by a zero key. A tracked flow takes no more memory: its addresses were kept already.

Fails before: token_router flows_of_neighbouring_ports_are_told_apart.

--- a/Source/Flow/flow_tracker.cc
+++ b/Source/Flow/flow_tracker.cc
@@ -80,7 +80,7 @@
   SetToken(flow, token, now);
   StopWaiting(flow);
   StartWaiting(flow, now);
-  openings_.Add(flow.key, token, now);
+  openings_.Add(flow.id, token, now);
 }
 
 auto FlowTracker::OnPacket(const TokenPacket& packet, FlowToken token,
@@ -110,15 +110,15 @@
   return std::nullopt;
 }
 
-void FlowTracker::OnEnded(FlowKey key) {
-  auto* const flow = flows_.Find(key);
+void FlowTracker::OnEnded(const FlowId& id) {
+  auto* const flow = flows_.Find(id);
   if (flow != nullptr) {
     Untrack(*flow);
   }
 }
 
-auto FlowTracker::IsTracked(FlowKey key) -> bool {
-  return flows_.Find(key) != nullptr;
+auto FlowTracker::IsTracked(const FlowId& id) -> bool {
+  return flows_.Find(id) != nullptr;
 }
 
 auto FlowTracker::IsAlive(FlowToken token, TimePoint now) const -> bool {
@@ -129,10 +129,8 @@
 
 auto FlowTracker::Track(const TokenPacket& packet, TimePoint now)
     -> TrackedFlow& {
-  auto& flow = flows_.FindOrAdd(FlowKeyOf(packet.caller, packet.service),
+  auto& flow = flows_.FindOrAdd(FlowIdOf(packet),
                                 [this](TrackedFlow& idle) { Untrack(idle); });
-  flow.caller = packet.caller;
-  flow.service = packet.service;
   flow.last_seen = now;
   return flow;
 }
@@ -182,7 +180,7 @@
   if (!flow.waiting) {
     StartWaiting(flow, now);
     if (settled_at_ && now >= *settled_at_) {
-      requests_.Add(flow.key, flow.token, now);
+      requests_.Add(flow.id, flow.token, now);
     }
   }
   if (++flow.waiting_packets > kSendWindowPackets) {
@@ -266,14 +264,14 @@
 void FlowTracker::RecordAnswer(const TrackedFlow& flow, TimePoint now) {
   const auto time = now - flow.waiting_since;
   auto& stats = StatsOf(flow.token, now);
-  stats.AddReply(usual_reply_times_.Add(flow.service, time));
+  stats.AddReply(usual_reply_times_.Add(flow.id.service, time));
   if (reply_samples_.size() < kMaxReplySamples) {
     reply_samples_.push_back({ReplySample::Kind::kData, time});
   }
   if (reports_answers_) {
     events_.Add({.kind = RouterEvent::Kind::kRequestAnswered,
-                 .caller = flow.caller,
-                 .service = flow.service,
+                 .caller = flow.id.caller,
+                 .service = flow.id.service,
                  .token = flow.token,
                  .waiting = stats.waiting_flows,
                  .age = time});
@@ -314,8 +312,8 @@
     AddOnce(observations_.silent, flow.token);
   }
   auto event = RouterEvent{.kind = RouterEvent::Kind::kEndpointSuspected,
-                           .caller = flow.caller,
-                           .service = flow.service,
+                           .caller = flow.id.caller,
+                           .service = flow.id.service,
                            .token = flow.token,
                            .unanswered_packets = health.unanswered_packets(),
                            .age = now - health.last_alive()};
@@ -363,8 +361,8 @@
         ++unanswered_requests_;
         AddOnce(observations_.failing, flow.token);
         events_.Add({.kind = RouterEvent::Kind::kRequestUnanswered,
-                     .caller = flow.caller,
-                     .service = flow.service,
+                     .caller = flow.id.caller,
+                     .service = flow.id.service,
                      .token = flow.token,
                      .age = now - flow.waiting_since});
       });
@@ -419,7 +417,7 @@
                           flow.waiting &&
                           now - flow.waiting_since >= kMinWaitBeforeReset;
     const auto* const route =
-        is_stuck ? directory.FindRoute(flow.service) : nullptr;
+        is_stuck ? directory.FindRoute(flow.id.service) : nullptr;
     if (route != nullptr && route->idempotent) {
       resets.push_back(ResetTracked(flow, ResetReason::kSilent));
     }
@@ -430,10 +428,10 @@
 auto FlowTracker::ResetTracked(TrackedFlow& flow, ResetReason reason)
     -> ResetFlow {
   const auto reset =
-      ResetFlow{flow.caller, flow.service, flow.last_ack, reason};
+      ResetFlow{flow.id.caller, flow.id.service, flow.last_ack, reason};
   events_.Add({.kind = RouterEvent::Kind::kFlowReset,
-               .caller = flow.caller,
-               .service = flow.service,
+               .caller = flow.id.caller,
+               .service = flow.id.service,
                .token = flow.token,
                .detail = ToString(reason)});
   Untrack(flow);
--- a/Source/Flow/flow_tracker.h
+++ b/Source/Flow/flow_tracker.h
@@ -43,7 +43,7 @@
                 TimePoint now) -> std::optional<Duration>;
 
   // Handles the end of a flow.
-  void OnEnded(FlowKey key);
+  void OnEnded(const FlowId& id);
 
   // Checks for packets that have had no reply; see TokenRouter::OnTick.
   // `directory` may be null.
@@ -58,7 +58,7 @@
                            const DirectorySnapshot& directory, TimePoint now);
 
   // Whether this instance has seen the flow lately.
-  [[nodiscard]] auto IsTracked(FlowKey key) -> bool;
+  [[nodiscard]] auto IsTracked(const FlowId& id) -> bool;
 
   // Whether the endpoint has answered recently.
   [[nodiscard]] auto IsAlive(FlowToken token, TimePoint now) const -> bool;
--- a/Source/Flow/pending_replies.h
+++ b/Source/Flow/pending_replies.h
@@ -4,8 +4,8 @@
 #include <deque>
 
 #include "Core/time.h"
+#include "Flow/flow_id.h"
 #include "Flow/flow_token.h"
-#include "Flow/flow_types.h"
 #include "Flow/tracked_flows.h"
 
 namespace hemlockwick {
@@ -14,7 +14,7 @@
 class PendingReplies {
  public:
   // Packets must be added in the order of `sent_at`.
-  void Add(FlowKey flow, FlowToken token, TimePoint sent_at) {
+  void Add(const FlowId& flow, FlowToken token, TimePoint sent_at) {
     pending_.push_back({flow, token, sent_at});
   }
 
@@ -38,7 +38,7 @@
 
  private:
   struct Pending {
-    FlowKey flow;
+    FlowId flow;
     FlowToken token;
     TimePoint sent_at;
   };
--- a/Source/Flow/token_router.cc
+++ b/Source/Flow/token_router.cc
@@ -60,11 +60,11 @@
 
 auto TokenRouter::Open(const TokenPacket& packet, const Route& route,
                        TimePoint now) -> TokenAction {
-  const auto flow = FlowKeyOf(packet.caller, packet.service);
+  const auto flow = FlowIdOf(packet);
   const auto tried_endpoint = tracker_.OnOpening(packet, now);
   const auto* const endpoint = selector_.Select(
       *directory_, tracker_.endpoint_stats(),
-      {flow, route, settings_.data_centre, tried_endpoint}, now);
+      {FlowKeyOf(flow), route, settings_.data_centre, tried_endpoint}, now);
   if (endpoint == nullptr) {
     tracker_.OnEnded(flow);
     return directory_->is_settled()
@@ -160,7 +160,7 @@
   if (packet.opens) {
     return Reset(packet, ResetReason::kNoRoute, Duration(0));
   }
-  const auto flow = FlowKeyOf(packet.caller, packet.service);
+  const auto flow = FlowIdOf(packet);
   const auto is_removed = tracker_.IsTracked(flow);
   // Recorded for a removed route too: the reset may be lost, and with it the
   // flow is no longer tracked.
@@ -177,7 +177,7 @@
   if (packet.resets) {
     return DropPacket{DropReason::kUnknownService};
   }
-  tracker_.OnEnded(FlowKeyOf(packet.caller, packet.service));
+  tracker_.OnEnded(FlowIdOf(packet));
   events_.Add({.kind = RouterEvent::Kind::kFlowReset,
                .caller = packet.caller,
                .service = packet.service,
--- a/Source/Flow/token_router.h
+++ b/Source/Flow/token_router.h
@@ -13,6 +13,7 @@
 #include "Flow/endpoint_selector.h"
 #include "Flow/endpoint_stats.h"
 #include "Flow/first_seen_times.h"
+#include "Flow/flow_id.h"
 #include "Flow/flow_token.h"
 #include "Flow/flow_tracker.h"
 #include "Flow/router_event_buffer.h"
@@ -118,7 +119,7 @@
   FlowTracker tracker_;
   EndpointSelector selector_;
   std::unordered_map<FlowToken, TimePoint> unknown_since_;
-  FirstSeenTimes<FlowKey> flows_without_route_;
+  FirstSeenTimes<FlowId> flows_without_route_;
 };
 
 }  // namespace hemlockwick
--- a/Source/Flow/token_types.cc
+++ b/Source/Flow/token_types.cc
@@ -1,19 +1,7 @@
 #include "Flow/token_types.h"
 
-#include "Core/hash.h"
-
 namespace hemlockwick {
 
-auto FlowKeyOf(const SocketAddress& caller, const SocketAddress& service)
-    -> FlowKey {
-  const auto word = [](const SocketAddress& address) {
-    constexpr auto kPortBits = 16;
-    return (static_cast<std::uint64_t>(address.ip.value()) << kPortBits) |
-           address.port.value();
-  };
-  return FlowKey(MixWords(word(caller), word(service)));
-}
-
 auto ToString(ResetReason reason) -> std::string_view {
   switch (reason) {
     case ResetReason::kNoRoute:
--- a/Source/Flow/token_types.h
+++ b/Source/Flow/token_types.h
@@ -9,6 +9,7 @@
 #include "Core/ids.h"
 #include "Core/net_address.h"
 #include "Core/time.h"
+#include "Flow/flow_id.h"
 #include "Flow/flow_token.h"
 #include "Flow/flow_types.h"
 
@@ -28,9 +29,10 @@
   WireToken token;
 };
 
-// Identifies the flow of a packet.
-[[nodiscard]] auto FlowKeyOf(const SocketAddress& caller,
-                             const SocketAddress& service) -> FlowKey;
+// The flow of the packet.
+[[nodiscard]] inline auto FlowIdOf(const TokenPacket& packet) -> FlowId {
+  return {packet.caller, packet.service};
+}
 
 // The token of the endpoint of the packet's flow.
 [[nodiscard]] inline auto TokenOf(const TokenPacket& packet) -> FlowToken {
--- a/Source/Flow/tracked_flows.h
+++ b/Source/Flow/tracked_flows.h
@@ -6,9 +6,8 @@
 #include <functional>
 #include <vector>
 
-#include "Core/ids.h"
-#include "Core/net_address.h"
 #include "Core/time.h"
+#include "Flow/flow_id.h"
 #include "Flow/flow_token.h"
 
 namespace hemlockwick {
@@ -16,9 +15,7 @@
 // What this instance has seen of a flow. Only a hint: the packets themselves
 // carry the token of the endpoint, and any of this may be lost at any time.
 struct TrackedFlow {
-  FlowKey key;  // Zero in a free slot.
-  SocketAddress caller;
-  SocketAddress service;
+  FlowId id;
   FlowToken token;  // Until established: endpoint of the last opening packet.
   std::uint32_t last_ack = 0;  // Highest byte that the caller has received.
   std::uint32_t next_seq = 0;  // First byte that the caller has not sent yet.
@@ -29,28 +26,31 @@
   bool waiting = false;
   bool counted_unanswered = false;  // This wait has counted as unanswered.
   bool closed = false;              // The caller has ended it.
+  bool is_tracked = false;          // False in a free slot.
 };
 
 // Tracked flows in a fixed amount of memory, as a set-associative table. When a
-// set of slots is full, the flow that was idle longest is evicted.
+// set of slots is full, the flow that was idle longest is evicted. Flows whose
+// keys are equal share a set but are told apart.
 class TrackedFlows {
  public:
   // Room for `capacity` flows, rounded up to a power of two.
   explicit TrackedFlows(std::size_t capacity);
 
-  [[nodiscard]] auto Find(FlowKey key) -> TrackedFlow*;
+  [[nodiscard]] auto Find(const FlowId& id) -> TrackedFlow*;
 
   // Returns the flow's slot, a new one if it was not tracked. Calls `evicted`
   // with the flow that is evicted for it, if any.
   template <typename Evicted>
-  auto FindOrAdd(FlowKey key, Evicted&& evicted) -> TrackedFlow& {
-    auto& slot = SlotFor(key);
-    if (slot.key != key) {
-      if (slot.key != FlowKey()) {
+  auto FindOrAdd(const FlowId& id, Evicted&& evicted) -> TrackedFlow& {
+    auto& slot = SlotFor(id);
+    if (!slot.is_tracked || slot.id != id) {
+      if (slot.is_tracked) {
         evicted(slot);
       }
       slot = TrackedFlow();
-      slot.key = key;
+      slot.id = id;
+      slot.is_tracked = true;
     }
     return slot;
   }
@@ -60,14 +60,14 @@
   template <typename Visit>
   void ForEach(Visit&& visit) {
     for (auto& slot : slots_) {
-      if (slot.key != FlowKey()) {
+      if (slot.is_tracked) {
         visit(slot);
       }
     }
   }
 
  private:
-  auto SlotFor(FlowKey key) -> TrackedFlow&;
+  auto SlotFor(const FlowId& id) -> TrackedFlow&;
 
   std::vector<TrackedFlow> slots_;
   std::uint64_t set_mask_;
--- a/Source/Measure/token_rivals.h
+++ b/Source/Measure/token_rivals.h
@@ -74,7 +74,7 @@
       const auto* const route = directory_->FindRoute(packet.service);
       const auto takers =
           directory_->EligibleEndpointsOf(route->targets.front().service);
-      const auto flow = FlowKeyOf(packet.caller, packet.service);
+      const auto flow = FlowKeyOf(FlowIdOf(packet));
       endpoint =
           takers.empty() ? nullptr : Placement::Choose(inputs_, takers, flow);
     }
--- a/Tests/Flow/token_router_test.cc
+++ b/Tests/Flow/token_router_test.cc
@@ -612,6 +612,45 @@
   }
 }
 
+constexpr SocketAddress kAddress8443{Ipv4Address(0xC6120001), Port(8443)};
+
+// Sends 100 bytes of data of an open flow to kAddress8443.
+auto SendData(RouterFixture& fixture, std::uint16_t port,
+              std::uint64_t endpoint, std::uint32_t seq) -> TokenAction {
+  auto packet = TokenPacket();
+  packet.caller = RouterFixture::Caller(port);
+  packet.service = kAddress8443;
+  packet.token = ComputedToken(endpoint, kAddress8443);
+  packet.seq = seq;
+  packet.ack = 1;
+  packet.data_bytes = 100;
+  return fixture.router().Decide(packet, fixture.now());
+}
+
+// Two flows of one client from neighbouring ports were taken for one flow: data
+// of the one looked like a retransmission of the other one's, counted against
+// its endpoint, and flows of a sound endpoint were reset (review/3). These two
+// ports had one key at this address.
+Test(token_router, flows_of_neighbouring_ports_are_told_apart) {
+  constexpr auto kPort = std::uint16_t{1343};
+  constexpr auto kNextPort = std::uint16_t{1344};
+  auto fixture = RouterFixture();
+  auto routes = std::make_shared<RouteSet>();
+  routes->version = Version(2);
+  routes->routes.push_back({kAddress8443, {{kService, 1}}, true});
+  fixture.directory().Publish(routes, fixture.now());
+  fixture.Publish();
+  SendData(fixture, kPort, 1, 5000);
+  fixture.Advance(200 * kMillisecond);
+  SendData(fixture, kNextPort, 2, 1000);
+  const auto& stats = fixture.router().endpoint_stats();
+  for (const auto id : {std::uint64_t{1}, std::uint64_t{2}}) {
+    const auto& endpoint = stats.at(TokenOf(EndpointId(id)));
+    cr_assert_eq(endpoint.open_flows, 1U);
+    cr_assert_eq(endpoint.health.unanswered_packets(), 0U);
+  }
+}
+
 // A process that starts during a platform outage finds packets of several
 // seconds queued in its socket (kauri-roll-grown, own day cut-and-outage
 // 403956537829).
