Flow: Take unanswered openings as no sign against open flows

Cause: an endpoint that is full answers no opening and serves its open flows. EndpointHealth took two copies of openings, and no reply for half a second, for a dead endpoint; its open flows had nothing to ask meanwhile. FlowTracker then reset each of them at its next data, if the route may be repeated, and the new flows of those callers found the endpoints full again.

Ruled out: slow work (17 to 51 ms in the case) and lost packets (none).

Change: openings keep new flows away, as before, but only retransmitted data of two open flows makes an endpoint silent, and only such data keeps it so. The time without a reply no longer depends on openings: 12 usual reply times, 0.5 s to 2 s.

--- a/Source/Flow/endpoint_health.cc
+++ b/Source/Flow/endpoint_health.cc
@@ -14,14 +14,13 @@
 // count, and a new flow tries the endpoint again.
 constexpr Duration kRetryInterval = std::chrono::seconds(2);
 
-// Number of retransmitted packets that make an endpoint silent, and the time
-// without a reply that is needed too.
+// Number of open flows with retransmitted data that make an endpoint silent,
+// and the time without a reply that is needed too. An endpoint that replies at
+// all does so within some ten times the usual time, unless all of its slots are
+// taken by long requests.
 constexpr std::uint32_t kSilentThreshold = 2;
-constexpr Duration kSilenceTimeWithOpening = std::chrono::milliseconds(500);
-// Long requests delay replies to data, but never replies to openings. An
-// endpoint that replies at all does so within some ten times the usual time,
-// unless all of its slots are taken by long requests.
 constexpr int kSilencePerReplyTime = 12;
+constexpr Duration kMinSilenceTime = std::chrono::milliseconds(500);
 constexpr Duration kMaxSilenceTime = std::chrono::milliseconds(2000);
 
 // Time at which an instance tries an endpoint again that was suspected at `at`.
@@ -45,6 +44,9 @@
   }
   ++CountOf(packet);
   last_unanswered_ = now;
+  if (packet == UnansweredPacket::kRetransmittedData) {
+    last_unanswered_data_ = now;
+  }
   return true;
 }
 
@@ -91,23 +93,17 @@
 }
 
 auto EndpointHealth::IsSilent(TimePoint now) const -> bool {
-  const auto is_recent = now - last_unanswered_ < kRetryInterval;
-  if (!is_recent ||
-      retransmitted_openings_ + retransmitted_data_ < kSilentThreshold) {
-    return false;
-  }
-  return now - last_alive_ >= SilenceTime();
+  return retransmitted_data_ >= kSilentThreshold &&
+         now - last_unanswered_data_ < kRetryInterval &&
+         now - last_alive_ >= SilenceTime();
 }
 
 auto EndpointHealth::SilenceTime() const -> Duration {
-  if (openings_ + retransmitted_openings_ > 0) {
-    return kSilenceTimeWithOpening;
-  }
   if (!usual_reply_time_) {
     return kMaxSilenceTime;
   }
-  return std::clamp(kSilencePerReplyTime * *usual_reply_time_,
-                    kSilenceTimeWithOpening, kMaxSilenceTime);
+  return std::clamp(kSilencePerReplyTime * *usual_reply_time_, kMinSilenceTime,
+                    kMaxSilenceTime);
 }
 
 }  // namespace hemlockwick
--- a/Source/Flow/endpoint_health.h
+++ b/Source/Flow/endpoint_health.h
@@ -11,12 +11,13 @@
 // Kind of a packet that has had no reply.
 enum class UnansweredPacket : std::uint8_t {
   // An opening that no further packet of its flow has followed for some time.
-  // Endpoints reply to openings at once, whatever their load, but the flow may
-  // have moved to another instance.
+  // The flow may have moved to another instance.
   kOpening,
-  // An opening that the caller has retransmitted.
+  // An opening that the caller has retransmitted. An endpoint that has as many
+  // flows as it can hold does not reply to openings.
   kRetransmittedOpening,
-  // Data that the caller has retransmitted. A long request may delay the reply.
+  // Data of an open flow that the caller has retransmitted. A long request may
+  // delay the reply.
   kRetransmittedData,
 };
 
@@ -32,7 +33,7 @@
   void RecordReply(TimePoint now);
 
   // Sets the time that replies usually take. It decides how long a silence must
-  // be when only data was left unanswered.
+  // be.
   void SetUsualReplyTime(Duration time) { usual_reply_time_ = time; }
 
   // Records a packet sent at `sent_at` that has had no reply. Returns whether
@@ -66,7 +67,8 @@
   [[nodiscard]] auto IsSuspect(TimePoint now) const -> bool;
 
   // Whether the endpoint counts as dead, so that waiting flows may be reset.
-  // Only observations of this instance count.
+  // Only observations of this instance on open flows count: an endpoint that
+  // does not reply to openings may still serve its open flows.
   [[nodiscard]] auto IsSilent(TimePoint now) const -> bool;
 
   [[nodiscard]] auto unanswered_packets() const -> std::uint32_t {
@@ -81,6 +83,7 @@
   std::optional<Duration> usual_reply_time_;
   TimePoint last_alive_;
   TimePoint last_unanswered_;
+  TimePoint last_unanswered_data_;
   TimePoint shared_until_;
   TimePoint failing_until_;
   std::uint32_t openings_ = 0;
