Platform: Take no endpoint from entries of another form

An entry whose `version`, `sequence` or `born` was missing, of another type or too large, or whose address held a null byte, became an endpoint: new flows went to the address that another writer had left.

Cause: the decoder looked only at the fields that it uses, and inet_pton reads an address up to the first null byte.

An address with a null byte is refused.

--- a/Source/Core/net_address.cc
+++ b/Source/Core/net_address.cc
@@ -18,8 +18,9 @@
     return malformed();
   }
   const auto host = std::string(text.substr(0, colon));
+  const auto has_null = host.find('\0') != std::string::npos;
   auto parsed = in_addr{};
-  if (inet_pton(AF_INET, host.c_str(), &parsed) != 1) {
+  if (has_null || inet_pton(AF_INET, host.c_str(), &parsed) != 1) {
     return malformed();
   }
   const auto digits = text.substr(colon + 1);
--- a/Tests/Platform/odd_entries_test.cc
+++ b/Tests/Platform/odd_entries_test.cc
@@ -43,6 +43,62 @@
          R"(,"x":)" + fields.extra + "}";
 }
 
+auto Nested(std::size_t levels) -> std::string {
+  return std::string(levels, '[') + std::string(levels, ']');
+}
+
+auto NestedObjects(std::size_t levels) -> std::string {
+  auto text = std::string();
+  for (auto level = std::size_t{0}; level < levels; ++level) {
+    text += R"({"a":)";
+  }
+  return text + "0" + std::string(levels, '}');
+}
+
+// Entries that name no endpoint to use.
+auto OddEntries() -> std::vector<std::string> {
+  auto entries = std::vector<std::string>{
+      "", "null", "[]", "7", "{", "\xff\xfe", std::string(1, '\0')};
+  for (const auto levels : {33U, 1000U, 100'000U, 700'000U}) {
+    entries.push_back(Nested(levels));
+    entries.push_back(EntryOf({.extra = Nested(levels)}));
+    entries.push_back(EntryOf({.extra = NestedObjects(levels)}));
+    entries.push_back(EntryOf({.slots = Nested(levels)}));
+    entries.push_back(std::string(levels, '['));
+  }
+  const auto long_number = std::string(400, '9');
+  for (const auto& number :
+       {std::string("1e400"), std::string("-1e400"), std::string("1e999999999"),
+        std::string("99999999999999999999"), std::string("9223372036854775808"),
+        std::string("-1"), std::string("1.5"), std::string("NaN"),
+        std::string("Infinity"), std::string(R"("3")"), std::string("null"),
+        long_number}) {
+    entries.push_back(EntryOf({.slots = number}));
+    entries.push_back(EntryOf({.cold = number}));
+    entries.push_back(EntryOf({.sequence = number}));
+    entries.push_back(EntryOf({.born = number}));
+  }
+  for (const auto* const port :
+       {"65536", "70000", "4294967376", "99999999999999999999", "-1", "0", "",
+        "80 ", " 80", "+80", "0x50", "8080.0", "eighty"}) {
+    entries.push_back(
+        EntryOf({.address = R"("10.128.0.9:)" + std::string(port) + R"(")"}));
+  }
+  for (const auto* const address :
+       {R"("10.128.0.9")", R"("10.128.0.256:80")", R"("10.128.0:80")",
+        R"("host:80")", R"("[::1]:80")", R"("")", R"(":80")", "7", "null",
+        R"("10.128.0.9\u0000.example:80")"}) {
+    entries.push_back(EntryOf({.address = address}));
+  }
+  entries.push_back(EntryOf({.version = "1"}));
+  entries.push_back(EntryOf({.version = "\"\xff\xfe\""}));
+  entries.push_back(EntryOf({.version = R"("\udcff")"}));
+  entries.push_back(EntryOf({.version = "null"}));
+  entries.push_back(R"({"service":"a","zone":"z","state":"ready","slots":3,)"
+                    R"("address":"10.128.0.9:8080","coldRemainingMs":0})");
+  return entries;
+}
+
 auto ItemOf(const std::string& key, const std::string& entry) -> std::string {
   return R"({"key":")" + key + R"(","value":")" + Base64(entry) +
          R"(","revision":5})";
@@ -80,6 +136,12 @@
   }
 }
 
+Test(odd_entries, values_do_no_harm) {
+  for (const auto& entry : OddEntries()) {
+    AssertHarmless(ItemOf("servers/i-3", entry));
+  }
+}
+
 Test(odd_entries, sound_entry_is_read) {
   const auto page =
       Decode(DecodeItems, "items", {ItemOf("servers/i-1", EntryOf({}))});
