--- a/Tests/Flow/flow_id_test.cc
+++ b/Tests/Flow/flow_id_test.cc
@@ -11,14 +11,17 @@
 Test(flow_id, flows_of_neighbouring_ports_have_different_keys) {
   constexpr auto kFirstPort = std::uint16_t{1024};
   constexpr auto kPorts = std::uint16_t{4096};
-  constexpr auto kClients = std::uint32_t{64};
+  constexpr auto kFirstClient = std::size_t{0x64400000};
+  constexpr auto kClients = std::size_t{64};
   const auto service = SocketAddress{Ipv4Address(0xC6120001), Port(8443)};
   auto keys = std::unordered_set<FlowKey>();
-  for (auto client = std::uint32_t{0}; client < kClients; ++client) {
+  for (auto client = std::size_t{0}; client < kClients; ++client) {
     for (auto offset = std::uint16_t{0}; offset < kPorts; ++offset) {
       const auto port = static_cast<std::uint16_t>(kFirstPort + offset);
-      keys.insert(
-          FlowKeyOf({{Ipv4Address(0x64400000 + client), Port(port)}, service}));
+      keys.insert(FlowKeyOf(
+          {{Ipv4Address(static_cast<std::uint32_t>(kFirstClient + client)),
+            Port(port)},
+           service}));
     }
   }
   cr_assert_eq(keys.size(), kClients * kPorts);
