Flow: Do not count retransmissions of packets that waited here

A caller sends a packet again after 200 ms. When the first copy waited in this instance, before it was read or between the decision and the send, the endpoint had less time to reply, and the retransmission counted against it all the same: the guard was 100 ms between two reads, and pauses are noticed from 400 ms on only.

Change: ObservationClock counts the time in which the thread kept up; two ticks further apart than 50 ms count for 50 ms. A retransmission counts when it arrived 150 ms of that time after the packet was forwarded, and for an upload after the last new data, not after its first packet.

--- a/Source/Flow/flow_tracker.cc
+++ b/Source/Flow/flow_tracker.cc
@@ -18,9 +18,9 @@
 // overloaded. Callers wait for 1.2 s and more.
 constexpr Duration kRequestTimeout = std::chrono::seconds(1);
 
-// Callers wait longer than this before they retransmit. Packets that arrive
-// closer together were queued in the socket.
-constexpr Duration kMinRetransmitInterval = std::chrono::milliseconds(100);
+// Callers wait 200 ms before they retransmit. When less observed time than this
+// has passed since the packet was forwarded, it has waited in this instance.
+constexpr Duration kMinRetransmitInterval = std::chrono::milliseconds(150);
 
 // A flow that has waited this long for a silent endpoint is reset.
 constexpr Duration kMinWaitBeforeReset = std::chrono::milliseconds(100);
@@ -68,7 +68,7 @@
   }
   // The caller would not have retransmitted it if the endpoint had answered.
   flow.counted_unanswered = false;
-  RecordUnanswered(flow, UnansweredPacket::kRetransmittedOpening, now);
+  RecordRetransmission(flow, UnansweredPacket::kRetransmittedOpening, now);
   return flow.token;
 }
 
@@ -80,6 +80,7 @@
   SetToken(flow, token, now);
   StopWaiting(flow);
   StartWaiting(flow, now);
+  flow.last_sent_at = clock_.ElapsedAt(now);
   openings_.Add(flow.id, token, now);
 }
 
@@ -173,10 +174,11 @@
                               TimePoint now) {
   const auto end = packet.seq + packet.data_bytes;
   if (!IsBefore(flow.next_seq, end)) {
-    RecordUnanswered(flow, UnansweredPacket::kRetransmittedData, now);
+    RecordRetransmission(flow, UnansweredPacket::kRetransmittedData, now);
     return;
   }
   flow.next_seq = end;
+  flow.last_sent_at = clock_.ElapsedAt(now);
   if (!flow.waiting) {
     StartWaiting(flow, now);
     if (settled_at_ && now >= *settled_at_) {
@@ -292,10 +294,19 @@
   health.RecordReply(now);
 }
 
+// Records a packet that the caller has retransmitted, unless the caller may
+// have had no reply because its packets waited here. The retransmission has
+// arrived after the last tick, when the socket was empty.
+void FlowTracker::RecordRetransmission(TrackedFlow& flow,
+                                       UnansweredPacket packet, TimePoint now) {
+  if (clock_.elapsed() - flow.last_sent_at >= kMinRetransmitInterval) {
+    RecordUnanswered(flow, packet, now);
+  }
+}
+
 void FlowTracker::RecordUnanswered(TrackedFlow& flow, UnansweredPacket packet,
                                    TimePoint now) {
-  const auto was_queued = now - flow.waiting_since < kMinRetransmitInterval;
-  if (!flow.waiting || flow.counted_unanswered || was_queued) {
+  if (!flow.waiting || flow.counted_unanswered) {
     return;
   }
   flow.counted_unanswered = true;
@@ -330,6 +341,7 @@
 auto FlowTracker::OnTick(const DirectorySnapshot* directory, TimePoint now)
     -> std::vector<ResetFlow> {
   DetectSuspension(now);
+  clock_.Tick(now);
   UntrackIdle(directory, now);
   CheckOpenings(now);
   CheckRequests(now);
--- a/Source/Flow/flow_tracker.h
+++ b/Source/Flow/flow_tracker.h
@@ -11,6 +11,7 @@
 #include "Flow/endpoint_directory.h"
 #include "Flow/endpoint_stats.h"
 #include "Flow/flow_token.h"
+#include "Flow/observation_clock.h"
 #include "Flow/pending_replies.h"
 #include "Flow/router_event_buffer.h"
 #include "Flow/token_types.h"
@@ -102,6 +103,8 @@
   void UntrackIdle(const DirectorySnapshot* directory, TimePoint now);
   void RecordAnswer(const TrackedFlow& flow, TimePoint now);
   void RecordReply(FlowToken token, TimePoint now);
+  void RecordRetransmission(TrackedFlow& flow, UnansweredPacket packet,
+                            TimePoint now);
   void RecordUnanswered(TrackedFlow& flow, UnansweredPacket packet,
                         TimePoint now);
   void RecordSharedFailure(EndpointHealth& health, const SharedSuspect& suspect,
@@ -127,6 +130,7 @@
   bool reports_answers_ = false;
   std::uint64_t unanswered_packets_ = 0;
   std::uint64_t unanswered_requests_ = 0;
+  ObservationClock clock_;
   TimePoint last_tick_;
   std::optional<TimePoint> settled_at_;  // Nothing before the first tick.
   TimePoint next_sweep_;
--- a/Source/Flow/tracked_flows.h
+++ b/Source/Flow/tracked_flows.h
@@ -20,7 +20,8 @@
   std::uint32_t last_ack = 0;  // Highest byte that the caller has received.
   std::uint32_t next_seq = 0;  // First byte that the caller has not sent yet.
   TimePoint last_seen;
-  TimePoint waiting_since;  // First packet that has had no reply.
+  TimePoint waiting_since;   // First packet that has had no reply.
+  Duration last_sent_at{0};  // Opening or new data, by the ObservationClock.
   std::uint16_t waiting_packets = 0;
   bool established = false;
   bool waiting = false;
--- a/Tests/Flow/token_router_test.cc
+++ b/Tests/Flow/token_router_test.cc
@@ -127,6 +127,7 @@
   auto directory() -> EndpointDirectory& { return directory_; }
   auto now() const -> TimePoint { return now_; }
   void AdvanceWithoutTicks(Duration time) { now_ += time; }
+  void Tick() { router_.OnTick(now_); }
 
   auto CountEvents(RouterEvent::Kind kind) -> std::size_t {
     const auto events = router_.TakeEvents();
@@ -696,6 +697,66 @@
   cr_assert_eq(fixture.router().unanswered_packets(), 0U);
 }
 
+// The thread is held up: a request waits `wait` before it is forwarded, and the
+// endpoint has less time to reply before the caller retransmits (review/4). The
+// instance is held up for `pause` once more before it reads the retransmission.
+void RetransmitAfterWaiting(RouterFixture& fixture, std::uint16_t port,
+                            Duration wait, Duration pause) {
+  constexpr auto kRetransmitAfter = 200 * kMillisecond;
+  const auto asked_at = fixture.now();
+  fixture.AdvanceWithoutTicks(wait);
+  fixture.Packet(port, kFirst, 101, 101, 100);
+  fixture.Tick();
+  fixture.AdvanceWithoutTicks(pause);
+  fixture.Tick();
+  const auto left = asked_at + kRetransmitAfter - fixture.now();
+  if (left > Duration(0)) {
+    fixture.Advance(left);
+  }
+  fixture.Packet(port, kFirst, 101, 101, 100);
+}
+
+// For each length of the waits between nothing that matters and a pause that
+// counts as a suspension.
+Test(token_router, retransmissions_of_packets_that_waited_here_do_not_count) {
+  constexpr auto kShortest = 60 * kMillisecond;
+  constexpr auto kLongest = 400 * kMillisecond;
+  constexpr auto kStep = 20 * kMillisecond;
+  for (auto wait = kShortest; wait <= kLongest; wait += kStep) {
+    for (auto pause = Duration(0); pause <= kLongest; pause += kStep) {
+      auto fixture = RouterFixture();
+      const auto port = fixture.OpenAt(kFirst, 1000);
+      AskAndAnswer(fixture, port);
+      RetransmitAfterWaiting(fixture, port, wait, pause);
+      const auto& stats = fixture.router().endpoint_stats();
+      cr_assert_eq(stats.at(kFirstEndpoint).health.unanswered_packets(), 0U);
+    }
+  }
+}
+
+Test(token_router, retransmission_counts_when_nothing_waited_here) {
+  auto fixture = RouterFixture();
+  const auto port = fixture.OpenAt(kFirst, 1000);
+  AskAndAnswer(fixture, port);
+  RetransmitAfterWaiting(fixture, port, Duration(0), Duration(0));
+  const auto& stats = fixture.router().endpoint_stats();
+  cr_assert_eq(stats.at(kFirstEndpoint).health.unanswered_packets(), 1U);
+}
+
+// An upload sends many packets; each one may be sent again on its own.
+Test(token_router, retransmission_counts_from_the_last_new_data) {
+  auto fixture = RouterFixture();
+  const auto port = fixture.OpenAt(kFirst, 1000);
+  AskAndAnswer(fixture, port);
+  for (auto packet = std::uint32_t{0}; packet < 10; ++packet) {
+    fixture.Packet(port, kFirst, 101 + 100 * packet, 101, 100);
+    fixture.Advance(40 * kMillisecond);
+  }
+  fixture.Packet(port, kFirst, 501, 101, 100);
+  const auto& stats = fixture.router().endpoint_stats();
+  cr_assert_eq(stats.at(kFirstEndpoint).health.unanswered_packets(), 0U);
+}
+
 // An instance that receives replies from an endpoint reports this to those that
 // do not.
 Test(token_router, reply_of_a_shared_suspect_is_reported) {
