Flow: Count a silence from the first request left unanswered

Cause: IsSilent compared the time since the endpoint's last reply with 12 usual reply times. At an endpoint that had not been asked anything for that long, two retransmissions made it silent at once. The retransmissions themselves came from packets that this instance had forwarded but that were late by 200 ms and more, whichever endpoint they were for, in the 0.3 s after it had handed the configuration to its watchers: its own link of 10 Mbit/s was busy. Ruled out, by lines for each packet in trials: failed sends (none), pauses of the thread (92 ms at most there).

Change: the time counts from the first request that was left unanswered since the last reply.

Test that fails before: endpoint_health idle_time_does_not_count_as_silence.

--- a/Source/Flow/endpoint_health.cc
+++ b/Source/Flow/endpoint_health.cc
@@ -42,11 +42,14 @@
   if (sent_at < last_alive_) {
     return false;
   }
-  ++CountOf(packet);
-  last_unanswered_ = now;
   if (packet == UnansweredPacket::kRetransmittedData) {
+    unanswered_data_since_ = retransmitted_data_ == 0
+                                 ? sent_at
+                                 : std::min(unanswered_data_since_, sent_at);
     last_unanswered_data_ = now;
   }
+  ++CountOf(packet);
+  last_unanswered_ = now;
   return true;
 }
 
@@ -95,7 +98,7 @@
 auto EndpointHealth::IsSilent(TimePoint now) const -> bool {
   return retransmitted_data_ >= kSilentThreshold &&
          now - last_unanswered_data_ < kRetryInterval &&
-         now - last_alive_ >= SilenceTime();
+         now - unanswered_data_since_ >= SilenceTime();
 }
 
 auto EndpointHealth::SilenceTime() const -> Duration {
--- a/Source/Flow/endpoint_health.h
+++ b/Source/Flow/endpoint_health.h
@@ -84,6 +84,7 @@
   TimePoint last_alive_;
   TimePoint last_unanswered_;
   TimePoint last_unanswered_data_;
+  TimePoint unanswered_data_since_;
   TimePoint shared_until_;
   TimePoint failing_until_;
   std::uint32_t openings_ = 0;
--- a/Tests/Flow/endpoint_health_test.cc
+++ b/Tests/Flow/endpoint_health_test.cc
@@ -164,6 +164,21 @@
   cr_assert_not(health.IsSilent(kNow + 5000 * kMillisecond));
 }
 
+// No flow has asked anything for seconds. Two requests whose data is sent again
+// after 200 ms made the endpoint silent at once (review/4).
+Test(endpoint_health, idle_time_does_not_count_as_silence) {
+  auto health = EndpointHealth(kNow);
+  health.SetUsualReplyTime(40 * kMillisecond);
+  const auto sent_at = kNow + 5'000 * kMillisecond;
+  for (auto flow = 0; flow < 2; ++flow) {
+    health.RecordUnanswered(UnansweredPacket::kRetransmittedData, sent_at,
+                            sent_at + 200 * kMillisecond);
+  }
+  cr_assert_not(health.IsSilent(sent_at + 200 * kMillisecond));
+  cr_assert_not(health.IsSilent(sent_at + 470 * kMillisecond));
+  cr_assert(health.IsSilent(sent_at + 500 * kMillisecond));
+}
+
 Test(endpoint_health, shared_suspicion_makes_it_suspect_at_once) {
   auto health = EndpointHealth(kNow);
   const auto now = kNow + 100 * kMillisecond;
