Flow: Give small record tables fewer shards

flow_test failed on arm64: a table of 640 records took more than 64 bytes a record.

Cause: each table had 64 shards. With ten records a shard, the lock and the vector of a shard (80 bytes with the mutex of arm64, 72 on x86-64) came to 8 bytes a record beside 56 of its slots.

Change: a shard has 64 records or more; the number of shards is a power of two, 64 at most as before. The memory of shards outside the table object is counted too.

The bound is as it was. New: record_table memory_of_a_record_is_bounded_at_any_size, small_table_keeps_as_many_records_as_asked_for (64 records were kept before where ten were asked for). Not run on x86-64: there was no such machine.

--- a/Source/Flow/record_table.cc
+++ b/Source/Flow/record_table.cc
@@ -1,6 +1,7 @@
 #include "Flow/record_table.h"
 
 #include <algorithm>
+#include <bit>
 
 #include "Core/hash.h"
 
@@ -16,28 +17,43 @@
 constexpr std::size_t kNearlyNumerator = 15;
 constexpr std::size_t kNearlyDenominator = 16;
 
+// A shard has at least this many records, so that the memory of its lock is
+// small beside theirs.
+constexpr std::size_t kMinPerShard = 64;
+constexpr std::size_t kMaxShards = 64;
+
 constexpr std::uint64_t kShardSeed = 0x7368617264;
 constexpr std::uint64_t kSlotSeed = 0x736C6F74;
 
 // A packet this long after a close shows that the flow is still half open.
 constexpr std::uint32_t kHalfOpenSeconds = 2;
 
+auto ShardCountOf(std::size_t max_records) -> std::size_t {
+  const auto shards = max_records / kMinPerShard;
+  return std::bit_floor(std::clamp<std::size_t>(shards, 1, kMaxShards));
+}
+
 }  // namespace
 
 RecordTable::RecordTable(std::size_t max_records)
-    : max_per_shard_(std::max<std::size_t>(1, max_records / kShards)) {
+    : shards_(ShardCountOf(max_records)),
+      max_per_shard_(std::max<std::size_t>(1, max_records / shards_.size())) {
   const auto slots = max_per_shard_ * kLoadDenominator / kLoadNumerator + 1;
   for (auto& shard : shards_) {
     shard.slots.resize(slots);
   }
 }
 
+auto RecordTable::ShardIndexOf(FlowKey flow) const -> std::size_t {
+  return MixWords(flow.value(), kShardSeed) & (shards_.size() - 1);
+}
+
 auto RecordTable::ShardOf(FlowKey flow) const -> const Shard& {
-  return shards_[MixWords(flow.value(), kShardSeed) % kShards];
+  return shards_[ShardIndexOf(flow)];
 }
 
 auto RecordTable::ShardOf(FlowKey flow) -> Shard& {
-  return shards_[MixWords(flow.value(), kShardSeed) % kShards];
+  return shards_[ShardIndexOf(flow)];
 }
 
 auto RecordTable::HomeSlot(const Shard& shard, FlowKey flow) -> std::size_t {
@@ -171,9 +187,10 @@
   for (const auto& shard : shards_) {
     slots += shard.slots.capacity();
   }
-  const auto bytes = slots * sizeof(FlowRecord) + sizeof(RecordTable);
+  const auto bytes = slots * sizeof(FlowRecord) +
+                     shards_.size() * sizeof(Shard) + sizeof(RecordTable);
   return static_cast<double>(bytes) /
-         static_cast<double>(max_per_shard_ * kShards);
+         static_cast<double>(max_per_shard_ * shards_.size());
 }
 
 }  // namespace hemlockwick
--- a/Source/Flow/record_table.h
+++ b/Source/Flow/record_table.h
@@ -1,7 +1,6 @@
 #ifndef HEMLOCKWICK_FLOW_RECORD_TABLE_H_
 #define HEMLOCKWICK_FLOW_RECORD_TABLE_H_
 
-#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -32,8 +31,9 @@
   return static_cast<std::uint32_t>(ToUnixMillis(time) / kMillisPerSecond);
 }
 
-// Flow records in a fixed amount of memory, in shards with a lock each. Open
-// addressing with linear probing and backward shift on removal.
+// Flow records in a fixed amount of memory, in shards with a lock each; a small
+// table has few shards. Open addressing with linear probing and backward shift
+// on removal.
 class RecordTable {
  public:
   explicit RecordTable(std::size_t max_records);
@@ -67,22 +67,21 @@
   [[nodiscard]] auto bytes_per_record() const -> double;
 
  private:
-  static constexpr std::size_t kShards = 64;
-
   struct Shard {
     mutable std::mutex mutex;
     std::vector<FlowRecord> slots;
     std::size_t used = 0;
   };
 
+  [[nodiscard]] auto ShardIndexOf(FlowKey flow) const -> std::size_t;
   auto ShardOf(FlowKey flow) const -> const Shard&;
   auto ShardOf(FlowKey flow) -> Shard&;
   static auto HomeSlot(const Shard& shard, FlowKey flow) -> std::size_t;
   static auto Locate(const Shard& shard, FlowKey flow) -> std::size_t;
   static void Erase(Shard& shard, std::size_t slot);
 
+  std::vector<Shard> shards_;  // Their number is a power of two.
   std::size_t max_per_shard_;
-  std::array<Shard, kShards> shards_;
 };
 
 }  // namespace hemlockwick
--- a/Tests/Flow/record_table_test.cc
+++ b/Tests/Flow/record_table_test.cc
@@ -57,6 +57,24 @@
   cr_assert(RecordTable(500'000).bytes_per_record() <= kMaxBytesPerRecord);
 }
 
+// A table of ten records a shard took more on arm64, whose mutex is larger.
+Test(record_table, memory_of_a_record_is_bounded_at_any_size) {
+  for (const auto records : {64U, 100U, 127U, 128U, 1000U, 4096U, 10'000U}) {
+    cr_assert_leq(RecordTable(records).bytes_per_record(), kMaxBytesPerRecord);
+  }
+}
+
+Test(record_table, small_table_keeps_as_many_records_as_asked_for) {
+  for (const auto records :
+       {std::size_t{1}, std::size_t{10}, std::size_t{64}}) {
+    auto table = RecordTable(records);
+    for (std::uint64_t flow = 0; flow < 1000; ++flow) {
+      table.Put(MakeRecord(flow, 1));
+    }
+    cr_assert_eq(table.size(), records);
+  }
+}
+
 Test(record_table, removes_all_that_ended_in_one_pass) {
   auto table = RecordTable(1000);
   for (std::uint64_t flow = 0; flow < 600; ++flow) {
