Flow: Wait anew for an unknown token after a gap

Cause: the time at which a token was first seen was kept until the endpoint became known. An endpoint that starts again under its id has the token of before, of which a dead flow's packet may have been seen.

Change: tokens are kept in FirstSeenTimes, as flows without a route are: after five seconds without a packet the wait starts anew. Callers that wait send at least every 1.6 s. Flows whose route becomes known are forgotten too.

Test that fails before: token_router wait_for_an_unknown_token_starts_anew_after_a_gap.

--- a/Source/Flow/observation_clock.h
+++ b/Source/Flow/observation_clock.h
@@ -14,7 +14,7 @@
 // so no more than kMaxStep counts.
 class ObservationClock {
  public:
-  // Above the time for which an idle instance waits for a packet.
+  // The time for which an idle instance waits for a packet.
   static constexpr Duration kMaxStep = std::chrono::milliseconds(50);
 
   void Tick(TimePoint now) {
--- a/Source/Flow/token_router.cc
+++ b/Source/Flow/token_router.cc
@@ -10,7 +10,6 @@
 // Time for which a token that is not in the directory may belong to an endpoint
 // that the directory does not know yet.
 constexpr Duration kUnknownTokenTimeout = std::chrono::milliseconds(2500);
-constexpr std::size_t kMaxUnknownTokens = 256;
 
 // Time for which an instance may lack a route that another instance knows. A
 // new configuration is in force everywhere within this time.
@@ -24,6 +23,7 @@
 TokenRouter::TokenRouter(const TokenRouterSettings& settings)
     : settings_(settings),
       tracker_(settings.instance, settings.tracked_flows, events_),
+      unknown_tokens_(kMaxPacketInterval),
       flows_without_route_(kMaxPacketInterval) {}
 
 auto TokenRouter::Update(std::shared_ptr<const DirectorySnapshot> directory,
@@ -39,8 +39,10 @@
     auto ended = tracker_.ResetDeparted(departed.token);
     resets.insert(resets.end(), ended.begin(), ended.end());
   }
-  std::erase_if(unknown_since_, [this](const auto& unknown) {
-    return directory_->Find(unknown.first) != nullptr;
+  unknown_tokens_.ForgetIf(
+      [this](FlowToken token) { return directory_->Find(token) != nullptr; });
+  flows_without_route_.ForgetIf([this](const FlowId& flow) {
+    return directory_->FindRoute(flow.service) != nullptr;
   });
   return resets;
 }
@@ -139,12 +141,7 @@
   if (packet.resets) {
     return Drop(packet, DropReason::kUnknownEndpoint);
   }
-  if (unknown_since_.size() >= kMaxUnknownTokens) {
-    unknown_since_.clear();
-  }
-  const auto token = TokenOf(packet);
-  const auto since = unknown_since_.try_emplace(token, now).first;
-  const auto age = now - since->second;
+  const auto age = unknown_tokens_.See(TokenOf(packet), now);
   if (age >= kUnknownTokenTimeout) {
     return Reset(packet, ResetReason::kUnknown, age);
   }
--- a/Source/Flow/token_router.h
+++ b/Source/Flow/token_router.h
@@ -4,7 +4,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
-#include <unordered_map>
 #include <vector>
 
 #include "Core/ids.h"
@@ -118,7 +117,7 @@
   RouterEventBuffer events_;
   FlowTracker tracker_;
   EndpointSelector selector_;
-  std::unordered_map<FlowToken, TimePoint> unknown_since_;
+  FirstSeenTimes<FlowToken> unknown_tokens_;
   FirstSeenTimes<FlowId> flows_without_route_;
 };
 
--- a/Tests/Flow/token_router_test.cc
+++ b/Tests/Flow/token_router_test.cc
@@ -515,6 +515,18 @@
                ResetReason::kUnknown);
 }
 
+// A packet of a dead flow was seen long ago. An endpoint that has started again
+// under its id has the same token, and this instance is behind.
+Test(token_router, wait_for_an_unknown_token_starts_anew_after_a_gap) {
+  auto fixture = RouterFixture();
+  const auto unknown = ToWire(TokenOf(EndpointId(99)), kAddress);
+  fixture.Packet(1000, unknown, 1, 1, 100);
+  fixture.Advance(30'000 * kMillisecond);
+  const auto action = fixture.Packet(1001, unknown, 1, 1, 100);
+  cr_assert_eq(std::get<DropPacket>(action).reason,
+               DropReason::kUnknownEndpoint);
+}
+
 // A quarter of the endpoints of a service stop responding; their entries stay
 // for several seconds.
 Test(token_router, unresponsive_endpoint_gets_no_new_flows) {
