Flow: Spread flows by the key of before

Change: the key is computed as before. It only places and spreads flows: FlowId, compared whole, tells them apart.

--- a/Source/Flow/flow_id.cc
+++ b/Source/Flow/flow_id.cc
@@ -1,8 +1,6 @@
 #include "Flow/flow_id.h"
 
-#include <array>
 #include <cstdint>
-#include <string_view>
 
 #include "Core/hash.h"
 
@@ -14,9 +12,7 @@
     return (static_cast<std::uint64_t>(address.ip.value()) << kPortBits) |
            address.port.value();
   };
-  const auto words = std::array{word(flow.caller), word(flow.service)};
-  return FlowKey(HashBytes({reinterpret_cast<const char*>(words.data()),
-                            words.size() * sizeof(words[0])}));
+  return FlowKey(MixWords(word(flow.caller), word(flow.service)));
 }
 
 }  // namespace hemlockwick
--- a/Source/Flow/flow_id.h
+++ b/Source/Flow/flow_id.h
@@ -19,8 +19,8 @@
       -> std::strong_ordering = default;
 };
 
-// A hash of the flow's addresses, to place and to spread flows. Several flows
-// may have the same key.
+// A hash of the flow's addresses, to place and to spread flows. Some flows of
+// one caller from neighbouring ports have the same key.
 [[nodiscard]] auto FlowKeyOf(const FlowId& flow) -> FlowKey;
 
 }  // namespace hemlockwick
--- a/Tests/Flow/tracked_flows_test.cc
+++ b/Tests/Flow/tracked_flows_test.cc
@@ -32,6 +32,21 @@
   cr_assert_null(flows.Find(FlowFrom(3)));
 }
 
+// Two flows of one caller from neighbouring ports whose keys are the same
+// (review/3).
+Test(tracked_flows, flows_of_one_key_are_told_apart) {
+  const auto service = SocketAddress{Ipv4Address(0xC6120001), Port(8443)};
+  const auto caller = Ipv4Address(0x64400007);
+  const auto one = FlowId{{caller, Port(1343)}, service};
+  const auto other = FlowId{{caller, Port(1344)}, service};
+  cr_assert_eq(FlowKeyOf(one), FlowKeyOf(other));
+  auto flows = TrackedFlows(kCapacity);
+  Add(flows, one, 1);
+  cr_assert_null(flows.Find(other));
+  Add(flows, other, 2);
+  cr_assert_neq(flows.Find(one), flows.Find(other));
+}
+
 Test(tracked_flows, a_free_slot_is_no_flow) {
   auto flows = TrackedFlows(kCapacity);
   cr_assert_null(flows.Find(FlowId()));
