Flow: Keep a flow at the endpoint that was acknowledged first

Cause: the reply to an opening came later than 200 ms, and the caller's second copy went to another endpoint. Both replied. The second one sent its reply again for seconds, as endpoints do, and the caller took the token of that reply for its next request: "the last `echo` that they received" (PROTOCOL.md). The log of the flow: flow_opened with copy 0 and 1 at two endpoints, flow_token_changed 3.6 s later, then request_unanswered.

Change: an instance remembers where it has sent the copies of an opening. A packet of the open flow that names one of these other endpoints goes to the flow's own, with its token. Any other token is followed as before: the port may be in use by a new flow.

Test that fails before: token_router late_reply_to_a_copy_of_the_opening_diverts_no_flow.

--- a/Source/Edge/router_log.cc
+++ b/Source/Edge/router_log.cc
@@ -40,6 +40,7 @@
          kind == RouterEvent::Kind::kFlowReset ||
          kind == RouterEvent::Kind::kPacketDropped ||
          kind == RouterEvent::Kind::kTokenChanged ||
+         kind == RouterEvent::Kind::kTokenCorrected ||
          kind == RouterEvent::Kind::kRequestUnanswered ||
          kind == RouterEvent::Kind::kRequestAnswered;
 }
--- a/Source/Flow/flow_tracker.cc
+++ b/Source/Flow/flow_tracker.cc
@@ -81,9 +81,31 @@
   StopWaiting(flow);
   StartWaiting(flow, now);
   flow.last_sent_at = clock_.ElapsedAt(now);
+  if (packet.ack == 0) {
+    flow.opening_tokens = {};
+  }
+  const auto copy = std::min<std::size_t>(packet.ack, kMaxOpeningCopies - 1);
+  flow.opening_tokens[copy] = token;
   openings_.Add(flow.id, token, now);
 }
 
+auto FlowTracker::TokenOfFlow(const TokenPacket& packet) -> FlowToken {
+  const auto token = TokenOf(packet);
+  const auto* const flow = flows_.Find(FlowIdOf(packet));
+  const auto is_open = flow != nullptr && flow->established &&
+                       flow->token != kNoToken && flow->token != token;
+  if (!is_open || token == kNoToken ||
+      std::ranges::find(flow->opening_tokens, token) ==
+          flow->opening_tokens.end()) {
+    return token;
+  }
+  events_.Add({.kind = RouterEvent::Kind::kTokenCorrected,
+               .caller = packet.caller,
+               .service = packet.service,
+               .token = flow->token});
+  return flow->token;
+}
+
 auto FlowTracker::OnPacket(const TokenPacket& packet, FlowToken token,
                            bool may_reset, TimePoint now)
     -> std::optional<Duration> {
--- a/Source/Flow/flow_tracker.h
+++ b/Source/Flow/flow_tracker.h
@@ -37,6 +37,11 @@
   void OnOpeningForwarded(const TokenPacket& packet, FlowToken token,
                           TimePoint now);
 
+  // The token of the endpoint of an open flow. Differs from the packet's when
+  // that names another endpoint to which a copy of the opening went: callers
+  // may repeat the token of a late reply to such a copy.
+  auto TokenOfFlow(const TokenPacket& packet) -> FlowToken;
+
   // Handles a packet of an open flow of the endpoint. If the flow is to be
   // reset, which happens only with `may_reset`, returns how long its endpoint
   // has been silent.
--- a/Source/Flow/token_router.cc
+++ b/Source/Flow/token_router.cc
@@ -56,8 +56,12 @@
   if (route == nullptr) {
     return DecideWithoutRoute(packet, now);
   }
-  return packet.opens ? Open(packet, *route, now)
-                      : Continue(packet, *route, now);
+  if (packet.opens) {
+    return Open(packet, *route, now);
+  }
+  auto corrected = packet;
+  corrected.token = ToWire(tracker_.TokenOfFlow(packet), packet.service);
+  return Continue(corrected, *route, now);
 }
 
 auto TokenRouter::Open(const TokenPacket& packet, const Route& route,
--- a/Source/Flow/token_types.cc
+++ b/Source/Flow/token_types.cc
@@ -28,6 +28,8 @@
       return "packet_dropped";
     case RouterEvent::Kind::kTokenChanged:
       return "flow_token_changed";
+    case RouterEvent::Kind::kTokenCorrected:
+      return "flow_token_corrected";
     case RouterEvent::Kind::kEndpointSuspected:
       return "endpoint_suspected";
     case RouterEvent::Kind::kEndpointSilent:
--- a/Source/Flow/token_types.h
+++ b/Source/Flow/token_types.h
@@ -76,6 +76,7 @@
     kFlowReset,
     kPacketDropped,
     kTokenChanged,       // A flow carries another token than before.
+    kTokenCorrected,     // It carried that of another copy of its opening.
     kEndpointSuspected,  // It left packets of several flows unanswered.
     kEndpointSilent,     // The endpoint counts as dead.
     kEndpointAlive,      // A suspect endpoint answered again.
--- a/Source/Flow/tracked_flows.h
+++ b/Source/Flow/tracked_flows.h
@@ -1,6 +1,7 @@
 #ifndef HEMLOCKWICK_FLOW_TRACKED_FLOWS_H_
 #define HEMLOCKWICK_FLOW_TRACKED_FLOWS_H_
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -12,11 +13,16 @@
 
 namespace hemlockwick {
 
+// Number of times that a caller sends an opening.
+inline constexpr std::size_t kMaxOpeningCopies = 3;
+
 // What this instance has seen of a flow. Only a hint: the packets themselves
 // carry the token of the endpoint, and any of this may be lost at any time.
 struct TrackedFlow {
   FlowId id;
   FlowToken token;  // Until established: endpoint of the last opening packet.
+  // Endpoints to which the copies of its opening were forwarded here.
+  std::array<FlowToken, kMaxOpeningCopies> opening_tokens{};
   std::uint32_t last_ack = 0;  // Highest byte that the caller has received.
   std::uint32_t next_seq = 0;  // First byte that the caller has not sent yet.
   TimePoint last_seen;
--- a/Tests/Flow/token_router_test.cc
+++ b/Tests/Flow/token_router_test.cc
@@ -466,6 +466,34 @@
   cr_assert_neq(first, second);
 }
 
+// Both copies of an opening are answered. The endpoint that was not chosen
+// sends its reply again, and the caller repeats the token of that reply, the
+// last one it got (review/1 on a busy machine).
+Test(token_router, late_reply_to_a_copy_of_the_opening_diverts_no_flow) {
+  auto fixture = RouterFixture();
+  const auto first = std::get<ForwardWithToken>(fixture.Opening(1000));
+  fixture.Advance(200 * kMillisecond);
+  const auto second = std::get<ForwardWithToken>(fixture.Opening(1000, 1));
+  cr_assert_neq(first.token, second.token);
+  fixture.Packet(1000, first.token, 1, 1, 100);
+  fixture.Advance(3'000 * kMillisecond);
+  const auto action = fixture.Packet(1000, second.token, 101, 101, 100);
+  cr_assert_eq(EndpointIn(action), first.endpoint.value());
+  cr_assert_eq(TokenIn(action), first.token);
+  cr_assert_eq(fixture.CountEvents(RouterEvent::Kind::kTokenCorrected), 1U);
+}
+
+// The caller uses the port again, and the new flow was opened elsewhere.
+Test(token_router, new_flow_from_a_port_used_before_follows_its_own_token) {
+  auto fixture = RouterFixture();
+  const auto first = std::get<ForwardWithToken>(fixture.Opening(1000));
+  fixture.Packet(1000, first.token, 1, 1, 100);
+  const auto other = first.endpoint.value() == 1 ? 2 : 1;
+  const auto action =
+      fixture.Packet(1000, ComputedToken(other, kAddress), 5001, 7001, 100);
+  cr_assert_eq(EndpointIn(action), static_cast<std::uint64_t>(other));
+}
+
 Test(token_router, flows_of_a_drained_endpoint_are_reset_when_it_has_left) {
   auto fixture = RouterFixture();
   const auto port = fixture.OpenAt(kFirst, 1000);
