Flow: Correct a token only after the flow's endpoint has answered

Found by reading.

Change: a token is corrected once the caller has acknowledged data, while its packets named the flow's endpoint. Until then packets go where they say, as before.

--- a/Source/Flow/flow_tracker.cc
+++ b/Source/Flow/flow_tracker.cc
@@ -77,6 +77,7 @@
   auto& flow = Track(packet, now);
   flow.closed = false;
   flow.established = false;
+  flow.answered = false;
   SetToken(flow, token, now);
   StopWaiting(flow);
   StartWaiting(flow, now);
@@ -92,9 +93,9 @@
 auto FlowTracker::TokenOfFlow(const TokenPacket& packet) -> FlowToken {
   const auto token = TokenOf(packet);
   const auto* const flow = flows_.Find(FlowIdOf(packet));
-  const auto is_open = flow != nullptr && flow->established &&
-                       flow->token != kNoToken && flow->token != token;
-  if (!is_open || token == kNoToken ||
+  const auto has_answered =
+      flow != nullptr && flow->answered && flow->token != kNoToken;
+  if (!has_answered || token == flow->token || token == kNoToken ||
       std::ranges::find(flow->opening_tokens, token) ==
           flow->opening_tokens.end()) {
     return token;
@@ -113,7 +114,8 @@
   if (flow.closed) {
     return std::nullopt;
   }
-  if (flow.established && flow.token != token) {
+  const auto has_changed = flow.established && flow.token != token;
+  if (has_changed) {
     events_.Add({.kind = RouterEvent::Kind::kTokenChanged,
                  .caller = packet.caller,
                  .service = packet.service,
@@ -121,6 +123,8 @@
   }
   SetToken(flow, token, now);
   ProcessPacket(flow, packet, now);
+  // What the caller has received came from the endpoint of before.
+  flow.answered = flow.answered && !has_changed;
   const auto& health = StatsOf(token, now).health;
   if (may_reset && packet.data_bytes > 0 && flow.waiting &&
       health.IsSilent(now)) {
@@ -164,6 +168,7 @@
     Establish(flow, packet, now);
   } else if (IsBefore(flow.last_ack, packet.ack)) {
     flow.last_ack = packet.ack;
+    flow.answered = true;
     RecordReply(flow.token, now);
     if (flow.waiting) {
       RecordAnswer(flow, now);
@@ -223,6 +228,7 @@
   }
   const auto was_waiting = flow.waiting;
   Release(flow);
+  flow.answered = false;
   flow.token = token;
   auto& stats = StatsOf(token, now);
   ++stats.open_flows;
--- a/Source/Flow/tracked_flows.h
+++ b/Source/Flow/tracked_flows.h
@@ -30,6 +30,7 @@
   Duration last_sent_at{0};  // Opening or new data, by the ObservationClock.
   std::uint16_t waiting_packets = 0;
   bool established = false;
+  bool answered = false;  // The caller has received data of its endpoint.
   bool waiting = false;
   bool counted_unanswered = false;  // This wait has counted as unanswered.
   bool closed = false;              // The caller has ended it.
--- a/Tests/Flow/token_router_test.cc
+++ b/Tests/Flow/token_router_test.cc
@@ -476,6 +476,8 @@
   const auto second = std::get<ForwardWithToken>(fixture.Opening(1000, 1));
   cr_assert_neq(first.token, second.token);
   fixture.Packet(1000, first.token, 1, 1, 100);
+  fixture.Advance(20 * kMillisecond);
+  fixture.Packet(1000, first.token, 101, 101, 0);
   fixture.Advance(3'000 * kMillisecond);
   const auto action = fixture.Packet(1000, second.token, 101, 101, 100);
   cr_assert_eq(EndpointIn(action), first.endpoint.value());
@@ -483,6 +485,18 @@
   cr_assert_eq(fixture.CountEvents(RouterEvent::Kind::kTokenCorrected), 1U);
 }
 
+// The first packet that is seen may name the wrong endpoint, when the one
+// before it was lost: nothing shows yet which endpoint has the flow.
+Test(token_router, token_of_a_flow_without_an_answer_may_still_change) {
+  auto fixture = RouterFixture();
+  const auto first = std::get<ForwardWithToken>(fixture.Opening(1000));
+  fixture.Advance(200 * kMillisecond);
+  const auto second = std::get<ForwardWithToken>(fixture.Opening(1000, 1));
+  fixture.Packet(1000, second.token, 1, 1, 100);
+  const auto action = fixture.Packet(1000, first.token, 1, 1, 100);
+  cr_assert_eq(EndpointIn(action), first.endpoint.value());
+}
+
 // The caller uses the port again, and the new flow was opened elsewhere.
 Test(token_router, new_flow_from_a_port_used_before_follows_its_own_token) {
   auto fixture = RouterFixture();
