Flow: Keep the time of the last tick once

Change: the suspension check asks the clock; SetToken leaves `answered` to OnPacket and OnOpeningForwarded, which set it on every path; the comment says when a token is corrected. Behaviour as before.

--- a/Source/Flow/flow_tracker.cc
+++ b/Source/Flow/flow_tracker.cc
@@ -228,7 +228,6 @@
   }
   const auto was_waiting = flow.waiting;
   Release(flow);
-  flow.answered = false;
   flow.token = token;
   auto& stats = StatsOf(token, now);
   ++stats.open_flows;
@@ -411,16 +410,15 @@
 // After this process was suspended, discards the pending checks and the health
 // counts: it may have missed the replies itself.
 void FlowTracker::DetectSuspension(TimePoint now) {
-  const auto previous = std::exchange(last_tick_, now);
-  const auto is_first = previous == TimePoint();
-  if (!is_first && now - previous <= kMaxTickInterval) {
+  const auto previous = clock_.last_tick();
+  if (previous && now - *previous <= kMaxTickInterval) {
     return;
   }
   settled_at_ = now + kSettleTime;
-  if (is_first) {
+  if (!previous) {
     return;
   }
-  events_.Add({.kind = RouterEvent::Kind::kSuspended, .age = now - previous});
+  events_.Add({.kind = RouterEvent::Kind::kSuspended, .age = now - *previous});
   openings_.Clear();
   requests_.Clear();
   newly_silent_.clear();
--- a/Source/Flow/flow_tracker.h
+++ b/Source/Flow/flow_tracker.h
@@ -37,9 +37,10 @@
   void OnOpeningForwarded(const TokenPacket& packet, FlowToken token,
                           TimePoint now);
 
-  // The token of the endpoint of an open flow. Differs from the packet's when
-  // that names another endpoint to which a copy of the opening went: callers
-  // may repeat the token of a late reply to such a copy.
+  // The token of the endpoint of an open flow. Once that has answered, it
+  // differs from the packet's when the packet names another endpoint to which a
+  // copy of the opening went: callers may repeat the token of a late reply to
+  // such a copy.
   auto TokenOfFlow(const TokenPacket& packet) -> FlowToken;
 
   // Handles a packet of an open flow of the endpoint. If the flow is to be
@@ -136,7 +137,6 @@
   std::uint64_t unanswered_packets_ = 0;
   std::uint64_t unanswered_requests_ = 0;
   ObservationClock clock_;
-  TimePoint last_tick_;
   std::optional<TimePoint> settled_at_;  // Nothing before the first tick.
   TimePoint next_sweep_;
 };
--- a/Source/Flow/observation_clock.h
+++ b/Source/Flow/observation_clock.h
@@ -22,6 +22,11 @@
     last_tick_ = now;
   }
 
+  // Time of the last tick; nullopt before the first one.
+  [[nodiscard]] auto last_tick() const -> std::optional<TimePoint> {
+    return last_tick_;
+  }
+
   // Observed time until the last tick.
   [[nodiscard]] auto elapsed() const -> Duration { return elapsed_; }
 
