--- a/Tests/Flow/endpoint_health_test.cc
+++ b/Tests/Flow/endpoint_health_test.cc
@@ -56,6 +56,14 @@
   cr_assert_not(health.IsSilent(now));
 }
 
+// Two flows send data at `sent_at` and again at `at`, and have no reply.
+void LeaveDataUnanswered(EndpointHealth& health, TimePoint sent_at,
+                         TimePoint at) {
+  for (auto flow = 0; flow < 2; ++flow) {
+    health.RecordUnanswered(UnansweredPacket::kRetransmittedData, sent_at, at);
+  }
+}
+
 // A full endpoint replies to no opening and serves the flows that are open at
 // it. Their next requests were reset (review/1).
 Test(endpoint_health, unanswered_openings_alone_never_make_it_silent) {
@@ -88,10 +96,7 @@
 Test(endpoint_health, unanswered_openings_do_not_extend_a_silence) {
   auto health = EndpointHealth(kNow);
   health.SetUsualReplyTime(40 * kMillisecond);
-  for (auto flow = 0; flow < 2; ++flow) {
-    health.RecordUnanswered(UnansweredPacket::kRetransmittedData,
-                            kNow + kMillisecond, kNow + 300 * kMillisecond);
-  }
+  LeaveDataUnanswered(health, kNow + kMillisecond, kNow + 300 * kMillisecond);
   cr_assert(health.IsSilent(kNow + 600 * kMillisecond));
   const auto later = kNow + 5'000 * kMillisecond;
   health.RecordUnanswered(UnansweredPacket::kRetransmittedOpening,
@@ -103,10 +108,7 @@
   auto health = EndpointHealth(kNow);
   health.SetUsualReplyTime(40 * kMillisecond);
   const auto soon = kNow + 300 * kMillisecond;
-  for (auto flow = 0; flow < 2; ++flow) {
-    health.RecordUnanswered(UnansweredPacket::kRetransmittedData,
-                            kNow + kMillisecond, soon);
-  }
+  LeaveDataUnanswered(health, kNow + kMillisecond, soon);
   cr_assert_not(health.IsSilent(soon));
   cr_assert(health.IsSilent(kNow + 600 * kMillisecond));
 }
@@ -115,29 +117,18 @@
 Test(endpoint_health, retransmitted_data_alone_takes_longer_to_make_it_silent) {
   auto health = EndpointHealth(kNow);
   const auto soon = kNow + 300 * kMillisecond;
-  health.RecordUnanswered(UnansweredPacket::kRetransmittedData,
-                          kNow + kMillisecond, soon);
-  health.RecordUnanswered(UnansweredPacket::kRetransmittedData,
-                          kNow + kMillisecond, soon);
+  LeaveDataUnanswered(health, kNow + kMillisecond, soon);
   cr_assert_not(health.IsSilent(kNow + 1000 * kMillisecond));
   cr_assert(health.IsSilent(kNow + 2100 * kMillisecond));
 }
 
-// Two flows retransmit data and have no reply.
-void LeaveDataUnanswered(EndpointHealth& health) {
-  for (auto flow = 0; flow < 2; ++flow) {
-    health.RecordUnanswered(UnansweredPacket::kRetransmittedData,
-                            kNow + kMillisecond, kNow + 400 * kMillisecond);
-  }
-}
-
 // Flows that are open leave data unanswered, but no openings. At ricamo-lb
 // trouble-2 they were reset two seconds after their endpoint fell dark, when
 // their callers had given up after 1.5 s.
 Test(endpoint_health, data_alone_needs_less_time_where_replies_are_quick) {
   auto health = EndpointHealth(kNow);
   health.SetUsualReplyTime(60 * kMillisecond);
-  LeaveDataUnanswered(health);
+  LeaveDataUnanswered(health, kNow + kMillisecond, kNow + 400 * kMillisecond);
   cr_assert_not(health.IsSilent(kNow + 700 * kMillisecond));
   cr_assert(health.IsSilent(kNow + 740 * kMillisecond));
 }
@@ -146,7 +137,7 @@
 Test(endpoint_health, data_alone_needs_more_time_where_replies_are_slow) {
   auto health = EndpointHealth(kNow);
   health.SetUsualReplyTime(400 * kMillisecond);
-  LeaveDataUnanswered(health);
+  LeaveDataUnanswered(health, kNow + kMillisecond, kNow + 400 * kMillisecond);
   cr_assert_not(health.IsSilent(kNow + 1900 * kMillisecond));
   cr_assert(health.IsSilent(kNow + 2100 * kMillisecond));
 }
@@ -158,8 +149,7 @@
   auto health = EndpointHealth(kNow);
   health.SetUsualReplyTime(40 * kMillisecond);
   const auto soon = kNow + 300 * kMillisecond;
-  health.RecordUnanswered(UnansweredPacket::kRetransmittedData, kNow, soon);
-  health.RecordUnanswered(UnansweredPacket::kRetransmittedData, kNow, soon);
+  LeaveDataUnanswered(health, kNow, soon);
   cr_assert(health.IsSilent(kNow + 600 * kMillisecond));
   cr_assert_not(health.IsSilent(kNow + 5000 * kMillisecond));
 }
@@ -170,10 +160,7 @@
   auto health = EndpointHealth(kNow);
   health.SetUsualReplyTime(40 * kMillisecond);
   const auto sent_at = kNow + 5'000 * kMillisecond;
-  for (auto flow = 0; flow < 2; ++flow) {
-    health.RecordUnanswered(UnansweredPacket::kRetransmittedData, sent_at,
-                            sent_at + 200 * kMillisecond);
-  }
+  LeaveDataUnanswered(health, sent_at, sent_at + 200 * kMillisecond);
   cr_assert_not(health.IsSilent(sent_at + 200 * kMillisecond));
   cr_assert_not(health.IsSilent(sent_at + 470 * kMillisecond));
   cr_assert(health.IsSilent(sent_at + 500 * kMillisecond));
--- a/Tests/Flow/token_router_test.cc
+++ b/Tests/Flow/token_router_test.cc
@@ -751,6 +751,12 @@
   cr_assert_eq(fixture.router().unanswered_packets(), 0U);
 }
 
+// Number of packets that count against the first endpoint.
+auto UnansweredAtFirst(RouterFixture& fixture) -> std::uint32_t {
+  const auto& stats = fixture.router().endpoint_stats();
+  return stats.at(kFirstEndpoint).health.unanswered_packets();
+}
+
 // The thread is held up: a request waits `wait` before it is forwarded, and the
 // endpoint has less time to reply before the caller retransmits (review/4). The
 // instance is held up for `pause` once more before it reads the retransmission.
@@ -782,8 +788,7 @@
       const auto port = fixture.OpenAt(kFirst, 1000);
       AskAndAnswer(fixture, port);
       RetransmitAfterWaiting(fixture, port, wait, pause);
-      const auto& stats = fixture.router().endpoint_stats();
-      cr_assert_eq(stats.at(kFirstEndpoint).health.unanswered_packets(), 0U);
+      cr_assert_eq(UnansweredAtFirst(fixture), 0U);
     }
   }
 }
@@ -793,8 +798,7 @@
   const auto port = fixture.OpenAt(kFirst, 1000);
   AskAndAnswer(fixture, port);
   RetransmitAfterWaiting(fixture, port, Duration(0), Duration(0));
-  const auto& stats = fixture.router().endpoint_stats();
-  cr_assert_eq(stats.at(kFirstEndpoint).health.unanswered_packets(), 1U);
+  cr_assert_eq(UnansweredAtFirst(fixture), 1U);
 }
 
 // An upload sends many packets; each one may be sent again on its own.
@@ -807,8 +811,7 @@
     fixture.Advance(40 * kMillisecond);
   }
   fixture.Packet(port, kFirst, 501, 101, 100);
-  const auto& stats = fixture.router().endpoint_stats();
-  cr_assert_eq(stats.at(kFirstEndpoint).health.unanswered_packets(), 0U);
+  cr_assert_eq(UnansweredAtFirst(fixture), 0U);
 }
 
 // An instance that receives replies from an endpoint reports this to those that
--- a/Tests/Platform/odd_entries_test.cc
+++ b/Tests/Platform/odd_entries_test.cc
@@ -3,26 +3,18 @@
 // by operators of similar systems.
 #include <criterion/criterion.h>
 
-#include <boost/archive/iterators/base64_from_binary.hpp>
-#include <boost/archive/iterators/transform_width.hpp>
 #include <string>
 #include <vector>
 
+#include "Soak/base64.h"
 #include "platform/store_items.h"
 
 namespace hemlockwick::platform {
 namespace {
 
-constexpr TimePoint kNow{std::chrono::hours(500'000)};
+using soak::EncodeBase64;
 
-auto Base64(const std::string& bytes) -> std::string {
-  namespace iterators = boost::archive::iterators;
-  using Encoder = iterators::base64_from_binary<
-      iterators::transform_width<std::string::const_iterator, 6, 8>>;
-  auto text = std::string(Encoder(bytes.begin()), Encoder(bytes.end()));
-  text.append((4 - text.size() % 4) % 4, '=');
-  return text;
-}
+constexpr TimePoint kNow{std::chrono::hours(500'000)};
 
 // The fields of an entry as text, to be replaced one by one.
 struct EntryFields {
@@ -100,7 +92,7 @@
 }
 
 auto ItemOf(const std::string& key, const std::string& entry) -> std::string {
-  return R"({"key":")" + key + R"(","value":")" + Base64(entry) +
+  return R"({"key":")" + key + R"(","value":")" + EncodeBase64(entry) +
          R"(","revision":5})";
 }
 
--- a/Utilities/Soak/store_stand_in.cc
+++ b/Utilities/Soak/store_stand_in.cc
@@ -1,12 +1,11 @@
 #include "Soak/store_stand_in.h"
 
-#include <boost/archive/iterators/base64_from_binary.hpp>
-#include <boost/archive/iterators/transform_width.hpp>
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <utility>
 
 #include "Runtime/socket.h"
+#include "Soak/base64.h"
 
 namespace hemlockwick::soak {
 
@@ -17,15 +16,6 @@
 // Items in one answer; few, so that reads take several pages.
 constexpr std::size_t kPageItems = 5;
 
-auto Base64(const std::string& bytes) -> std::string {
-  namespace iterators = boost::archive::iterators;
-  using Encoder = iterators::base64_from_binary<
-      iterators::transform_width<std::string::const_iterator, 6, 8>>;
-  auto text = std::string(Encoder(bytes.begin()), Encoder(bytes.end()));
-  text.append((4 - text.size() % 4) % 4, '=');
-  return text;
-}
-
 auto JsonReply(const Json& body) -> HttpReply {
   return {200, "application/json", body.dump()};
 }
@@ -154,7 +144,7 @@
       break;
     }
     items.push_back({{"key", key},
-                     {"value", Base64(item.value)},
+                     {"value", EncodeBase64(item.value)},
                      {"revision", item.revision}});
   }
   return JsonReply(
@@ -206,7 +196,7 @@
     if (event.deleted) {
       item["deleted"] = true;
     } else {
-      item["value"] = Base64(event.item.value);
+      item["value"] = EncodeBase64(event.item.value);
     }
     events.push_back(std::move(item));
   }
