Flow: Copy a packet only when its token is corrected

Since each packet of an open flow was copied and its token masked again, to change it in the rare case of two answered openings.

Change: CorrectedToken returns a token only when there is one to correct; all other packets go on as they came. Behaviour as before.

--- a/Source/Flow/flow_tracker.cc
+++ b/Source/Flow/flow_tracker.cc
@@ -90,15 +90,17 @@
   openings_.Add(flow.id, token, now);
 }
 
-auto FlowTracker::TokenOfFlow(const TokenPacket& packet) -> FlowToken {
-  const auto token = TokenOf(packet);
+auto FlowTracker::CorrectedToken(const TokenPacket& packet)
+    -> std::optional<FlowToken> {
   const auto* const flow = flows_.Find(FlowIdOf(packet));
-  const auto has_answered =
-      flow != nullptr && flow->answered && flow->token != kNoToken;
-  if (!has_answered || token == flow->token || token == kNoToken ||
+  if (flow == nullptr || !flow->answered || flow->token == kNoToken) {
+    return std::nullopt;
+  }
+  const auto token = TokenOf(packet);
+  if (token == flow->token || token == kNoToken ||
       std::ranges::find(flow->opening_tokens, token) ==
           flow->opening_tokens.end()) {
-    return token;
+    return std::nullopt;
   }
   events_.Add({.kind = RouterEvent::Kind::kTokenCorrected,
                .caller = packet.caller,
--- a/Source/Flow/flow_tracker.h
+++ b/Source/Flow/flow_tracker.h
@@ -37,11 +37,11 @@
   void OnOpeningForwarded(const TokenPacket& packet, FlowToken token,
                           TimePoint now);
 
-  // The token of the endpoint of an open flow. Once that has answered, it
-  // differs from the packet's when the packet names another endpoint to which a
-  // copy of the opening went: callers may repeat the token of a late reply to
-  // such a copy.
-  auto TokenOfFlow(const TokenPacket& packet) -> FlowToken;
+  // The token of the flow's endpoint when the packet names another one, to
+  // which a copy of the opening went, although the flow's endpoint has
+  // answered: the caller may repeat the token of a late reply to such a copy.
+  // Otherwise nullopt.
+  auto CorrectedToken(const TokenPacket& packet) -> std::optional<FlowToken>;
 
   // Handles a packet of an open flow of the endpoint. If the flow is to be
   // reset, which happens only with `may_reset`, returns how long its endpoint
--- a/Source/Flow/token_router.cc
+++ b/Source/Flow/token_router.cc
@@ -59,8 +59,12 @@
   if (packet.opens) {
     return Open(packet, *route, now);
   }
+  const auto token = tracker_.CorrectedToken(packet);
+  if (!token) {
+    return Continue(packet, *route, now);
+  }
   auto corrected = packet;
-  corrected.token = ToWire(tracker_.TokenOfFlow(packet), packet.service);
+  corrected.token = ToWire(*token, packet.service);
   return Continue(corrected, *route, now);
 }
 
