Flow: Log and count what tells late packets from dead endpoints

Change: log lines opening_moved and process_delayed, any_answer_ms in endpoint_silent, age_ms in resets of waiting flows, and a counter of all events of the packet path by kind. No decision changes.

--- a/Source/Edge/edge_forwarder.h
+++ b/Source/Edge/edge_forwarder.h
@@ -136,6 +136,7 @@
       mailbox_.AddLocal(observations);
     }
     for (const auto& event : router_.TakeEvents()) {
+      metrics_.CountEvent(event.kind);
       LogRouterEvent(event, router_.directory(), now);
     }
     if (router_.dropped_events() != dropped_events_) {
--- a/Source/Edge/edge_metrics.cc
+++ b/Source/Edge/edge_metrics.cc
@@ -56,6 +56,16 @@
     calls_[index] = &NewCounter("platform_calls_total", "Calls answered",
                                 {{"status", std::string(status)}});
   }
+  for (auto index = std::size_t{0}; index < events_.size(); ++index) {
+    const auto kind = ToString(static_cast<RouterEvent::Kind>(index));
+    events_[index] = &NewCounter("router_events_total",
+                                 "Decisions of the packet path by kind",
+                                 {{"kind", std::string(kind)}});
+  }
+}
+
+void EdgeMetrics::CountEvent(RouterEvent::Kind kind) {
+  Add(*events_[static_cast<std::size_t>(kind)], 1);
 }
 
 void EdgeMetrics::CountReset(ResetReason reason) {
--- a/Source/Edge/edge_metrics.h
+++ b/Source/Edge/edge_metrics.h
@@ -29,6 +29,7 @@
   void CountDropped(DropReason reason);
   void CountCall(SyncStatus status, Duration time);
   void CountIgnoredEntries(std::size_t entries) { Add(ignored_, entries); }
+  void CountEvent(RouterEvent::Kind kind);
   void CountUnanswered(std::size_t requests) { Add(unanswered_, requests); }
   void Observe(const ReplySample& sample);
   void SetDirectory(Version version, std::size_t endpoints);
@@ -60,6 +61,7 @@
   std::array<prometheus::Counter*, kResetReasonCount> resets_{};
   std::array<prometheus::Counter*, kDropReasonCount> drops_{};
   std::array<prometheus::Counter*, kSyncStatusCount> calls_{};
+  std::array<prometheus::Counter*, RouterEvent::kKindCount> events_{};
   prometheus::Histogram& opening_time_;
   prometheus::Histogram& reply_time_;
   prometheus::Histogram& call_time_;
--- a/Source/Edge/router_log.cc
+++ b/Source/Edge/router_log.cc
@@ -41,6 +41,7 @@
          kind == RouterEvent::Kind::kPacketDropped ||
          kind == RouterEvent::Kind::kTokenChanged ||
          kind == RouterEvent::Kind::kTokenCorrected ||
+         kind == RouterEvent::Kind::kOpeningMoved ||
          kind == RouterEvent::Kind::kRequestUnanswered ||
          kind == RouterEvent::Kind::kRequestAnswered;
 }
@@ -74,7 +75,8 @@
   if (!event.detail.empty()) {
     fields["reason"] = event.detail;
   }
-  if (event.kind == RouterEvent::Kind::kFlowOpened) {
+  if (event.kind == RouterEvent::Kind::kFlowOpened ||
+      event.kind == RouterEvent::Kind::kOpeningMoved) {
     fields["copy"] = std::to_string(event.copy);
   }
   if (event.kind == RouterEvent::Kind::kFlowOpened ||
@@ -87,6 +89,9 @@
   if (event.age > Duration(0)) {
     fields["age_ms"] = MillisOf(event.age);
   }
+  if (event.since_any_answer) {
+    fields["any_answer_ms"] = MillisOf(*event.since_any_answer);
+  }
   AddDirectory(directory, now, fields);
   LogBuffered(level, ToString(event.kind), fields);
 }
--- a/Source/Flow/flow_tracker.cc
+++ b/Source/Flow/flow_tracker.cc
@@ -32,6 +32,9 @@
 // have missed replies.
 constexpr Duration kMaxTickInterval = std::chrono::milliseconds(400);
 
+// A longer time between two ticks is logged: packets have waited here.
+constexpr Duration kNotableTickInterval = std::chrono::milliseconds(100);
+
 // Number of packets that a caller may send ahead of acknowledgements.
 constexpr std::uint16_t kSendWindowPackets = 16;
 
@@ -78,10 +81,18 @@
   flow.closed = false;
   flow.established = false;
   flow.answered = false;
+  const auto previous = flow.token;
   SetToken(flow, token, now);
   StopWaiting(flow);
   StartWaiting(flow, now);
   flow.last_sent_at = clock_.ElapsedAt(now);
+  if (packet.ack > 0 && previous != kNoToken && previous != token) {
+    events_.Add({.kind = RouterEvent::Kind::kOpeningMoved,
+                 .caller = packet.caller,
+                 .service = packet.service,
+                 .token = token,
+                 .copy = packet.ack});
+  }
   if (packet.ack == 0) {
     flow.opening_tokens = {};
   }
@@ -294,6 +305,7 @@
 // Records the first reply to the request that the flow waits for.
 void FlowTracker::RecordAnswer(const TrackedFlow& flow, TimePoint now) {
   const auto time = now - flow.waiting_since;
+  last_answer_ = now;
   auto& stats = StatsOf(flow.token, now);
   stats.AddReply(usual_reply_times_.Add(flow.id.service, time));
   if (reply_samples_.size() < kMaxReplySamples) {
@@ -362,6 +374,8 @@
   }
   if (!was_silent && health.IsSilent(now)) {
     event.kind = RouterEvent::Kind::kEndpointSilent;
+    event.since_any_answer =
+        last_answer_ ? std::optional(now - *last_answer_) : std::nullopt;
     events_.Add(event);
     newly_silent_.push_back(flow.token);
   }
@@ -414,6 +428,10 @@
 void FlowTracker::DetectSuspension(TimePoint now) {
   const auto previous = clock_.last_tick();
   if (previous && now - *previous <= kMaxTickInterval) {
+    if (now - *previous > kNotableTickInterval) {
+      events_.Add(
+          {.kind = RouterEvent::Kind::kDelayed, .age = now - *previous});
+    }
     return;
   }
   settled_at_ = now + kSettleTime;
@@ -437,7 +455,7 @@
       return;
     }
     if (flow.established) {
-      resets.push_back(ResetTracked(flow, ResetReason::kDeparted));
+      resets.push_back(ResetTracked(flow, ResetReason::kDeparted, Duration(0)));
     } else {
       Untrack(flow);
     }
@@ -459,20 +477,23 @@
     const auto* const route =
         is_stuck ? directory.FindRoute(flow.id.service) : nullptr;
     if (route != nullptr && route->idempotent) {
-      resets.push_back(ResetTracked(flow, ResetReason::kSilent));
+      resets.push_back(
+          ResetTracked(flow, ResetReason::kSilent, now - flow.waiting_since));
     }
   });
   return resets;
 }
 
-auto FlowTracker::ResetTracked(TrackedFlow& flow, ResetReason reason)
-    -> ResetFlow {
+// `age` is that of the input that led to the reset.
+auto FlowTracker::ResetTracked(TrackedFlow& flow, ResetReason reason,
+                               Duration age) -> ResetFlow {
   const auto reset =
       ResetFlow{flow.id.caller, flow.id.service, flow.last_ack, reason};
   events_.Add({.kind = RouterEvent::Kind::kFlowReset,
                .caller = flow.id.caller,
                .service = flow.id.service,
                .token = flow.token,
+               .age = age,
                .detail = ToString(reason)});
   Untrack(flow);
   return reset;
--- a/Source/Flow/flow_tracker.h
+++ b/Source/Flow/flow_tracker.h
@@ -120,7 +120,8 @@
   void CheckRequests(TimePoint now);
   auto ResetSilent(FlowToken token, const DirectorySnapshot& directory,
                    TimePoint now) -> std::vector<ResetFlow>;
-  auto ResetTracked(TrackedFlow& flow, ResetReason reason) -> ResetFlow;
+  auto ResetTracked(TrackedFlow& flow, ResetReason reason, Duration age)
+      -> ResetFlow;
   [[nodiscard]] auto RetryJitter(const SharedSuspect& suspect) const -> double;
 
   const InstanceId instance_;
@@ -137,7 +138,8 @@
   std::uint64_t unanswered_packets_ = 0;
   std::uint64_t unanswered_requests_ = 0;
   ObservationClock clock_;
-  std::optional<TimePoint> settled_at_;  // Nothing before the first tick.
+  std::optional<TimePoint> settled_at_;   // Nothing before the first tick.
+  std::optional<TimePoint> last_answer_;  // Of any endpoint.
   TimePoint next_sweep_;
 };
 
--- a/Source/Flow/token_types.cc
+++ b/Source/Flow/token_types.cc
@@ -30,6 +30,8 @@
       return "flow_token_changed";
     case RouterEvent::Kind::kTokenCorrected:
       return "flow_token_corrected";
+    case RouterEvent::Kind::kOpeningMoved:
+      return "opening_moved";
     case RouterEvent::Kind::kEndpointSuspected:
       return "endpoint_suspected";
     case RouterEvent::Kind::kEndpointSilent:
@@ -44,6 +46,8 @@
       return "request_answered";
     case RouterEvent::Kind::kSuspended:
       return "process_suspended";
+    case RouterEvent::Kind::kDelayed:
+      return "process_delayed";
   }
   return "unknown";
 }
--- a/Source/Flow/token_types.h
+++ b/Source/Flow/token_types.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <variant>
 
@@ -77,6 +78,7 @@
     kPacketDropped,
     kTokenChanged,       // A flow carries another token than before.
     kTokenCorrected,     // It carried that of another copy of its opening.
+    kOpeningMoved,       // A copy went to another endpoint than the one before.
     kEndpointSuspected,  // It left packets of several flows unanswered.
     kEndpointSilent,     // The endpoint counts as dead.
     kEndpointAlive,      // A suspect endpoint answered again.
@@ -84,7 +86,9 @@
     kRequestUnanswered,  // A flow's request had no answer in time.
     kRequestAnswered,    // Only while answers are reported.
     kSuspended,          // This process did not run for a while.
+    kDelayed,            // The same, too briefly to count as suspended.
   };
+  static constexpr std::size_t kKindCount = 14;
 
   Kind kind = Kind::kFlowOpened;
   SocketAddress caller{};
@@ -93,7 +97,9 @@
   std::uint32_t copy = 0;  // Of an opening: copies sent before this one.
   std::uint32_t unanswered_packets = 0;  // Of the endpoint; see EndpointHealth.
   std::uint32_t waiting = 0;
-  Duration age{0};            // Of the input that led to the event.
+  Duration age{0};  // Of the input that led to the event.
+  // Of a silent endpoint: time since any endpoint's last answer here, if any.
+  std::optional<Duration> since_any_answer{};
   std::string_view detail{};  // Reason, with static lifetime.
 };
 
