Flow: Send a copy of an opening that waited here to the same endpoint

What callers may see: a flow that two endpoints have accepted.

Cause: TokenRouter sent each copy of an opening to another endpoint, also when the copies had waited together in the socket of an instance that starts or is held up. The endpoint of the first copy had had no time to reply: a missing answer was taken for a dead endpoint. After many processes have started at once such copies are the rule, not the exception.

Change: the guard that keeps such copies from counting against the endpoint decides the endpoint too.

Test that fails before: token_router copy_of_an_opening_that_waited_here_goes_to_its_endpoint (the second copy's token differed at once); retransmitted_opening_goes_to_another_endpoint holds as before.

--- a/Source/Flow/flow_tracker.cc
+++ b/Source/Flow/flow_tracker.cc
@@ -63,16 +63,19 @@
     : instance_(instance), flows_(capacity), events_(events) {}
 
 auto FlowTracker::OnOpening(const TokenPacket& packet, TimePoint now)
-    -> FlowToken {
+    -> std::optional<EarlierCopy> {
   auto& flow = Track(packet, now);
   const auto is_copy = packet.ack > 0;
-  if (!is_copy) {
-    return kNoToken;
+  if (!is_copy || flow.token == kNoToken) {
+    return std::nullopt;
   }
-  // The caller would not have retransmitted it if the endpoint had answered.
-  flow.counted_unanswered = false;
-  RecordRetransmission(flow, UnansweredPacket::kRetransmittedOpening, now);
-  return flow.token;
+  const auto is_unanswered = HadTimeForReply(flow);
+  if (is_unanswered) {
+    // The caller would not have retransmitted it if the endpoint had answered.
+    flow.counted_unanswered = false;
+    RecordUnanswered(flow, UnansweredPacket::kRetransmittedOpening, now);
+  }
+  return EarlierCopy{flow.token, is_unanswered};
 }
 
 void FlowTracker::OnOpeningForwarded(const TokenPacket& packet, FlowToken token,
@@ -214,7 +217,9 @@
                               TimePoint now) {
   const auto end = packet.seq + packet.data_bytes;
   if (!IsBefore(flow.next_seq, end)) {
-    RecordRetransmission(flow, UnansweredPacket::kRetransmittedData, now);
+    if (HadTimeForReply(flow)) {
+      RecordUnanswered(flow, UnansweredPacket::kRetransmittedData, now);
+    }
     return;
   }
   flow.next_seq = end;
@@ -335,14 +340,11 @@
   health.RecordReply(now);
 }
 
-// Records a packet that the caller has retransmitted, unless the caller may
-// have had no reply because its packets waited here. The retransmission has
-// arrived after the last tick, when the socket was empty.
-void FlowTracker::RecordRetransmission(TrackedFlow& flow,
-                                       UnansweredPacket packet, TimePoint now) {
-  if (clock_.elapsed() - flow.last_sent_at >= kMinRetransmitInterval) {
-    RecordUnanswered(flow, packet, now);
-  }
+// Whether the caller of a retransmission that has just arrived had the time to
+// get a reply to its packet; otherwise the packets have waited here. The
+// retransmission has arrived after the last tick, when the socket was empty.
+auto FlowTracker::HadTimeForReply(const TrackedFlow& flow) const -> bool {
+  return clock_.elapsed() - flow.last_sent_at >= kMinRetransmitInterval;
 }
 
 void FlowTracker::RecordUnanswered(TrackedFlow& flow, UnansweredPacket packet,
--- a/Source/Flow/flow_tracker.h
+++ b/Source/Flow/flow_tracker.h
@@ -20,6 +20,14 @@
 
 namespace hemlockwick {
 
+// An earlier copy of an opening that this instance has forwarded.
+struct EarlierCopy {
+  FlowToken endpoint;
+  // Whether the caller had the time to get a reply; if not, the copies have
+  // waited in this instance.
+  bool is_unanswered = false;
+};
+
 // Derives the state of endpoints from the packets of their flows: open work,
 // reply times and unanswered packets. Only hints: any of it may be lost at any
 // time. Used by one traffic thread only.
@@ -29,9 +37,10 @@
   FlowTracker(InstanceId instance, std::size_t capacity,
               RouterEventBuffer& events);
 
-  // Handles an opening. Returns the endpoint that has not answered an earlier
-  // copy of it; kNoToken if there is none.
-  auto OnOpening(const TokenPacket& packet, TimePoint now) -> FlowToken;
+  // Handles an opening. Returns the endpoint of an earlier copy of it; nullopt
+  // if there is none.
+  auto OnOpening(const TokenPacket& packet, TimePoint now)
+      -> std::optional<EarlierCopy>;
 
   // Records the endpoint to which an opening was forwarded.
   void OnOpeningForwarded(const TokenPacket& packet, FlowToken token,
@@ -109,8 +118,7 @@
   void UntrackIdle(const DirectorySnapshot* directory, TimePoint now);
   void RecordAnswer(const TrackedFlow& flow, TimePoint now);
   void RecordReply(FlowToken token, TimePoint now);
-  void RecordRetransmission(TrackedFlow& flow, UnansweredPacket packet,
-                            TimePoint now);
+  [[nodiscard]] auto HadTimeForReply(const TrackedFlow& flow) const -> bool;
   void RecordUnanswered(TrackedFlow& flow, UnansweredPacket packet,
                         TimePoint now);
   void RecordSharedFailure(EndpointHealth& health, const SharedSuspect& suspect,
--- a/Source/Flow/token_router.cc
+++ b/Source/Flow/token_router.cc
@@ -70,13 +70,10 @@
 
 auto TokenRouter::Open(const TokenPacket& packet, const Route& route,
                        TimePoint now) -> TokenAction {
-  const auto flow = FlowIdOf(packet);
-  const auto tried_endpoint = tracker_.OnOpening(packet, now);
-  const auto* const endpoint = selector_.Select(
-      *directory_, tracker_.endpoint_stats(),
-      {FlowKeyOf(flow), route, settings_.data_centre, tried_endpoint}, now);
+  const auto earlier = tracker_.OnOpening(packet, now);
+  const auto* const endpoint = SelectEndpoint(packet, route, earlier, now);
   if (endpoint == nullptr) {
-    tracker_.OnEnded(flow);
+    tracker_.OnEnded(FlowIdOf(packet));
     return directory_->is_settled()
                ? Reset(packet, ResetReason::kNoEndpoint, Duration(0))
                : Drop(packet, DropReason::kNoEndpoint);
@@ -94,6 +91,26 @@
                           ToWire(endpoint->token, packet.service)};
 }
 
+// Selects the endpoint of an opening; null when there is none. A copy goes to
+// the endpoint of the earlier one, unless that one has had time to reply: a
+// flow that is opened at two endpoints may be diverted by either.
+auto TokenRouter::SelectEndpoint(const TokenPacket& packet, const Route& route,
+                                 const std::optional<EarlierCopy>& earlier,
+                                 TimePoint now) -> const DirectoryEndpoint* {
+  if (earlier && !earlier->is_unanswered) {
+    const auto resolved = directory_->Resolve(earlier->endpoint, route, now);
+    const auto* const present =
+        std::get_if<const DirectoryEndpoint*>(&resolved);
+    if (present != nullptr && (*present)->accepts_new_flows) {
+      return *present;
+    }
+  }
+  const auto tried = earlier ? earlier->endpoint : kNoToken;
+  return selector_.Select(
+      *directory_, tracker_.endpoint_stats(),
+      {FlowKeyOf(FlowIdOf(packet)), route, settings_.data_centre, tried}, now);
+}
+
 auto TokenRouter::Continue(const TokenPacket& packet, const Route& route,
                            TimePoint now) -> TokenAction {
   const auto resolved = directory_->Resolve(TokenOf(packet), route, now);
--- a/Source/Flow/token_router.h
+++ b/Source/Flow/token_router.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "Core/ids.h"
@@ -96,6 +97,10 @@
  private:
   auto Open(const TokenPacket& packet, const Route& route, TimePoint now)
       -> TokenAction;
+  [[nodiscard]] auto SelectEndpoint(const TokenPacket& packet,
+                                    const Route& route,
+                                    const std::optional<EarlierCopy>& earlier,
+                                    TimePoint now) -> const DirectoryEndpoint*;
   auto Continue(const TokenPacket& packet, const Route& route, TimePoint now)
       -> TokenAction;
   auto DecideDeparted(const TokenPacket& packet,
--- a/Tests/Flow/token_router_test.cc
+++ b/Tests/Flow/token_router_test.cc
@@ -466,6 +466,20 @@
   cr_assert_neq(first, second);
 }
 
+// An opening and its copies wait in the socket of an instance that starts or is
+// held up. Sent to two endpoints, they would open the flow at both, and the
+// caller's data could follow the token of either (issue 37).
+Test(token_router, copy_of_an_opening_that_waited_here_goes_to_its_endpoint) {
+  auto fixture = RouterFixture();
+  for (auto port = std::uint16_t{1000}; port < 1020; ++port) {
+    const auto first = TokenIn(fixture.Opening(port));
+    cr_assert_eq(TokenIn(fixture.Opening(port, 1)), first);
+    cr_assert_eq(TokenIn(fixture.Opening(port, 2)), first);
+    fixture.AdvanceWithoutTicks(5 * kMillisecond);
+  }
+  cr_assert_eq(fixture.router().unanswered_packets(), 0U);
+}
+
 // Both copies of an opening are answered. The endpoint that was not chosen
 // sends its reply again, and the caller repeats the token of that reply, the
 // last one it got (review/1 on a busy machine).
