Flow: Take an endpoint for silent only when another one answers meanwhile

Cause: answers that are missing were taken for a dead endpoint, whatever else may hold them up. When nothing passes for 0.5 s, on the link of the instance, between routers, endpoints and callers, or because callers and endpoints share a processor with a hundred starting processes, every caller sends its data again before it sees the answer. Two of them at one endpoint were enough; their flows, and all others that waited there, were reset a moment before the answers came.

Change: the order of answers decides, not a further time. An endpoint is silent only if a request that was forwarded after the unanswered ones was answered by another endpoint, at least 150 ms ago. Whatever holds up all packets holds up the later one too. The check is made at each tick, since the answer may come after the last retransmission. Where nothing else is asked, the flows wait for their entry to lapse.

Test that fails before: token_router stall_common_to_all_endpoints_resets_no_flow, for stalls of 0.2 s to 3 s. waiting_flows_of_an_unresponsive_endpoint_are_reset asked one endpoint alone, which no longer tells it from a stall; now the other endpoint answers meanwhile, and the same flows must be reset at the same time.

--- /dev/null
+++ b/Source/Flow/answered_requests.cc
@@ -0,0 +1,33 @@
+#include "Flow/answered_requests.h"
+
+#include <algorithm>
+
+namespace hemlockwick {
+
+namespace {
+
+// Answers closer together than this are recorded as one, which bounds their
+// number.
+constexpr Duration kMinInterval = std::chrono::milliseconds(10);
+
+}  // namespace
+
+void AnsweredRequests::Add(TimePoint sent_at, TimePoint now) {
+  const auto is_later = answers_.empty() || sent_at > answers_.back().sent_at;
+  if (is_later &&
+      (answers_.empty() || now - answers_.back().at >= kMinInterval)) {
+    answers_.push_back({now, sent_at});
+  }
+  while (!answers_.empty() && now - answers_.front().at > kRetention) {
+    answers_.pop_front();
+  }
+}
+
+auto AnsweredRequests::HasLaterThan(TimePoint time, TimePoint deadline) const
+    -> bool {
+  return std::ranges::any_of(answers_, [&](const Answer& answer) {
+    return answer.sent_at > time && answer.at <= deadline;
+  });
+}
+
+}  // namespace hemlockwick
--- /dev/null
+++ b/Source/Flow/answered_requests.h
@@ -0,0 +1,38 @@
+#ifndef HEMLOCKWICK_FLOW_ANSWERED_REQUESTS_H_
+#define HEMLOCKWICK_FLOW_ANSWERED_REQUESTS_H_
+
+#include <deque>
+
+#include "Core/time.h"
+
+namespace hemlockwick {
+
+// The requests that any endpoint has answered lately. An answer to a later
+// request tells an endpoint that does not answer from packets that are late for
+// all endpoints: in this instance, on its link, or at the callers.
+class AnsweredRequests {
+ public:
+  // Records an answer at `now` to a request forwarded at `sent_at`. Answers
+  // must be recorded in the order of their times.
+  void Add(TimePoint sent_at, TimePoint now);
+
+  // Whether a request forwarded after `time` was answered at `deadline` or
+  // before. Answers older than kRetention may be forgotten.
+  [[nodiscard]] auto HasLaterThan(TimePoint time, TimePoint deadline) const
+      -> bool;
+
+  static constexpr Duration kRetention = std::chrono::seconds(4);
+
+ private:
+  struct Answer {
+    TimePoint at;
+    TimePoint sent_at;
+  };
+
+  // Each was sent later than all those before it.
+  std::deque<Answer> answers_;
+};
+
+}  // namespace hemlockwick
+
+#endif  // HEMLOCKWICK_FLOW_ANSWERED_REQUESTS_H_
--- a/Source/Flow/endpoint_health.h
+++ b/Source/Flow/endpoint_health.h
@@ -68,7 +68,8 @@
 
   // Whether the endpoint counts as dead, so that waiting flows may be reset.
   // Only observations of this instance on open flows count: an endpoint that
-  // does not reply to openings may still serve its open flows.
+  // does not reply to openings may still serve its open flows. The caller has
+  // to rule out that packets are late for all endpoints; see AnsweredRequests.
   [[nodiscard]] auto IsSilent(TimePoint now) const -> bool;
 
   [[nodiscard]] auto unanswered_packets() const -> std::uint32_t {
@@ -76,6 +77,11 @@
   }
   [[nodiscard]] auto last_alive() const -> TimePoint { return last_alive_; }
 
+  // When the first of the retransmitted data was sent.
+  [[nodiscard]] auto unanswered_data_since() const -> TimePoint {
+    return unanswered_data_since_;
+  }
+
  private:
   auto CountOf(UnansweredPacket packet) -> std::uint32_t&;
   [[nodiscard]] auto SilenceTime() const -> Duration;
--- a/Source/Flow/flow_tracker.cc
+++ b/Source/Flow/flow_tracker.cc
@@ -25,6 +25,10 @@
 // A flow that has waited this long for a silent endpoint is reset.
 constexpr Duration kMinWaitBeforeReset = std::chrono::milliseconds(100);
 
+// When packets were late for all endpoints, the answers arrive together, in any
+// order; this long after the first of them all have arrived.
+constexpr Duration kAnswerSpread = std::chrono::milliseconds(150);
+
 // An endpoint that answered this recently is alive.
 constexpr Duration kAliveWindow = std::chrono::seconds(1);
 
@@ -143,7 +147,7 @@
   flow.answered = flow.answered && !has_changed;
   const auto& health = StatsOf(token, now).health;
   if (may_reset && packet.data_bytes > 0 && flow.waiting &&
-      health.IsSilent(now)) {
+      IsSilent(health, now)) {
     return now - health.last_alive();
   }
   if (packet.finishes || packet.resets) {
@@ -170,6 +174,15 @@
          now - stats->second.health.last_alive() < kAliveWindow;
 }
 
+// Whether the endpoint alone is silent: it leaves data unanswered, while a
+// request forwarded later was answered by another endpoint.
+auto FlowTracker::IsSilent(const EndpointHealth& health, TimePoint now) const
+    -> bool {
+  return health.IsSilent(now) &&
+         answered_.HasLaterThan(health.unanswered_data_since(),
+                                now - kAnswerSpread);
+}
+
 auto FlowTracker::Track(const TokenPacket& packet, TimePoint now)
     -> TrackedFlow& {
   auto& flow = flows_.FindOrAdd(FlowIdOf(packet),
@@ -311,6 +324,7 @@
 void FlowTracker::RecordAnswer(const TrackedFlow& flow, TimePoint now) {
   const auto time = now - flow.waiting_since;
   last_answer_ = now;
+  answered_.Add(flow.waiting_since, now);
   auto& stats = StatsOf(flow.token, now);
   stats.AddReply(usual_reply_times_.Add(flow.id.service, time));
   if (reply_samples_.size() < kMaxReplySamples) {
@@ -328,7 +342,7 @@
 
 void FlowTracker::RecordReply(FlowToken token, TimePoint now) {
   auto& health = StatsOf(token, now).health;
-  if (health.IsSuspect(now) || health.IsSilent(now)) {
+  if (health.IsSuspect(now) || IsSilent(health, now)) {
     events_.Add({.kind = RouterEvent::Kind::kEndpointAlive,
                  .token = token,
                  .unanswered_packets = health.unanswered_packets(),
@@ -355,7 +369,7 @@
   flow.counted_unanswered = true;
   auto& health = StatsOf(flow.token, now).health;
   const auto was_suspect = health.IsSuspect(now);
-  const auto was_silent = health.IsSilent(now);
+  const auto was_silent = IsSilent(health, now);
   if (!health.RecordUnanswered(packet, flow.waiting_since, now)) {
     return;
   }
@@ -365,21 +379,16 @@
   if (packet != UnansweredPacket::kOpening) {
     AddOnce(observations_.silent, flow.token);
   }
-  auto event = RouterEvent{.kind = RouterEvent::Kind::kEndpointSuspected,
-                           .caller = flow.id.caller,
-                           .service = flow.id.service,
-                           .token = flow.token,
-                           .unanswered_packets = health.unanswered_packets(),
-                           .age = now - health.last_alive()};
   if (!was_suspect && health.IsSuspect(now)) {
-    events_.Add(event);
+    events_.Add({.kind = RouterEvent::Kind::kEndpointSuspected,
+                 .caller = flow.id.caller,
+                 .service = flow.id.service,
+                 .token = flow.token,
+                 .unanswered_packets = health.unanswered_packets(),
+                 .age = now - health.last_alive()});
   }
-  if (!was_silent && health.IsSilent(now)) {
-    event.kind = RouterEvent::Kind::kEndpointSilent;
-    event.since_any_answer =
-        last_answer_ ? std::optional(now - *last_answer_) : std::nullopt;
-    events_.Add(event);
-    newly_silent_.push_back(flow.token);
+  if (!was_silent && packet == UnansweredPacket::kRetransmittedData) {
+    AddOnce(maybe_silent_, flow.token);
   }
 }
 
@@ -390,14 +399,31 @@
   UntrackIdle(directory, now);
   CheckOpenings(now);
   CheckRequests(now);
+  return directory == nullptr ? std::vector<ResetFlow>()
+                              : CheckSilent(*directory, now);
+}
+
+// Looks for endpoints that have become silent since the last tick. Returns the
+// resets of their flows.
+auto FlowTracker::CheckSilent(const DirectorySnapshot& directory, TimePoint now)
+    -> std::vector<ResetFlow> {
   auto resets = std::vector<ResetFlow>();
-  for (const auto token : std::exchange(newly_silent_, {})) {
-    if (directory == nullptr) {
-      continue;
+  std::erase_if(maybe_silent_, [&](FlowToken token) {
+    const auto& health = StatsOf(token, now).health;
+    if (!IsSilent(health, now)) {
+      return !health.IsSuspect(now);
     }
-    auto ended = ResetSilent(token, *directory, now);
+    events_.Add({.kind = RouterEvent::Kind::kEndpointSilent,
+                 .token = token,
+                 .unanswered_packets = health.unanswered_packets(),
+                 .age = now - health.last_alive(),
+                 .since_any_answer = last_answer_
+                                         ? std::optional(now - *last_answer_)
+                                         : std::nullopt});
+    auto ended = ResetSilent(token, directory, now);
     resets.insert(resets.end(), ended.begin(), ended.end());
-  }
+    return true;
+  });
   return resets;
 }
 
@@ -443,7 +469,7 @@
   events_.Add({.kind = RouterEvent::Kind::kSuspended, .age = now - *previous});
   openings_.Clear();
   requests_.Clear();
-  newly_silent_.clear();
+  maybe_silent_.clear();
   for (auto& [token, stats] : endpoint_stats_) {
     stats.health.Clear();
   }
--- a/Source/Flow/flow_tracker.h
+++ b/Source/Flow/flow_tracker.h
@@ -8,6 +8,7 @@
 
 #include "Core/ids.h"
 #include "Core/time.h"
+#include "Flow/answered_requests.h"
 #include "Flow/endpoint_directory.h"
 #include "Flow/endpoint_stats.h"
 #include "Flow/flow_token.h"
@@ -105,6 +106,8 @@
   }
 
  private:
+  [[nodiscard]] auto IsSilent(const EndpointHealth& health, TimePoint now) const
+      -> bool;
   auto Track(const TokenPacket& packet, TimePoint now) -> TrackedFlow&;
   void Establish(TrackedFlow& flow, const TokenPacket& packet, TimePoint now);
   void ProcessPacket(TrackedFlow& flow, const TokenPacket& packet,
@@ -126,6 +129,8 @@
   void DetectSuspension(TimePoint now);
   void CheckOpenings(TimePoint now);
   void CheckRequests(TimePoint now);
+  auto CheckSilent(const DirectorySnapshot& directory, TimePoint now)
+      -> std::vector<ResetFlow>;
   auto ResetSilent(FlowToken token, const DirectorySnapshot& directory,
                    TimePoint now) -> std::vector<ResetFlow>;
   auto ResetTracked(TrackedFlow& flow, ResetReason reason, Duration age)
@@ -139,7 +144,7 @@
   UsualReplyTimes usual_reply_times_;
   PendingReplies openings_;
   PendingReplies requests_;
-  std::vector<FlowToken> newly_silent_;
+  std::vector<FlowToken> maybe_silent_;  // They left data unanswered.
   EndpointObservations observations_;
   std::vector<ReplySample> reply_samples_;
   bool reports_answers_ = false;
@@ -148,6 +153,7 @@
   ObservationClock clock_;
   std::optional<TimePoint> settled_at_;   // Nothing before the first tick.
   std::optional<TimePoint> last_answer_;  // Of any endpoint.
+  AnsweredRequests answered_;
   TimePoint next_sweep_;
 };
 
--- a/Tests/Flow/token_router_test.cc
+++ b/Tests/Flow/token_router_test.cc
@@ -143,6 +143,7 @@
 
 constexpr FlowToken kFirstEndpoint = TokenOf(EndpointId(1));
 constexpr WireToken kFirst = ToWire(kFirstEndpoint, kAddress);
+constexpr WireToken kSecond = ToWire(TokenOf(EndpointId(2)), kAddress);
 
 auto ReasonOf(const TokenAction& action) -> ResetReason {
   return std::get<ResetFlow>(action).reason;
@@ -616,12 +617,18 @@
   auto fixture = RouterFixture();
   const auto waiting = fixture.OpenAt(kFirst, 1000);
   const auto other = fixture.OpenAt(kFirst, 3000);
+  const auto elsewhere = fixture.OpenAt(kSecond, 5000);
   AskAndAnswer(fixture, waiting);
   AskAndAnswer(fixture, other);
-  // Both callers send a request and retransmit it.
+  // Both callers send a request and retransmit it. The other endpoint answers a
+  // later request.
   fixture.Packet(waiting, kFirst, 101, 101, 100);
   fixture.Packet(other, kFirst, 101, 101, 100);
-  auto resets = fixture.Advance(600 * kMillisecond);
+  auto resets = fixture.Advance(20 * kMillisecond);
+  fixture.Packet(elsewhere, kSecond, 1, 1, 100);
+  fixture.Advance(20 * kMillisecond);
+  fixture.Packet(elsewhere, kSecond, 101, 101, 0);
+  fixture.Advance(560 * kMillisecond);
   fixture.Packet(waiting, kFirst, 101, 101, 100);
   const auto second = fixture.Packet(other, kFirst, 101, 101, 100);
   const auto more = fixture.Advance(20 * kMillisecond);
@@ -690,6 +697,37 @@
   cr_assert(std::holds_alternative<ForwardWithToken>(answered));
 }
 
+// Nothing reaches the callers for a while, or nothing of theirs reaches this
+// instance: each of them sends its data again before it sees the answer. Two of
+// them at one endpoint made it silent, and open flows of a sound endpoint were
+// reset (issue 37).
+Test(token_router, stall_common_to_all_endpoints_resets_no_flow) {
+  constexpr auto kStep = 40 * kMillisecond;
+  for (auto stall = 200 * kMillisecond; stall <= 3000 * kMillisecond;
+       stall += kStep) {
+    auto fixture = RouterFixture();
+    const auto port = fixture.OpenAt(kFirst, 1000);
+    const auto next = fixture.OpenAt(kFirst, port + 1);
+    const auto elsewhere = fixture.OpenAt(kSecond, next + 1);
+    AskAndAnswer(fixture, port);
+    AskAndAnswer(fixture, next);
+    fixture.Packet(port, kFirst, 101, 101, 100);
+    fixture.Packet(next, kFirst, 101, 101, 100);
+    fixture.Packet(elsewhere, kSecond, 1, 1, 100);
+    cr_assert(fixture.Advance(stall).empty());
+    for (const auto repeated : {port, next}) {
+      const auto action = fixture.Packet(repeated, kFirst, 101, 101, 100);
+      cr_assert(std::holds_alternative<ForwardWithToken>(action));
+    }
+    fixture.Packet(elsewhere, kSecond, 1, 1, 100);
+    cr_assert(fixture.Advance(20 * kMillisecond).empty());
+    fixture.Packet(elsewhere, kSecond, 101, 101, 0);
+    fixture.Packet(port, kFirst, 201, 201, 0);
+    fixture.Packet(next, kFirst, 201, 201, 0);
+    cr_assert(fixture.Advance(200 * kMillisecond).empty());
+  }
+}
+
 Test(token_router, long_request_on_a_live_endpoint_causes_no_reset) {
   auto fixture = RouterFixture();
   const auto working = fixture.OpenAt(kFirst, 1000);
