Flow: Count data of a flow opened twice against no endpoint

Change: until an endpoint has answered a flow whose opening went to several, its unanswered data is no sign against any.

Test that fails before: token_router flows_opened_twice_count_against_no_endpoint.

--- a/Source/Flow/flow_tracker.cc
+++ b/Source/Flow/flow_tracker.cc
@@ -60,6 +60,16 @@
   return static_cast<std::int32_t>(left - right) < 0;
 }
 
+// Whether the flow's opening went to several endpoints, and none has answered a
+// request of it. Its packets may go to an endpoint where it is not open.
+auto IsOwnerUnknown(const TrackedFlow& flow) -> bool {
+  const auto is_other = [&flow](FlowToken token) {
+    return token != kNoToken && token != flow.token;
+  };
+  return flow.established && !flow.answered &&
+         std::ranges::any_of(flow.opening_tokens, is_other);
+}
+
 }  // namespace
 
 FlowTracker::FlowTracker(InstanceId instance, std::size_t capacity,
@@ -367,6 +377,9 @@
     return;
   }
   flow.counted_unanswered = true;
+  if (packet == UnansweredPacket::kRetransmittedData && IsOwnerUnknown(flow)) {
+    return;
+  }
   auto& health = StatsOf(flow.token, now).health;
   const auto was_suspect = health.IsSuspect(now);
   const auto was_silent = IsSilent(health, now);
@@ -442,7 +455,9 @@
   requests_.ForEachOverdue(
       flows_, kRequestTimeout, now, [&](const TrackedFlow& flow) {
         ++unanswered_requests_;
-        AddOnce(observations_.failing, flow.token);
+        if (!IsOwnerUnknown(flow)) {
+          AddOnce(observations_.failing, flow.token);
+        }
         events_.Add({.kind = RouterEvent::Kind::kRequestUnanswered,
                      .caller = flow.id.caller,
                      .service = flow.id.service,
--- a/Tests/Flow/token_router_test.cc
+++ b/Tests/Flow/token_router_test.cc
@@ -512,6 +512,27 @@
   cr_assert_eq(EndpointIn(action), first.endpoint.value());
 }
 
+// Data that follows the token of a late reply to a copy of the opening counted
+// against the sound endpoint that does not have the flows;
+// two of them led to resets of its open flows (issue 37).
+Test(token_router, flows_opened_twice_count_against_no_endpoint) {
+  auto fixture = RouterFixture();
+  for (auto port = std::uint16_t{1000}; port < 1010; ++port) {
+    fixture.Opening(port);
+    fixture.Advance(200 * kMillisecond);
+    const auto second = TokenIn(fixture.Opening(port, 1));
+    fixture.Packet(port, second, 1, 1, 0);
+    fixture.Packet(port, second, 1, 1, 100);
+  }
+  const auto counted = fixture.router().unanswered_packets();
+  fixture.Advance(1500 * kMillisecond);
+  for (auto port = std::uint16_t{1000}; port < 1010; ++port) {
+    fixture.Packet(port, kFirst, 1, 1, 100);
+  }
+  cr_assert_eq(fixture.router().unanswered_packets(), counted);
+  cr_assert(fixture.router().TakeObservations().failing.empty());
+}
+
 // The caller uses the port again, and the new flow was opened elsewhere.
 Test(token_router, new_flow_from_a_port_used_before_follows_its_own_token) {
   auto fixture = RouterFixture();
