Flow: Try each endpoint that may have a flow opened twice

Cause: a caller repeats the token it got last. When two endpoints have accepted its opening, that may be the one where the flow is not open, from the first request on; the endpoint sends its reply again for seconds, so the token stays wrong. Since a token is corrected only after an answer, which never comes.

Change: as long as none of the endpoints has answered, a retransmission goes to the other one. The answer then shows which endpoint has the flow.

Test that fails before: token_router data_of_a_flow_opened_twice_reaches_both_endpoints.

--- a/Source/Flow/flow_tracker.cc
+++ b/Source/Flow/flow_tracker.cc
@@ -137,6 +137,22 @@
   return flow->token;
 }
 
+auto FlowTracker::OtherToken(const TokenPacket& packet)
+    -> std::optional<FlowToken> {
+  const auto* const flow = flows_.Find(FlowIdOf(packet));
+  if (flow == nullptr || !IsOwnerUnknown(*flow) || packet.data_bytes == 0 ||
+      IsBefore(flow->next_seq, packet.seq + packet.data_bytes) ||
+      !HadTimeForReply(*flow)) {
+    return std::nullopt;
+  }
+  const auto other =
+      std::ranges::find_if(flow->opening_tokens, [flow](FlowToken token) {
+        return token != kNoToken && token != flow->token;
+      });
+  return other == flow->opening_tokens.end() ? std::nullopt
+                                             : std::optional(*other);
+}
+
 auto FlowTracker::OnPacket(const TokenPacket& packet, FlowToken token,
                            bool may_reset, TimePoint now)
     -> std::optional<Duration> {
--- a/Source/Flow/flow_tracker.h
+++ b/Source/Flow/flow_tracker.h
@@ -53,6 +53,11 @@
   // Otherwise nullopt.
   auto CorrectedToken(const TokenPacket& packet) -> std::optional<FlowToken>;
 
+  // The endpoint to try instead of `packet`'s when this is a retransmission of
+  // a flow whose opening went to several endpoints and that none has answered:
+  // which of them has the flow is not known. Otherwise nullopt.
+  auto OtherToken(const TokenPacket& packet) -> std::optional<FlowToken>;
+
   // Handles a packet of an open flow of the endpoint. If the flow is to be
   // reset, which happens only with `may_reset`, returns how long its endpoint
   // has been silent.
--- a/Source/Flow/token_router.cc
+++ b/Source/Flow/token_router.cc
@@ -59,9 +59,12 @@
   if (packet.opens) {
     return Open(packet, *route, now);
   }
-  const auto token = tracker_.CorrectedToken(packet);
+  auto token = tracker_.CorrectedToken(packet);
   if (!token) {
-    return Continue(packet, *route, now);
+    token = tracker_.OtherToken(packet);
+    if (!token || directory_->Find(*token) == nullptr) {
+      return Continue(packet, *route, now);
+    }
   }
   auto corrected = packet;
   corrected.token = ToWire(*token, packet.service);
--- a/Tests/Flow/token_router_test.cc
+++ b/Tests/Flow/token_router_test.cc
@@ -512,6 +512,27 @@
   cr_assert_eq(EndpointIn(action), first.endpoint.value());
 }
 
+// The caller's data names the endpoint of the other copy from the start. It got
+// no answer there until the caller gave up (issue 37).
+Test(token_router, data_of_a_flow_opened_twice_reaches_both_endpoints) {
+  auto fixture = RouterFixture();
+  const auto first = std::get<ForwardWithToken>(fixture.Opening(1000));
+  fixture.Advance(200 * kMillisecond);
+  const auto second = std::get<ForwardWithToken>(fixture.Opening(1000, 1));
+  fixture.Packet(1000, second.token, 1, 1, 0);
+  auto action = fixture.Packet(1000, second.token, 1, 1, 100);
+  cr_assert_eq(EndpointIn(action), second.endpoint.value());
+  fixture.Advance(200 * kMillisecond);
+  action = fixture.Packet(1000, second.token, 1, 1, 100);
+  cr_assert_eq(EndpointIn(action), first.endpoint.value());
+  cr_assert_eq(TokenIn(action), first.token);
+  fixture.Advance(20 * kMillisecond);
+  // Its answer shows which endpoint has the flow.
+  fixture.Packet(1000, first.token, 101, 501, 0);
+  action = fixture.Packet(1000, second.token, 101, 501, 100);
+  cr_assert_eq(EndpointIn(action), first.endpoint.value());
+}
+
 // Data that follows the token of a late reply to a copy of the opening counted
 // against the sound endpoint that does not have the flows;
 // two of them led to resets of its open flows (issue 37).
