Flow: Defer entries of a restored store that put endpoints in use again

What callers may see: new flows at an endpoint that drains or has left (DRAIN).

Cause: a store that comes back from an older copy holds entries from before an endpoint drained or departed, and EndpointDirectory took each entry as the newest word.

Entries that are missing then may return for 2.5 s, as after an outage, and for 5 s no entry puts an endpoint in use again that is known as draining or departed: by then its writers have repeated what was lost, and what nobody writes has expired.

Tests: endpoint_directory restored_store_puts_no_draining_endpoint_in_use_again, restored_store_puts_no_departed_endpoint_in_use_again, entry_that_a_restored_store_lacks_may_return, entry_that_stays_after_a_restore_is_used_in_the_end. Before, Report put both in use at once; they use the new call, so they can't be built on the code before.

--- a/Source/Flow/endpoint_directory.cc
+++ b/Source/Flow/endpoint_directory.cc
@@ -11,6 +11,11 @@
 // again. The platform guarantees two seconds; the rest allows for a late read.
 constexpr Duration kReturnGracePeriod = std::chrono::milliseconds(2500);
 
+// Time after a restore of the platform within which its writers have repeated
+// what was lost, and the entries of endpoints that have left have expired
+// again: more than three heartbeats.
+constexpr Duration kDeferPeriod = std::chrono::seconds(5);
+
 // Departed endpoints are kept for this long; by then their flows have ended.
 constexpr Duration kDepartedRetention = std::chrono::seconds(60);
 
@@ -120,6 +125,37 @@
 }
 
 void EndpointDirectory::Report(const EndpointReport& report) {
+  if (defers_until_ && IsOutdated(report)) {
+    deferred_[report.id] = report;
+    return;
+  }
+  deferred_.erase(report.id);
+  Accept(report);
+}
+
+// Whether the report may be of a time before the endpoint drained or departed.
+auto EndpointDirectory::IsOutdated(const EndpointReport& report) const -> bool {
+  const auto found = entries_.find(report.id);
+  if (found != entries_.end()) {
+    return found->second.report.draining && !report.draining;
+  }
+  return std::ranges::any_of(departed_, [&report](const auto& endpoint) {
+    return endpoint.report.id == report.id;
+  });
+}
+
+// Accepts the deferred reports once the platform's entries are up to date.
+void EndpointDirectory::AcceptDeferred(TimePoint now) {
+  if (!defers_until_ || now < *defers_until_) {
+    return;
+  }
+  defers_until_.reset();
+  for (const auto& [endpoint, report] : std::exchange(deferred_, {})) {
+    Accept(report);
+  }
+}
+
+void EndpointDirectory::Accept(const EndpointReport& report) {
   const auto [found, is_new] = entries_.try_emplace(report.id);
   auto& entry = found->second;
   if (is_new) {
@@ -152,6 +188,7 @@
 }
 
 void EndpointDirectory::Remove(EndpointId endpoint, TimePoint now) {
+  deferred_.erase(endpoint);
   const auto found = entries_.find(endpoint);
   if (found == entries_.end() || found->second.missing) {
     return;
@@ -173,6 +210,9 @@
 
 void EndpointDirectory::RemoveOthers(
     const std::unordered_set<EndpointId>& present, TimePoint now) {
+  std::erase_if(deferred_, [&present](const auto& entry) {
+    return !present.contains(entry.first);
+  });
   for (const auto& [endpoint, entry] : entries_) {
     if (!present.contains(endpoint)) {
       Remove(endpoint, now);
@@ -201,6 +241,11 @@
   had_outage_ = true;
 }
 
+void EndpointDirectory::OnPlatformRestored(TimePoint now) {
+  OnPlatformBack(now);
+  defers_until_ = now + kDeferPeriod;
+}
+
 auto EndpointDirectory::MayStillReturn(const Entry& entry, TimePoint now) const
     -> bool {
   return !IsSettled(now) &&
@@ -216,6 +261,7 @@
 void EndpointDirectory::OnTick(TimePoint now) {
   const auto was_settled = std::exchange(is_settled_, IsSettled(now));
   changed_ = changed_ || was_settled != is_settled_;
+  AcceptDeferred(now);
   for (auto entry = entries_.begin(); entry != entries_.end();) {
     if (!entry->second.missing || MayStillReturn(entry->second, now)) {
       ++entry;
--- a/Source/Flow/endpoint_directory.h
+++ b/Source/Flow/endpoint_directory.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -118,7 +119,8 @@
 // An endpoint whose entry disappears while the platform is reachable has
 // departed. One whose entry disappears around an outage may report again until
 // kReturnGracePeriod after the outage; until then it keeps its open flows and
-// accepts no new ones.
+// accepts no new ones. After the platform was restored from an older copy, its
+// entries may also be those of endpoints that have drained or departed since.
 class EndpointDirectory {
  public:
   // Adds or updates the endpoint of a report that the platform holds.
@@ -146,6 +148,11 @@
   // Records that an outage of the platform, however short, ended at `end`.
   void OnPlatformBack(TimePoint end);
 
+  // Records that the platform has come back with an older state at `now`. Until
+  // its writers have repeated what is lost, no entry puts an endpoint in use
+  // again that has drained or departed.
+  void OnPlatformRestored(TimePoint now);
+
   // Moves missing endpoints to the departed ones once they can no longer
   // return.
   void OnTick(TimePoint now);
@@ -178,6 +185,9 @@
 
   void AddEvent(DirectoryEvent::Kind kind, EndpointId endpoint);
   void UpdateIndex(const Entry& entry);
+  void Accept(const EndpointReport& report);
+  [[nodiscard]] auto IsOutdated(const EndpointReport& report) const -> bool;
+  void AcceptDeferred(TimePoint now);
   [[nodiscard]] auto IsSettled(TimePoint now) const -> bool;
   [[nodiscard]] auto MayStillReturn(const Entry& entry, TimePoint now) const
       -> bool;
@@ -191,6 +201,10 @@
   bool had_outage_ = false;
   bool is_settled_ = true;
   TimePoint outage_end_;
+  // After the platform was restored: until when older reports are deferred, and
+  // those reports.
+  std::optional<TimePoint> defers_until_;
+  std::unordered_map<EndpointId, EndpointReport> deferred_;
   bool changed_ = false;
   std::uint64_t sequence_ = 0;
 };
--- a/Tests/Flow/endpoint_directory_test.cc
+++ b/Tests/Flow/endpoint_directory_test.cc
@@ -105,6 +105,82 @@
                      DirectoryEvent::Kind::kEndpointDeparted));
 }
 
+// The store has come back from a copy that lacks the entry; its endpoint writes
+// it again within seconds.
+Test(endpoint_directory, entry_that_a_restored_store_lacks_may_return) {
+  auto directory = EndpointDirectory();
+  directory.Report(MakeReport(1));
+  directory.OnPlatformRestored(kNow);
+  directory.RemoveOthers({}, kNow);
+  directory.OnTick(kNow + 2 * kSecond);
+  const auto token = TokenOf(EndpointId(1));
+  cr_assert_not_null(directory.TakeSnapshot(kNow)->Find(token));
+  directory.OnTick(kNow + 3 * kSecond);
+  cr_assert_null(directory.TakeSnapshot(kNow)->Find(token));
+}
+
+auto EligibleAt(EndpointDirectory& directory, TimePoint now) -> std::size_t {
+  directory.OnTick(now);
+  const auto snapshot = directory.TakeSnapshot(now);
+  return snapshot->EligibleEndpointsOf(kService).size();
+}
+
+// The copy is older than the endpoint's report that it drains; new flows would
+// reach an endpoint that is about to stop (issue 37).
+Test(endpoint_directory,
+     restored_store_puts_no_draining_endpoint_in_use_again) {
+  auto directory = EndpointDirectory();
+  auto draining = MakeReport(1);
+  draining.draining = true;
+  directory.Report(draining);
+  directory.OnPlatformRestored(kNow);
+  directory.Report(MakeReport(1));
+  cr_assert_eq(EligibleAt(directory, kNow), 0U);
+  directory.Report(draining);
+  cr_assert_eq(EligibleAt(directory, kNow + 60 * kSecond), 0U);
+}
+
+// The same for an endpoint that has left since the copy was made; its entry
+// expires again.
+Test(endpoint_directory,
+     restored_store_puts_no_departed_endpoint_in_use_again) {
+  auto directory = EndpointDirectory();
+  directory.Report(MakeReport(1));
+  directory.Report(MakeReport(2));
+  directory.Remove(EndpointId(1), kNow);
+  directory.OnTick(kNow);
+  directory.OnPlatformRestored(kNow);
+  directory.Report(MakeReport(1));
+  cr_assert_eq(EligibleAt(directory, kNow), 1U);
+  directory.Remove(EndpointId(1), kNow + 4 * kSecond);
+  cr_assert_eq(EligibleAt(directory, kNow + 60 * kSecond), 1U);
+}
+
+// One whose entry does not expire runs: it has started again under its id.
+Test(endpoint_directory, entry_that_stays_after_a_restore_is_used_in_the_end) {
+  auto directory = EndpointDirectory();
+  auto draining = MakeReport(1);
+  draining.draining = true;
+  directory.Report(draining);
+  directory.Report(MakeReport(2));
+  directory.Remove(EndpointId(2), kNow);
+  directory.OnTick(kNow);
+  directory.OnPlatformRestored(kNow);
+  directory.Report(MakeReport(1));
+  directory.Report(MakeReport(2));
+  directory.RemoveOthers({EndpointId(1), EndpointId(2)}, kNow);
+  cr_assert_eq(EligibleAt(directory, kNow + 4 * kSecond), 0U);
+  cr_assert_eq(EligibleAt(directory, kNow + 6 * kSecond), 2U);
+}
+
+Test(endpoint_directory, restore_changes_no_route_in_force) {
+  auto directory = EndpointDirectory();
+  directory.Publish(MakeRoutes(5), kNow);
+  directory.OnPlatformRestored(kNow);
+  cr_assert_not(directory.Publish(MakeRoutes(4), kNow));
+  cr_assert(directory.Publish(MakeRoutes(6), kNow + kSecond));
+}
+
 Test(endpoint_directory, nothing_departs_while_the_platform_is_lost) {
   auto directory = EndpointDirectory();
   directory.Report(MakeReport(1));
