--- a/Source/Edge/directory_history.cc
+++ b/Source/Edge/directory_history.cc
@@ -19,11 +19,15 @@
   if (update.routes != nullptr) {
     AddRoutes(update.routes);
   }
-  if (update.is_whole) {
-    ReplaceAll(update, now);
+  const auto before = all_.position;
+  if (!update.is_whole && update.position <= before) {
     return;
   }
-  if (update.revision <= all_.revision) {
+  if (update.position.era != before.era) {
+    former_era_end_ = before;
+  }
+  if (update.is_whole) {
+    ReplaceAll(update, now);
     return;
   }
   all_.Append(update);
@@ -36,15 +40,18 @@
 // Otherwise one full read by this instance would force a full read by every
 // instance that watches it.
 void DirectoryHistory::ReplaceAll(const DirectoryUpdate& whole, TimePoint now) {
-  const auto is_first = !all_.is_whole;
+  // After a lower position no change could be told from an earlier one.
+  const auto continues = all_.is_whole && whole.position >= all_.position;
   auto difference = DifferenceOf(all_, whole);
-  auto routes = whole.routes != nullptr ? whole.routes : all_.routes;
+  // A store that was restored may hold older routes than those in force.
+  auto routes = difference.routes != nullptr ? whole.routes : all_.routes;
   all_ = whole;
   all_.routes = std::move(routes);
-  if (is_first) {
-    complete_after_ = whole.revision;
-  } else {
+  if (continues) {
     AddChange(std::move(difference), now);
+  } else {
+    complete_after_ = whole.position;
+    changes_.clear();
   }
 }
 
@@ -52,23 +59,37 @@
   changes_.push_back({now, std::move(change)});
   while (changes_.size() > kMaxChanges ||
          now - changes_.front().at > kRetention) {
-    complete_after_ = changes_.front().update.revision;
+    complete_after_ = changes_.front().update.position;
     changes_.pop_front();
   }
 }
 
-auto DirectoryHistory::Since(Revision after) const
+// Whether this directory passed from the position's era to the present one at
+// that position or later. If not, whoever holds the position has seen changes
+// that this directory never had.
+auto DirectoryHistory::HasLeftEraAfter(Position position) const -> bool {
+  return position.era == former_era_end_.era && position <= former_era_end_;
+}
+
+auto DirectoryHistory::Since(Position after) const
     -> std::optional<DirectoryUpdate> {
-  if (after < complete_after_) {
+  if (after.era == Era()) {
+    after.era = all_.position.era;
+  }
+  const auto is_former = after.era < all_.position.era;
+  if (after < complete_after_ || (is_former && !HasLeftEraAfter(after))) {
     return std::nullopt;
   }
   auto merger = UpdateMerger();
   for (auto change = changes_.rbegin();
-       change != changes_.rend() && change->update.revision > after; ++change) {
+       change != changes_.rend() && change->update.position > after; ++change) {
     merger.AddOlder(change->update);
   }
   auto result = merger.Take();
-  result.revision = std::max(after, all_.revision);
+  result.position = all_.position;
+  if (after.era == all_.position.era) {
+    result.position = std::max(after, all_.position);
+  }
   return result;
 }
 
--- a/Source/Edge/directory_history.h
+++ b/Source/Edge/directory_history.h
@@ -11,22 +11,27 @@
 namespace hemlockwick {
 
 // The directory of endpoints and its recent changes, from which a relay answers
-// the instances that watch it.
+// the instances that watch it. The changes may lead from one era to the next.
 class DirectoryHistory {
  public:
   // Records an update that this instance has received. A change that is not
   // newer than the directory is ignored; a whole update replaces it.
   void Add(const DirectoryUpdate& update, TimePoint now);
 
-  // The changes after a revision, merged into one update; nullopt when some of
-  // them have been discarded.
-  [[nodiscard]] auto Since(Revision after) const
+  // The changes after a position, merged into one update; nullopt when some of
+  // them are not known. An era of zero is taken for the present one.
+  [[nodiscard]] auto Since(Position after) const
       -> std::optional<DirectoryUpdate>;
 
   // The complete directory, as one whole update.
   [[nodiscard]] auto All() const -> const DirectoryUpdate& { return all_; }
 
-  [[nodiscard]] auto revision() const -> Revision { return all_.revision; }
+  [[nodiscard]] auto position() const -> Position { return all_.position; }
+
+  // The routes in force; null before the first ones.
+  [[nodiscard]] auto routes() const -> std::shared_ptr<const RouteSet> {
+    return all_.routes;
+  }
 
   // The routes of a recent version; null when they have been discarded.
   [[nodiscard]] auto RoutesOf(Version version) const
@@ -39,11 +44,13 @@
   };
 
   void ReplaceAll(const DirectoryUpdate& whole, TimePoint now);
+  [[nodiscard]] auto HasLeftEraAfter(Position position) const -> bool;
   void AddChange(DirectoryUpdate change, TimePoint now);
   void AddRoutes(std::shared_ptr<const RouteSet> routes);
 
   DirectoryUpdate all_;
-  Revision complete_after_;  // All later changes are retained.
+  Position complete_after_;  // All later changes are retained.
+  Position former_era_end_;  // Last position in the era before this one.
   std::deque<Change> changes_;
   std::deque<std::shared_ptr<const RouteSet>> routes_;
 };
--- a/Source/Edge/directory_replica.cc
+++ b/Source/Edge/directory_replica.cc
@@ -33,20 +33,27 @@
   RecordOutage(answer, called_at, now);
   sync_.SetLocalWatchers(relay_.LocalWatchers());
   const auto upstream = UpstreamName();
+  const auto before = sync_.position();
   const auto is_accepted = sync_.OnAnswer(answer, now);
   if (answer.status == SyncStatus::kOk && !is_accepted) {
-    // The update is outdated, or it came through a loop of relays or too many
-    // of them.
-    LogBuffered(
-        LogLevel::kWarning, "directory_answer_refused",
-        {{"upstream", upstream},
-         {"answer_revision", std::to_string(answer.update.revision.value())},
-         {"revision", std::to_string(sync_.revision().value())},
-         {"relays_above", std::to_string(answer.advice.path.size())}});
+    // The update is outdated, it follows another era than the directory held,
+    // or it came through a loop of relays or too many of them.
+    const auto& position = answer.update.position;
+    LogBuffered(LogLevel::kWarning, "directory_answer_refused",
+                {{"upstream", upstream},
+                 {"answer_era", std::to_string(position.era.value())},
+                 {"answer_revision", std::to_string(position.revision.value())},
+                 {"era", std::to_string(before.era.value())},
+                 {"revision", std::to_string(before.revision.value())},
+                 {"relays_above", std::to_string(answer.advice.path.size())}});
   }
   LogConnectivity(answer, error);
   LogParent(answer);
   if (is_accepted) {
+    const auto is_first = before == Position();
+    if (!is_first && sync_.position().era != before.era) {
+      OnNewEra(before, now);
+    }
     Apply(answer.update, now);
     relay_.AddUpstreamSuspects(answer.suspects, now);
     relay_.Add(answer.update, now);
@@ -63,6 +70,32 @@
   Publish(now);
 }
 
+// The platform has lost changes that it had confirmed. Their writers repeat
+// them soon; until then entries are missing, and others are older than those
+// known here.
+void DirectoryReplica::OnNewEra(Position before, TimePoint now) {
+  outage_end_ = now;
+  directory_.OnPlatformRestored(now);
+  const auto position = sync_.position();
+  Log(LogLevel::kWarning, "platform_restored",
+      {{"era", std::to_string(position.era.value())},
+       {"revision", std::to_string(position.revision.value())},
+       {"era_before", std::to_string(before.era.value())},
+       {"revision_before", std::to_string(before.revision.value())}});
+}
+
+void DirectoryReplica::LogOlderRoutes(const DirectoryUpdate& update) {
+  const auto in_force = directory_.routes();
+  if (update.routes != nullptr && in_force != nullptr &&
+      update.routes->version < in_force->version) {
+    LogBuffered(
+        LogLevel::kWarning, "older_routes_ignored",
+        {{"version", std::to_string(in_force->version.value())},
+         {"answer_version", std::to_string(update.routes->version.value())},
+         {"era", std::to_string(update.position.era.value())}});
+  }
+}
+
 void DirectoryReplica::Apply(const DirectoryUpdate& update, TimePoint now) {
   auto present = std::unordered_set<EndpointId>(update.unreadable.begin(),
                                                 update.unreadable.end());
@@ -79,6 +112,7 @@
   if (update.is_whole) {
     directory_.RemoveOthers(present, now);
   }
+  LogOlderRoutes(update);
   if (update.routes != nullptr) {
     directory_.Publish(update.routes, now);
   }
@@ -86,7 +120,7 @@
     metrics_.CountIgnoredEntries(update.ignored);
     Log(LogLevel::kWarning, "directory_entries_ignored",
         {{"count", std::to_string(update.ignored)},
-         {"revision", std::to_string(update.revision.value())}});
+         {"revision", std::to_string(update.position.revision.value())}});
   }
 }
 
@@ -128,11 +162,12 @@
     LogBuffered(LogLevel::kInfo, "directory_call_succeeded",
                 {{"upstream", UpstreamName()}});
   } else {
-    LogBuffered(LogLevel::kWarning, "directory_call_failed",
-                {{"upstream", UpstreamName()},
-                 {"status", std::string(ToString(answer.status))},
-                 {"error", error},
-                 {"revision", std::to_string(sync_.revision().value())}});
+    LogBuffered(
+        LogLevel::kWarning, "directory_call_failed",
+        {{"upstream", UpstreamName()},
+         {"status", std::string(ToString(answer.status))},
+         {"error", error},
+         {"revision", std::to_string(sync_.position().revision.value())}});
   }
 }
 
@@ -163,11 +198,12 @@
   const auto parent =
       logged_parent_ ? ToString(*logged_parent_) : std::string("none");
   metrics_.SetRelaysAbove(sync_.path().size());
-  LogBuffered(LogLevel::kInfo, "directory_upstream",
-              {{"upstream", parent},
-               {"relays_above", std::to_string(sync_.path().size())},
-               {"answer_age_ms", std::to_string(ToMillis(answer.age))},
-               {"revision", std::to_string(sync_.revision().value())}});
+  LogBuffered(
+      LogLevel::kInfo, "directory_upstream",
+      {{"upstream", parent},
+       {"relays_above", std::to_string(sync_.path().size())},
+       {"answer_age_ms", std::to_string(ToMillis(answer.age))},
+       {"revision", std::to_string(sync_.position().revision.value())}});
 }
 
 auto DirectoryReplica::RelayStateAt(TimePoint now) const -> RelayState {
@@ -189,7 +225,7 @@
         LogLevel::kInfo, "directory_read",
         {{"endpoints", std::to_string(directory_.size())},
          {"version", std::to_string(directory_.routes()->version.value())},
-         {"revision", std::to_string(sync_.revision().value())}});
+         {"revision", std::to_string(sync_.position().revision.value())}});
     return;
   }
   LogDirectoryEvents(events);
--- a/Source/Edge/directory_replica.h
+++ b/Source/Edge/directory_replica.h
@@ -64,6 +64,8 @@
 
  private:
   void Apply(const DirectoryUpdate& update, TimePoint now);
+  void OnNewEra(Position before, TimePoint now);
+  void LogOlderRoutes(const DirectoryUpdate& update);
   void RecordOutage(const SyncAnswer& answer, TimePoint called_at,
                     TimePoint now);
   void LogCall(const SyncAnswer& answer, const std::string& error);
--- a/Source/Edge/directory_sync.cc
+++ b/Source/Edge/directory_sync.cc
@@ -89,7 +89,8 @@
       answer.status == SyncStatus::kOk && IsAcceptable(answer);
   if (is_accepted) {
     OnSuccess(upstream, answer, now);
-  } else if (answer.status == SyncStatus::kHistoryLost) {
+  } else if (answer.status == SyncStatus::kHistoryLost ||
+             IsOfOtherEra(answer)) {
     has_read_ = false;
     Schedule(now, now);
   } else {
@@ -99,6 +100,22 @@
   return is_accepted;
 }
 
+// Whether the platform has answered a watch from another era than that of the
+// directory held. Revisions have been given out again since, so changes may be
+// missing before those that it lists.
+auto DirectorySync::IsOfOtherEra(const SyncAnswer& answer) const -> bool {
+  return !next_.relay && answer.status == SyncStatus::kOk &&
+         !answer.update.is_whole && answer.update.position.era != position_.era;
+}
+
+// Whether the update is older than the directory held. The platform's answers
+// to successive calls show its present era; a relay may still be in an earlier
+// one, and one of an earlier version does not tell it.
+auto DirectorySync::IsOlder(const DirectoryUpdate& update) const -> bool {
+  const auto is_new_era = !next_.relay && update.position.era != position_.era;
+  return !is_new_era && update.position < position_;
+}
+
 // Rejects updates that are older than the directory held: from an outdated
 // relay, or from a duplicate of an earlier answer, endpoints that have left
 // would return. Also rejects updates that have passed this instance already,
@@ -107,10 +124,10 @@
 // from its previous process.
 auto DirectorySync::IsAcceptable(const SyncAnswer& answer) const -> bool {
   const auto& path = answer.advice.path;
-  const auto is_older = answer.update.revision < revision_;
   const auto is_loop =
       has_read_ && std::ranges::find(path, settings_.own_relay) != path.end();
-  return !is_older && !is_loop && path.size() <= kMaxPathLength;
+  return !IsOlder(answer.update) && !IsOfOtherEra(answer) && !is_loop &&
+         path.size() <= kMaxPathLength;
 }
 
 void DirectorySync::OnSuccess(Upstream& upstream, const SyncAnswer& answer,
@@ -118,7 +135,7 @@
   upstream.failures = 0;
   has_read_ = true;
   platform_has_failed_ = false;
-  revision_ = std::max(revision_, answer.update.revision);
+  position_ = answer.update.position;
   last_fresh_ = std::max(last_fresh_, now - answer.age);
   last_answer_from_platform_ = !upstream.relay;
   is_root_ = last_answer_from_platform_ && !answer.update.is_whole;
@@ -277,7 +294,7 @@
   next_.timeout = upstream.relay ? kRelayTimeout : kPlatformTimeout;
   if (has_read_) {
     next_.kind = SyncCall::Kind::kWatch;
-    next_.after = revision_;
+    next_.after = position_;
     next_.wait = WaitAt(upstream, now);
     next_.timeout += next_.wait;
   }
--- a/Source/Edge/directory_sync.h
+++ b/Source/Edge/directory_sync.h
@@ -56,7 +56,7 @@
   Kind kind = Kind::kReadAll;
   std::optional<SocketAddress> relay;  // nullopt: the platform.
   TimePoint at;                        // Earliest time of the call.
-  Revision after;                      // Of a watch: the revision held.
+  Position after;                      // Of a watch: the position held.
   Duration wait{0};                    // Of a watch: its maximum hold time.
   Duration timeout{0};                 // The call fails after this time.
 };
@@ -74,7 +74,9 @@
 // Decides when to call which upstream for the directory of endpoints: the
 // platform, or a relay, which is an instance that passes the directory on.
 // Relays and the platform count the same revisions, so a watch may move from
-// one to another. Each call has to be answered by OnAnswer before the next one
+// one to another. When the platform answers from another era, the whole
+// directory is read again; a relay passes on what has changed between two eras.
+// Each call has to be answered by OnAnswer before the next one
 // is made.
 //
 // A starting instance reads the whole directory from the platform. From then on
@@ -105,8 +107,8 @@
   // Whether no upstream has given an up-to-date answer for some time.
   [[nodiscard]] auto is_lost() const -> bool { return is_lost_; }
 
-  // Revision of the directory that this instance has received.
-  [[nodiscard]] auto revision() const -> Revision { return revision_; }
+  // Position of the directory that this instance has received.
+  [[nodiscard]] auto position() const -> Position { return position_; }
 
   // Latest time at which the platform is known to have answered this instance
   // or a relay above it.
@@ -123,6 +125,8 @@
   }
 
  private:
+  [[nodiscard]] auto IsOfOtherEra(const SyncAnswer& answer) const -> bool;
+  [[nodiscard]] auto IsOlder(const DirectoryUpdate& update) const -> bool;
   [[nodiscard]] auto IsAcceptable(const SyncAnswer& answer) const -> bool;
   void OnFailure(Upstream& upstream, TimePoint now);
   void OnSuccess(Upstream& upstream, const SyncAnswer& answer, TimePoint now);
@@ -143,7 +147,7 @@
   Random random_;
   UpstreamList upstreams_;
   SyncCall next_;
-  Revision revision_;
+  Position position_;
   bool has_read_ = false;
   bool is_lost_ = false;
   // Looking for a relay that is up to date; the platform is called last.
--- a/Source/Edge/directory_update.cc
+++ b/Source/Edge/directory_update.cc
@@ -30,7 +30,7 @@
   if (merged_.routes == nullptr) {
     merged_.routes = older.routes;
   }
-  merged_.revision = std::max(merged_.revision, older.revision);
+  merged_.position = std::max(merged_.position, older.position);
   merged_.ignored += older.ignored;
 }
 
@@ -45,7 +45,7 @@
       after, [&present](EndpointId endpoint) { present.insert(endpoint); });
 
   auto difference = DirectoryUpdate();
-  difference.revision = after.revision;
+  difference.position = after.position;
   for (const auto& report : after.reports) {
     const auto found = known.find(report.id);
     if (found == known.end() || *found->second != report) {
--- a/Source/Edge/directory_update.h
+++ b/Source/Edge/directory_update.h
@@ -1,6 +1,7 @@
 #ifndef HEMLOCKWICK_EDGE_DIRECTORY_UPDATE_H_
 #define HEMLOCKWICK_EDGE_DIRECTORY_UPDATE_H_
 
+#include <compare>
 #include <cstddef>
 #include <memory>
 #include <unordered_set>
@@ -12,14 +13,28 @@
 
 namespace hemlockwick {
 
-// Position in the platform's history of changes.
+// Number of a change in the platform's history.
 using Revision = StrongId<struct RevisionTag>;
 
+// Number of the platform's history. It rises when the platform has lost changes
+// that it had confirmed, for example because its store was restored from a
+// copy: from then on revisions are given out again. Zero: not told.
+using Era = StrongId<struct EraTag>;
+
+// Position in the platform's changes. Revisions of two eras do not compare.
+struct Position {
+  Era era;
+  Revision revision;
+
+  friend constexpr auto operator<=>(const Position&, const Position&)
+      -> std::strong_ordering = default;
+};
+
 // Changes of the platform's directory of endpoints up to a revision. Lists each
 // endpoint once, with its latest state.
 struct DirectoryUpdate {
   bool is_whole = false;  // The complete directory instead of changes.
-  Revision revision;      // The next watch continues from here.
+  Position position;      // The next watch continues from here.
   std::vector<EndpointReport> reports;
   std::vector<EndpointId> removed;
   // Endpoints whose entry could not be decoded.
--- a/Source/Edge/http_connection.cc
+++ b/Source/Edge/http_connection.cc
@@ -38,11 +38,13 @@
 class HttpConnection::Session
     : public std::enable_shared_from_this<HttpConnection::Session> {
  public:
-  Session(asio::io_context& context, const SocketAddress& address)
+  Session(asio::io_context& context, const SocketAddress& address,
+          std::string header)
       : stream_(context),
         endpoint_(asio::ip::address_v4(address.ip.value()),
                   address.port.value()),
-        host_(ToString(address)) {}
+        host_(ToString(address)),
+        header_(std::move(header)) {}
 
   // Whether the next call may use this connection. Closes it when unexpected
   // bytes have arrived, for example a duplicate of an answer: they would be
@@ -131,12 +133,13 @@
     }
     Answer({static_cast<int>(response.result_int()),
             std::move(response.body()),
-            {}});
+            {},
+            header_.empty() ? std::string() : std::string(response[header_])});
   }
 
   void Fail(const char* step, const beast::error_code& error) {
     Close();
-    Answer({0, {}, std::string(step) + ": " + error.message()});
+    Answer({0, {}, std::string(step) + ": " + error.message(), {}});
   }
 
   void CloseOnUnexpectedData() {
@@ -161,6 +164,7 @@
   beast::tcp_stream stream_;
   const asio::ip::tcp::endpoint endpoint_;
   const std::string host_;
+  const std::string header_;
   bool is_open_ = false;
   beast::flat_buffer buffer_;
   http::request<http::empty_body> request_;
@@ -169,8 +173,8 @@
 };
 
 HttpConnection::HttpConnection(asio::io_context& context,
-                               const SocketAddress& address)
-    : context_(context), address_(address) {}
+                               const SocketAddress& address, std::string header)
+    : context_(context), address_(address), header_(std::move(header)) {}
 
 HttpConnection::~HttpConnection() {
   if (session_ != nullptr) {
@@ -181,7 +185,7 @@
 void HttpConnection::Get(const std::string& target, Duration timeout,
                          OnAnswer on_answer) {
   if (session_ == nullptr || !session_->IsUsable()) {
-    session_ = std::make_shared<Session>(context_, address_);
+    session_ = std::make_shared<Session>(context_, address_, header_);
   }
   session_->Get(target, timeout, std::move(on_answer));
 }
--- a/Source/Edge/http_connection.h
+++ b/Source/Edge/http_connection.h
@@ -15,7 +15,8 @@
 struct HttpAnswer {
   int status = 0;
   std::string body;
-  std::string error;  // The reason when the status is 0.
+  std::string error;   // The reason when the status is 0.
+  std::string header;  // Value of the header to read; empty when there is none.
 };
 
 // A persistent HTTP client connection. One call at a time; all functions run on
@@ -24,8 +25,9 @@
  public:
   using OnAnswer = std::function<void(HttpAnswer)>;
 
-  HttpConnection(boost::asio::io_context& context,
-                 const SocketAddress& address);
+  // Each answer has the value of `header`, when that is the name of one.
+  HttpConnection(boost::asio::io_context& context, const SocketAddress& address,
+                 std::string header = {});
   ~HttpConnection();
   HttpConnection(const HttpConnection&) = delete;
   auto operator=(const HttpConnection&) -> HttpConnection& = delete;
@@ -39,6 +41,7 @@
 
   boost::asio::io_context& context_;
   const SocketAddress address_;
+  const std::string header_;
   std::shared_ptr<Session> session_;
 };
 
--- a/Source/Edge/http_listener.cc
+++ b/Source/Edge/http_listener.cc
@@ -73,6 +73,9 @@
     response_.version(request_.version());
     response_.result(static_cast<unsigned>(reply.status));
     response_.set(http::field::content_type, reply.content_type);
+    for (const auto& [name, value] : reply.headers) {
+      response_.set(name, value);
+    }
     response_.keep_alive(request_.keep_alive());
     response_.body() = std::move(reply.body);
     response_.prepare_payload();
--- a/Source/Edge/http_listener.h
+++ b/Source/Edge/http_listener.h
@@ -5,6 +5,8 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "Core/error.h"
 #include "Core/net_address.h"
@@ -16,6 +18,7 @@
   int status = 200;
   std::string content_type = "text/plain";
   std::string body;
+  std::vector<std::pair<std::string, std::string>> headers{};  // Further ones.
 };
 
 // HTTP server for GET requests with short answers, on one address. Runs on the
--- a/Source/Edge/relay_call.cc
+++ b/Source/Edge/relay_call.cc
@@ -79,7 +79,10 @@
                 "?version=" + std::to_string(query.version.value()) +
                 "&wait=" + std::to_string(ToMillis(query.wait));
   if (query.after) {
-    target += "&after=" + std::to_string(query.after->value());
+    target += "&after=" + std::to_string(query.after->revision.value());
+    if (query.after->era != Era()) {
+      target += "&era=" + std::to_string(query.after->era.value());
+    }
   }
   const auto& watcher = query.watcher;
   if (watcher.relay.port != Port()) {
@@ -97,9 +100,12 @@
     return std::nullopt;
   }
   auto query = RelayQuery();
+  auto era = Era();
   for (const auto& [name, value] : *fields) {
     if (name == "after") {
-      query.after = Revision(value);
+      query.after = Position{Era(), Revision(value)};
+    } else if (name == "era") {
+      era = Era(value);
     } else if (name == "version") {
       query.version = Version(value);
     } else if (name == "wait") {
@@ -115,6 +121,9 @@
       query.watcher.has_capacity = value != 0;
     }
   }
+  if (query.after) {
+    query.after->era = era;
+  }
   return query;
 }
 
--- a/Source/Edge/relay_call.h
+++ b/Source/Edge/relay_call.h
@@ -16,8 +16,9 @@
 
 // A call that reads or watches the directory at a relay.
 struct RelayQuery {
-  std::optional<Revision> after;  // nullopt: the complete directory.
-  Version version;                // Of the routes that the caller holds.
+  // nullopt: the complete directory. Earlier versions do not send the era.
+  std::optional<Position> after;
+  Version version;  // Of the routes that the caller holds.
   Duration wait{0};
   Watcher watcher;
 };
--- a/Source/Edge/relay_codec.cc
+++ b/Source/Edge/relay_codec.cc
@@ -234,7 +234,10 @@
   answer.advice = DecodeAdvice(message);
   auto& update = answer.update;
   update.is_whole = message.at("whole").get<bool>();
-  update.revision = Revision(message.at("revision").get<std::uint64_t>());
+  update.position.revision =
+      Revision(message.at("revision").get<std::uint64_t>());
+  // Earlier versions do not send it.
+  update.position.era = Era(message.value("era", std::uint64_t{0}));
   for (const auto& item : message.at("endpoints")) {
     update.reports.push_back(DecodeReport(item, now));
   }
@@ -254,13 +257,16 @@
   for (const auto& report : update.reports) {
     endpoints.push_back(EncodeReport(report, now));
   }
-  auto message = Json{{"revision", update.revision.value()},
+  auto message = Json{{"revision", update.position.revision.value()},
                       {"whole", update.is_whole},
                       {"age_ms", ToMillis(state.age)},
                       {"data_centre", state.data_centre.value()},
                       {"endpoints", std::move(endpoints)},
                       {"removed", EncodeIds(update.removed)},
                       {"unreadable", EncodeIds(update.unreadable)}};
+  if (update.position.era != Era()) {
+    message["era"] = update.position.era.value();
+  }
   if (state.since_outage) {
     message["outage_ms"] = ToMillis(*state.since_outage);
   }
--- a/Source/Edge/relay_server.cc
+++ b/Source/Edge/relay_server.cc
@@ -69,7 +69,12 @@
   if (!has_directory_) {
     return std::max(query.wait, kMinStartupHold);
   }
-  return *query.after >= history_.revision() ? query.wait : Duration(0);
+  const auto position = history_.position();
+  const auto held = query.after->era == Era()
+                        ? Position{position.era, query.after->revision}
+                        : *query.after;
+  const auto is_up_to_date = held >= position;
+  return is_up_to_date ? query.wait : Duration(0);
 }
 
 void RelayServer::AddReports(const HealthReports& reports, TimePoint now) {
@@ -170,7 +175,7 @@
   if (!query.after) {
     return Encode(history_.All(), query, advice, now);
   }
-  const auto update = history_.Since(*query.after);
+  auto update = history_.Since(*query.after);
   if (!update) {
     return {kGone, "text/plain", "the changes are no longer kept\n"};
   }
--- a/Source/Edge/relay_server.h
+++ b/Source/Edge/relay_server.h
@@ -91,7 +91,7 @@
     HttpListener::Reply reply;
   };
   // Answers with the same content are encoded once.
-  using EncodedKey = std::tuple<Revision, Version, DataCentreId>;
+  using EncodedKey = std::tuple<Position, Version, DataCentreId>;
   using Encoded = std::map<EncodedKey, std::string>;
 
   [[nodiscard]] auto HoldTimeOf(const RelayQuery& query) const -> Duration;
--- a/Source/Measure/edge_slopes.cc
+++ b/Source/Measure/edge_slopes.cc
@@ -61,7 +61,7 @@
   auto random = Random(seed);
   auto whole = DirectoryUpdate();
   whole.is_whole = true;
-  whole.revision = Revision(1);
+  whole.position.revision = Revision(1);
   for (std::uint64_t i = 0; i < endpoints; ++i) {
     whole.reports.push_back(MakeReport(random.engine()(), services));
   }
@@ -96,8 +96,8 @@
 auto TimeToCatchUp(DirectoryHistory& history, DirectoryUpdate change)
     -> double {
   change.is_whole = false;
-  change.revision = Revision(history.revision().value() + 1);
-  const auto before = history.revision();
+  change.position.revision = Revision(history.position().revision.value() + 1);
+  const auto before = history.position();
   const auto watch = Stopwatch();
   history.Add(change, kNow);
   std::ignore = history.Since(before);
--- a/Source/Measure/propagation_world.cc
+++ b/Source/Measure/propagation_world.cc
@@ -45,7 +45,7 @@
       random_(settings.seed),
       now_(kStart),
       is_cut_(settings.data_centres, false),
-      latest_{revision_, kStart},
+      latest_{version_, kStart},
       known_after_(settings.instances) {
   for (std::size_t i = 0; i < settings_.instances; ++i) {
     nodes_.push_back(std::make_unique<Node>());
@@ -107,6 +107,7 @@
       settings_.is_flat ? SocketAddress() : settings.own_relay,
       settings.data_centre,
       is_large ? settings_.large_capacity : settings_.small_capacity, true};
+  node.routes = nullptr;
   node.sync = std::make_unique<DirectorySync>(settings, ClockOf(instance));
   node.relay = std::make_unique<RelayServer>(
       self, settings.random_seed, [&node, settings](TimePoint at) {
@@ -143,7 +144,17 @@
   nodes_[instance]->is_refused = is_refused;
 }
 
-void PropagationWorld::ForgetHistory() { history_from_ = revision_; }
+void PropagationWorld::ForgetHistory() { history_from_ = position_.revision; }
+
+void PropagationWorld::Restore(std::uint64_t lost) {
+  const auto left = std::max(position_.revision.value(), lost + 1) - lost;
+  position_ = {Era(position_.era.value() + 1), Revision(left)};
+  history_from_ = std::min(history_from_, position_.revision);
+  // Connections to the platform break.
+  for (const auto& watch : std::exchange(watches_, {})) {
+    Answer(watch.instance, watch.call, now_ + kPlatformDelay, SyncAnswer());
+  }
+}
 
 void PropagationWorld::CutOff(std::size_t data_centre, bool is_cut) {
   is_cut_[data_centre] = is_cut;
@@ -154,8 +165,9 @@
 }
 
 void PropagationWorld::Change() {
-  revision_ = Revision(revision_.value() + 1);
-  latest_ = {revision_, now_};
+  position_.revision = Revision(position_.revision.value() + 1);
+  version_ = Version(version_.value() + 1);
+  latest_ = {version_, now_};
   std::ranges::fill(known_after_, std::nullopt);
   for (const auto& watch : std::exchange(watches_, {})) {
     AnswerFromPlatform(watch.instance, watch.call, watch.after);
@@ -180,7 +192,8 @@
 
 void PropagationWorld::RecordKnown(std::size_t instance) {
   auto& known = known_after_[instance];
-  if (!known && nodes_[instance]->sync->revision() >= latest_.revision) {
+  const auto& routes = nodes_[instance]->routes;
+  if (!known && routes != nullptr && routes->version >= latest_.version) {
     known = now_ - latest_.at;
   }
 }
@@ -223,6 +236,11 @@
   if (node.sync->OnAnswer(answer, now)) {
     node.relay->AddUpstreamSuspects(answer.suspects, now);
     node.relay->Add(answer.update, now);
+    const auto& routes = answer.update.routes;
+    if (routes != nullptr &&
+        (node.routes == nullptr || node.routes->version < routes->version)) {
+      node.routes = routes;
+    }
     RecordKnown(instance);
   }
   node.relay->OnTick(now);
@@ -244,9 +262,10 @@
     return;
   }
   const auto is_watch = next.kind == SyncCall::Kind::kWatch;
-  if (is_watch && next.after >= revision_ && next.wait > Duration(0)) {
-    watches_.push_back({instance, call, next.after});
-    At(now_ + next.wait, [this, instance, call, after = next.after] {
+  if (is_watch && next.after.revision >= position_.revision &&
+      next.wait > Duration(0)) {
+    watches_.push_back({instance, call, next.after.revision});
+    At(now_ + next.wait, [this, instance, call, after = next.after.revision] {
       const auto waits = std::erase_if(watches_, [&](const auto& watch) {
         return watch.instance == instance && watch.call == call;
       });
@@ -256,7 +275,8 @@
     });
     return;
   }
-  AnswerFromPlatform(instance, call, is_watch ? next.after : Revision());
+  AnswerFromPlatform(instance, call,
+                     is_watch ? next.after.revision : Revision());
 }
 
 // `after` is zero for a read of everything.
@@ -267,27 +287,27 @@
   }
   auto answer = SyncAnswer();
   answer.status = SyncStatus::kOk;
-  answer.update.revision = revision_;
+  answer.update.position = position_;
   answer.update.is_whole = after == Revision();
   if (answer.update.is_whole) {
     ++whole_reads_;
-  } else if (after < history_from_) {
+  } else if (after < history_from_ || after > position_.revision) {
     answer.status = SyncStatus::kHistoryLost;
   }
-  if (after < revision_) {
-    answer.update.routes = RoutesAt(revision_);
+  if (after < position_.revision) {
+    answer.update.routes = RoutesAt(version_);
   }
   Answer(instance, call, now_ + kPlatformDelay, std::move(answer));
 }
 
-auto PropagationWorld::RoutesAt(Revision revision) const
+auto PropagationWorld::RoutesAt(Version version) const
     -> std::shared_ptr<const RouteSet> {
   constexpr auto kRoutes = std::uint64_t{20};
   auto routes = std::make_shared<RouteSet>();
-  routes->version = Version(revision.value());
+  routes->version = version;
   // Each change removes one route and adds another.
   for (std::uint64_t i = 0; i < kRoutes; ++i) {
-    const auto number = static_cast<std::uint32_t>(revision.value() + i);
+    const auto number = static_cast<std::uint32_t>(version.value() + i);
     routes->routes.push_back(
         {{Ipv4Address(number), Port(443)}, {{ServiceId(1), 1}}});
   }
@@ -322,10 +342,10 @@
   if (next.kind == SyncCall::Kind::kWatch) {
     query.after = next.after;
   }
-  query.version = Version(node.sync->revision().value());
+  query.version = node.routes == nullptr ? Version() : node.routes->version;
   query.wait = next.wait;
   query.watcher = node.relay->Self();
-  auto base = RoutesAt(node.sync->revision());
+  auto base = node.routes;
   SendToRelay(
       instance, target, FormatQuery(query),
       [this, instance, call, target, query, base = std::move(base)] {
--- a/Source/Measure/propagation_world.h
+++ b/Source/Measure/propagation_world.h
@@ -70,6 +70,10 @@
   void SilencePlatform(bool is_silent) { is_platform_silent_ = is_silent; }
   // The platform forgets its history of changes.
   void ForgetHistory();
+
+  // The platform comes back from a copy that lacks the latest `lost` changes:
+  // they are no longer known, and their revisions are given out again.
+  void Restore(std::uint64_t lost);
   // The data centre and all else have no path to each other.
   void CutOff(std::size_t data_centre, bool is_cut);
   // Nothing arrives at `to` from `from`.
@@ -95,7 +99,7 @@
   [[nodiscard]] auto RelaysAbove(std::size_t instance) const -> std::size_t;
   [[nodiscard]] auto Watchers(std::size_t instance) const -> std::size_t;
   [[nodiscard]] auto HasDirectory(std::size_t instance) const -> bool {
-    return nodes_[instance]->sync->revision() != Revision();
+    return nodes_[instance]->sync->position() != Position();
   }
   // Time since the platform was last known to be in touch.
   [[nodiscard]] auto Age(std::size_t instance) const -> Duration;
@@ -132,8 +136,9 @@
   struct Node {
     std::unique_ptr<DirectorySync> sync;
     std::unique_ptr<RelayServer> relay;
-    std::uint64_t life = 0;  // Counts its processes.
-    std::uint64_t call = 0;  // Counts its calls.
+    std::shared_ptr<const RouteSet> routes;  // In force here.
+    std::uint64_t life = 0;                  // Counts its processes.
+    std::uint64_t call = 0;                  // Counts its calls.
     bool has_power = true;
     bool is_refused = false;
     TimePoint frozen_until;
@@ -143,7 +148,7 @@
     std::size_t reports_taken = 0;
   };
   struct Published {
-    Revision revision;
+    Version version;
     TimePoint at;
   };
   struct PlatformWatch {
@@ -169,7 +174,7 @@
   void Tick(std::size_t instance, std::uint64_t life);
   void SendReports(std::size_t instance);
   void RecordKnown(std::size_t instance);
-  [[nodiscard]] auto RoutesAt(Revision revision) const
+  [[nodiscard]] auto RoutesAt(Version version) const
       -> std::shared_ptr<const RouteSet>;
   [[nodiscard]] auto HasPath(std::size_t from, std::size_t to) const -> bool;
   [[nodiscard]] auto DelayBetween(std::size_t from, std::size_t to) -> Duration;
@@ -189,7 +194,8 @@
   std::uint64_t order_ = 0;
   std::priority_queue<Event, std::vector<Event>, IsLater> events_;
   std::vector<std::unique_ptr<Node>> nodes_;
-  Revision revision_{1};
+  Position position_{Era(1), Revision(1)};
+  Version version_{1};  // Of the routes; writers repeat it after a restore.
   Revision history_from_{1};  // Changes after it are kept.
   std::vector<PlatformWatch> watches_;
   bool is_platform_silent_ = false;
--- a/Tests/Edge/directory_propagation_test.cc
+++ b/Tests/Edge/directory_propagation_test.cc
@@ -352,6 +352,88 @@
   cr_assert_leq(world.whole_reads(), 3U);
 }
 
+// The platform's store comes back from a copy that lacks its latest changes.
+// What is published afterwards was late at every instance (issue 37).
+Test(directory_propagation, restored_store_delays_no_change) {
+  for (const auto instances : {9U, 89U, 195U}) {
+    for (const auto lost : {1U, 5U, 50U}) {
+      auto world = SettledWorld({.instances = instances, .seed = lost});
+      for (auto change = 0U; change < lost; ++change) {
+        world.Change();
+        world.RunFor(100 * kMillisecond);
+      }
+      world.Restore(lost);
+      AssertInForce(SpreadOfChange(world));
+      cr_assert_leq(world.whole_reads(), 3U);
+    }
+  }
+}
+
+// A watch may resume after a revision that has been given out again.
+Test(directory_propagation, restore_with_many_new_changes_delays_no_change) {
+  auto world = SettledWorld({.seed = 3});
+  world.SilencePlatform(true);
+  world.Restore(1);
+  for (auto change = 0; change < 5; ++change) {
+    world.Change();
+  }
+  world.RunFor(kSecond);
+  world.SilencePlatform(false);
+  world.RunFor(2 * kSecond);
+  AssertInForce(SpreadOfChange(world));
+}
+
+Test(directory_propagation, restores_in_a_row_delay_no_change) {
+  for (auto seed = std::uint64_t{1}; seed <= 3; ++seed) {
+    auto world = SettledWorld({.seed = seed});
+    for (auto round = 0; round < 3; ++round) {
+      world.Change();
+      world.RunFor(300 * kMillisecond);
+      world.Restore(1);
+      world.RunFor(300 * kMillisecond);
+    }
+    AssertInForce(SpreadOfChange(world));
+  }
+}
+
+Test(directory_propagation, restore_while_some_are_refused_delays_no_change) {
+  for (auto seed = std::uint64_t{1}; seed <= 3; ++seed) {
+    auto world = SettledWorld({.seed = seed});
+    world.Change();
+    for (std::size_t i = 0; i < 2; ++i) {
+      world.Refuse(i, true);
+    }
+    world.Restore(1);
+    AssertInForce(SpreadOfChange(world));
+    for (std::size_t i = 0; i < 2; ++i) {
+      world.Refuse(i, false);
+    }
+    world.RunFor(3 * kSecond);
+    AssertInForce(SpreadOfChange(world));
+  }
+}
+
+Test(directory_propagation, data_centre_cut_off_during_a_restore_catches_up) {
+  auto world = SettledWorld({.seed = 2});
+  world.Change();
+  world.CutOff(4, true);
+  world.RunFor(2 * kSecond);
+  world.Restore(1);
+  world.RunFor(10 * kSecond);
+  world.CutOff(4, false);
+  world.RunFor(kPropagationBound);
+  AssertInForce(SpreadOfChange(world));
+}
+
+Test(directory_propagation, restore_as_a_fleet_starts_delays_no_change) {
+  auto world = PropagationWorld({.seed = 5});
+  world.Change();
+  world.RunFor(20 * kMillisecond);
+  world.Restore(1);
+  world.RunFor(10 * kSecond);
+  AssertInForce(SpreadOfChange(world));
+}
+
 Test(directory_propagation, no_loop_of_relays_remains) {
   auto world = SettledWorld({.loss = 0.05, .seed = 6});
   for (auto round = 0; round < 10; ++round) {
--- a/Tests/Edge/directory_sync_test.cc
+++ b/Tests/Edge/directory_sync_test.cc
@@ -35,7 +35,7 @@
 auto Ok(std::uint64_t revision, Duration age = {}) -> SyncAnswer {
   auto answer = SyncAnswer();
   answer.status = SyncStatus::kOk;
-  answer.update.revision = Revision(revision);
+  answer.update.position.revision = Revision(revision);
   answer.age = age;
   return answer;
 }
@@ -66,7 +66,7 @@
   cr_assert_not(relay.next().relay.has_value());
   cr_assert(peer.next().relay.has_value());
   cr_assert_eq(peer.next().kind, SyncCall::Kind::kWatch);
-  cr_assert_eq(peer.next().after.value(), 10U);
+  cr_assert_eq(peer.next().after.revision.value(), 10U);
 }
 
 Test(directory_sync, watches_without_relays_when_there_are_none) {
@@ -253,7 +253,7 @@
   auto sync = DirectorySync(Settings(2, false, 1), kStart);
   sync.OnAnswer(Whole(10), kStart);
   sync.OnAnswer(Ok(7), kStart);
-  cr_assert_eq(sync.next().after.value(), 10U);
+  cr_assert_eq(sync.next().after.revision.value(), 10U);
 }
 
 // A duplicate of an earlier answer lists endpoints in states that are outdated.
@@ -263,7 +263,7 @@
   cr_assert(sync.OnAnswer(Ok(12), kStart));
   cr_assert(sync.OnAnswer(Ok(13), kStart));
   cr_assert_not(sync.OnAnswer(Ok(12), kStart));
-  cr_assert_eq(sync.next().after.value(), 13U);
+  cr_assert_eq(sync.next().after.revision.value(), 13U);
 }
 
 // The platform has lost its history and refuses this instance, and the relay
@@ -279,7 +279,7 @@
   cr_assert(asked.has_value());
   cr_assert_eq(sync.next().kind, SyncCall::Kind::kReadAll);
   cr_assert_not(sync.OnAnswer(Whole(15), kStart));
-  cr_assert_eq(sync.revision().value(), 20U);
+  cr_assert_eq(sync.position().revision.value(), 20U);
   cr_assert_eq(sync.next().kind, SyncCall::Kind::kReadAll);
   cr_assert(sync.next().relay != asked);
   cr_assert(sync.OnAnswer(Whole(20), kStart));
@@ -297,7 +297,7 @@
   cr_assert_eq(sync.next().kind, SyncCall::Kind::kReadAll);
   cr_assert(sync.OnAnswer(Whole(12), kStart + kSecond));
   cr_assert_eq(sync.next().kind, SyncCall::Kind::kWatch);
-  cr_assert_eq(sync.next().after.value(), 12U);
+  cr_assert_eq(sync.next().after.revision.value(), 12U);
 }
 
 Test(directory_sync, is_lost_without_an_answer_and_back_with_one) {
@@ -339,5 +339,68 @@
   cr_assert_leq(calls, 2 * kInstances * 2);
 }
 
+auto InEra(std::uint64_t era, SyncAnswer answer) -> SyncAnswer {
+  answer.update.position.era = Era(era);
+  return answer;
+}
+
+// The store came back from an older copy. Its answers had lower revisions and
+// were refused until the numbers had caught up (issue 37).
+Test(directory_sync,
+     directory_of_a_new_era_is_taken_though_its_revision_is_lower) {
+  auto sync = DirectorySync(Settings(0, false, 1), kStart);
+  cr_assert(sync.OnAnswer(InEra(1, Whole(10)), kStart));
+  cr_assert(sync.OnAnswer(InEra(1, Ok(23)), kStart));
+  sync.OnAnswer(Failed(SyncStatus::kHistoryLost), kStart);
+  cr_assert(sync.OnAnswer(InEra(2, Whole(22)), kStart));
+  cr_assert_eq(sync.next().after.era.value(), 2U);
+  cr_assert_eq(sync.next().after.revision.value(), 22U);
+}
+
+// The store has given out the revision again before the watch resumes: the
+// answer lists no change before it, and nothing else tells that some are
+// missing.
+Test(directory_sync, changes_of_a_new_era_make_the_platform_be_read_whole) {
+  auto sync = DirectorySync(Settings(3, true, 1), kStart);
+  sync.OnAnswer(InEra(1, Whole(10)), kStart);
+  cr_assert_not(sync.OnAnswer(InEra(2, Ok(30)), kStart));
+  cr_assert_eq(sync.next().kind, SyncCall::Kind::kReadAll);
+  cr_assert_not(sync.next().relay.has_value());
+  cr_assert_leq(sync.next().at, kStart);
+  cr_assert(sync.OnAnswer(InEra(2, Whole(31)), kStart));
+}
+
+// Answers of an earlier era are older, whatever their revision, and a relay of
+// an earlier version of the program does not tell its era.
+Test(directory_sync, relay_of_an_earlier_or_untold_era_is_refused) {
+  for (const auto era : {0U, 1U}) {
+    auto sync = DirectorySync(Settings(3, false, 1), kStart);
+    sync.OnAnswer(InEra(2, Whole(10)), kStart);
+    cr_assert(sync.next().relay.has_value());
+    cr_assert_not(sync.OnAnswer(InEra(era, Ok(99)), kStart));
+    cr_assert_eq(sync.position().revision.value(), 10U);
+  }
+}
+
+// A relay lists all changes between the two eras, so nothing is read again.
+Test(directory_sync, relay_may_lead_into_a_new_era) {
+  auto sync = DirectorySync(Settings(3, false, 1), kStart);
+  sync.OnAnswer(InEra(1, Whole(23)), kStart);
+  cr_assert(sync.next().relay.has_value());
+  cr_assert(sync.OnAnswer(InEra(2, Ok(12)), kStart));
+  cr_assert_eq(sync.next().kind, SyncCall::Kind::kWatch);
+  cr_assert_eq(sync.next().after.era.value(), 2U);
+  cr_assert_eq(sync.next().after.revision.value(), 12U);
+}
+
+// A store that was set up anew counts its eras from the start.
+Test(directory_sync, platform_of_a_lower_era_is_believed) {
+  auto sync = DirectorySync(Settings(0, false, 1), kStart);
+  sync.OnAnswer(InEra(7, Whole(10)), kStart);
+  cr_assert_not(sync.OnAnswer(InEra(1, Ok(50)), kStart));
+  cr_assert(sync.OnAnswer(InEra(1, Whole(5)), kStart));
+  cr_assert_eq(sync.position().era.value(), 1U);
+}
+
 }  // namespace
 }  // namespace hemlockwick
--- a/Tests/Edge/relay_test.cc
+++ b/Tests/Edge/relay_test.cc
@@ -34,10 +34,14 @@
   return routes;
 }
 
+auto At(std::uint64_t era, std::uint64_t revision) -> Position {
+  return {Era(era), Revision(revision)};
+}
+
 auto Whole(std::uint64_t revision) -> DirectoryUpdate {
   auto update = DirectoryUpdate();
   update.is_whole = true;
-  update.revision = Revision(revision);
+  update.position.revision = Revision(revision);
   update.reports = {MakeReport(1), MakeReport(2)};
   update.routes = MakeRoutes(1, 1, 100);
   return update;
@@ -45,7 +49,7 @@
 
 auto Removal(std::uint64_t revision, std::uint64_t id) -> DirectoryUpdate {
   auto update = DirectoryUpdate();
-  update.revision = Revision(revision);
+  update.position.revision = Revision(revision);
   update.removed = {EndpointId(id)};
   return update;
 }
@@ -53,7 +57,7 @@
 auto Change(std::uint64_t revision, const EndpointReport& report)
     -> DirectoryUpdate {
   auto update = DirectoryUpdate();
-  update.revision = Revision(revision);
+  update.position.revision = Revision(revision);
   update.reports = {report};
   return update;
 }
@@ -71,7 +75,7 @@
   update.Append(Change(7, MakeReport(1, true)));
   cr_assert(update.removed.empty());
   cr_assert(update.reports.at(0).draining);
-  cr_assert_eq(update.revision.value(), 7U);
+  cr_assert_eq(update.position.revision.value(), 7U);
 }
 
 Test(directory_history, gives_the_changes_after_a_revision) {
@@ -79,21 +83,21 @@
   history.Add(Whole(10), kNow);
   history.Add(Removal(12, 1), kNow);
   history.Add(Change(14, MakeReport(3)), kNow);
-  cr_assert_eq(history.Since(Revision(10))->removed.size(), 1U);
-  cr_assert(history.Since(Revision(12))->removed.empty());
-  cr_assert_eq(history.Since(Revision(12))->reports.size(), 1U);
-  cr_assert_not(history.Since(Revision(14))->has_changes());
-  cr_assert_eq(history.Since(Revision(99))->revision.value(), 99U);
+  cr_assert_eq(history.Since(At(0, 10))->removed.size(), 1U);
+  cr_assert(history.Since(At(0, 12))->removed.empty());
+  cr_assert_eq(history.Since(At(0, 12))->reports.size(), 1U);
+  cr_assert_not(history.Since(At(0, 14))->has_changes());
+  cr_assert_eq(history.Since(At(0, 99))->position.revision.value(), 99U);
 }
 
 Test(directory_history, says_when_changes_are_no_longer_kept) {
   auto history = DirectoryHistory();
   history.Add(Whole(10), kNow);
-  cr_assert_not(history.Since(Revision(9)).has_value());
+  cr_assert_not(history.Since(At(0, 9)).has_value());
   history.Add(Removal(12, 1), kNow);
   history.Add(Change(14, MakeReport(3)), kNow + 60 * kSecond);
-  cr_assert_not(history.Since(Revision(10)).has_value());
-  cr_assert(history.Since(Revision(12)).has_value());
+  cr_assert_not(history.Since(At(0, 10)).has_value());
+  cr_assert(history.Since(At(0, 12)).has_value());
 }
 
 // When the platform has lost its history, the relay reads everything again. Its
@@ -105,17 +109,17 @@
   auto again = Whole(20);
   again.reports = {MakeReport(2, true), MakeReport(3), MakeReport(4)};
   history.Add(again, kNow + kSecond);
-  const auto change = history.Since(Revision(12));
+  const auto change = history.Since(At(0, 12));
   cr_assert(change.has_value());
   cr_assert_not(change->is_whole);
-  cr_assert_eq(change->revision.value(), 20U);
+  cr_assert_eq(change->position.revision.value(), 20U);
   cr_assert(change->removed == std::vector{EndpointId(1)});
   cr_assert_eq(change->reports.size(), 2U);
   cr_assert(change->reports.at(0) == MakeReport(2, true));
   cr_assert(change->reports.at(1) == MakeReport(4));
   cr_assert_null(change->routes.get());
   // A watcher that is further behind gets both changes, each endpoint once.
-  const auto both = history.Since(Revision(10));
+  const auto both = history.Since(At(0, 10));
   cr_assert_eq(both->reports.size(), 3U);
   cr_assert_eq(both->removed.size(), 1U);
 }
@@ -127,12 +131,81 @@
   again.routes = MakeRoutes(2, 1, 50);
   again.unreadable = {EndpointId(9)};
   history.Add(again, kNow + kSecond);
-  const auto change = history.Since(Revision(10));
+  const auto change = history.Since(At(0, 10));
   cr_assert_eq(change->routes->version.value(), 2U);
   cr_assert(change->unreadable == again.unreadable);
   cr_assert(change->reports.empty());
 }
 
+auto InEra(std::uint64_t era, DirectoryUpdate update) -> DirectoryUpdate {
+  update.position.era = Era(era);
+  return update;
+}
+
+// A relay that has read a restored store ordered its changes by revision and
+// told its watchers nothing until the numbers had caught up (issue 37).
+Test(directory_history, watchers_are_led_into_a_new_era) {
+  auto history = DirectoryHistory();
+  history.Add(InEra(1, Whole(10)), kNow);
+  history.Add(InEra(1, Change(23, MakeReport(3))), kNow);
+  auto restored = InEra(2, Whole(12));
+  restored.reports = {MakeReport(1), MakeReport(2), MakeReport(4)};
+  history.Add(restored, kNow + kSecond);
+  const auto change = history.Since(At(1, 23));
+  cr_assert(change.has_value());
+  cr_assert(change->position == At(2, 12));
+  cr_assert(change->removed == std::vector{EndpointId(3)});
+  cr_assert_eq(change->reports.size(), 1U);
+  // The same revision of the new era has other changes before it.
+  history.Add(InEra(2, Change(23, MakeReport(5))), kNow + kSecond);
+  cr_assert(history.Since(At(2, 12))->reports == std::vector{MakeReport(5)});
+  cr_assert_eq(history.Since(At(1, 23))->reports.size(), 2U);
+}
+
+// A relay below the first one gets the new era as a change.
+Test(directory_history, watchers_are_led_into_a_new_era_through_two_relays) {
+  auto history = DirectoryHistory();
+  history.Add(InEra(1, Whole(20)), kNow);
+  history.Add(InEra(2, Removal(12, 1)), kNow);
+  cr_assert_eq(history.Since(At(1, 20))->removed.size(), 1U);
+  cr_assert_not(history.Since(At(1, 21)).has_value());
+}
+
+// The watcher has seen changes of the former era that this relay never had, and
+// nobody tells it that they are gone.
+Test(directory_history, watcher_ahead_of_a_new_era_reads_everything) {
+  auto history = DirectoryHistory();
+  history.Add(InEra(1, Whole(20)), kNow);
+  history.Add(InEra(2, Whole(12)), kNow);
+  cr_assert(history.Since(At(1, 20)).has_value());
+  cr_assert_not(history.Since(At(1, 21)).has_value());
+  history.Add(InEra(3, Whole(15)), kNow);
+  cr_assert_not(history.Since(At(1, 20)).has_value());
+  cr_assert(history.Since(At(2, 12)).has_value());
+}
+
+// A relay that has not seen the new era must not seem up to date in it.
+Test(directory_history, relay_behind_by_an_era_tells_its_own_position) {
+  auto history = DirectoryHistory();
+  history.Add(InEra(1, Whole(20)), kNow);
+  const auto change = history.Since(At(2, 5));
+  cr_assert(change->position == At(1, 20));
+}
+
+// The copy holds an older configuration than the one in force, and an instance
+// that starts just then must not be given it.
+Test(directory_history, older_routes_of_a_new_era_replace_none) {
+  auto history = DirectoryHistory();
+  auto first = InEra(1, Whole(20));
+  first.routes = MakeRoutes(5, 1, 100);
+  history.Add(first, kNow);
+  auto restored = InEra(2, Whole(12));
+  restored.routes = MakeRoutes(3, 1, 50);
+  history.Add(restored, kNow);
+  cr_assert_eq(history.All().routes->version.value(), 5U);
+  cr_assert_null(history.Since(At(1, 20))->routes.get());
+}
+
 Test(directory_history, whole_directory_holds_what_is_present) {
   auto history = DirectoryHistory();
   history.Add(Whole(10), kNow);
@@ -160,10 +233,12 @@
       SharedSuspect{FlowToken(9), kNow - kSecond, Suspicion::kFailing};
   const auto state =
       RelayState{DataCentreId(4), kSecond, 2 * kSecond, {suspect, failing}, {}};
+  update.position.era = Era(6);
   const auto answer =
       Decoded(EncodeUpdate(update, state, nullptr, kNow), nullptr);
   cr_assert_eq(answer.status, SyncStatus::kOk);
   cr_assert(answer.update.is_whole);
+  cr_assert(answer.update.position == update.position);
   cr_assert(answer.update.reports == update.reports);
   cr_assert(answer.update.removed == update.removed);
   cr_assert(answer.update.unreadable == update.unreadable);
@@ -215,13 +290,14 @@
 Test(relay_codec, query_round_trips) {
   const auto watcher = Watcher{
       {Ipv4Address(0xFFFFFFFF), Port(0xFFFF)}, DataCentreId(5), 9, true};
-  const auto query = RelayQuery{Revision(12), Version(3), kSecond, watcher};
+  const auto after = At(2, 12);
+  const auto query = RelayQuery{after, Version(3), kSecond, watcher};
   const auto parsed = ParseQuery(FormatQuery(query));
   cr_assert(parsed->watcher.relay == watcher.relay);
   cr_assert(parsed->watcher.data_centre == watcher.data_centre);
   cr_assert_eq(parsed->watcher.capacity, 9U);
   cr_assert(parsed->watcher.has_capacity);
-  cr_assert_eq(parsed->after->value(), 12U);
+  cr_assert(parsed->after == after);
   cr_assert_eq(parsed->version.value(), 3U);
   cr_assert_eq(parsed->wait, Duration(kSecond));
   cr_assert_not(ParseQuery(FormatQuery({}))->after.has_value());
@@ -279,8 +355,12 @@
 class Relay {
  public:
   void Ask(std::optional<Revision> after, Duration wait) {
+    AskAs(after ? std::optional(Position{Era(), *after}) : std::nullopt,
+          Version(), wait);
+  }
+  void AskAs(std::optional<Position> after, Version version, Duration wait) {
     server_.Serve(
-        {after, Version(), wait, Watcher()},
+        {after, version, wait, Watcher()},
         [this](HttpReply reply) { replies_.push_back(std::move(reply)); },
         kNow);
   }
@@ -359,6 +439,27 @@
   cr_assert_eq(relay.replies().size(), 1U);
 }
 
+// A watch of the era before would wait until revisions had caught up.
+Test(relay_server, watch_of_the_era_before_is_answered_at_once) {
+  auto relay = Relay();
+  relay.server().Add(InEra(1, Whole(20)), kNow);
+  relay.server().Add(InEra(2, Whole(12)), kNow);
+  relay.AskAs(At(1, 20), Version(1), kSecond);
+  const auto answer = Decoded(relay.replies().at(0).body, nullptr);
+  cr_assert(answer.update.position == At(2, 12));
+  cr_assert_not(answer.update.is_whole);
+  relay.AskAs(At(1, 21), Version(1), kSecond);
+  cr_assert_eq(relay.replies().at(1).status, 410);
+}
+
+// An instance of an earlier version does not tell its era.
+Test(relay_server, watch_without_an_era_is_taken_for_one_of_the_present_era) {
+  auto relay = Relay();
+  relay.server().Add(InEra(2, Whole(12)), kNow);
+  relay.AskAs(At(0, 12), Version(1), kSecond);
+  cr_assert(relay.replies().empty());
+}
+
 Test(relay_server, reports_lost_history) {
   auto relay = Relay();
   relay.server().Add(Whole(10), kNow);
--- a/Tests/Platform/odd_entries_test.cc
+++ b/Tests/Platform/odd_entries_test.cc
@@ -120,7 +120,8 @@
     for (const auto& page : {Decode(DecodeItems, "items", items),
                              Decode(DecodeEvents, "events", items)}) {
       const auto shown = odd_item.substr(0, 400);
-      cr_assert_eq(page.update.revision.value(), 530U, "%s", shown.c_str());
+      cr_assert_eq(page.update.position.revision.value(), 530U, "%s",
+                   shown.c_str());
       cr_assert_eq(page.update.reports.size(), 2U, "%s", shown.c_str());
       cr_assert_leq(page.update.unreadable.size(), 1U, "%s", shown.c_str());
       cr_assert_eq(page.update.ignored, 1U, "%s", shown.c_str());
--- a/Tests/Platform/store_client_test.cc
+++ b/Tests/Platform/store_client_test.cc
@@ -63,7 +63,7 @@
     return Call(call);
   }
 
-  auto Watch(Revision after, Duration wait = {}) -> SyncAnswer {
+  auto Watch(Position after, Duration wait = {}) -> SyncAnswer {
     auto call = SyncCall();
     call.kind = SyncCall::Kind::kWatch;
     call.after = after;
@@ -143,44 +143,86 @@
   fixture.store().Delete("servers/i-1");
   const auto whole = fixture.ReadAll();
   cr_assert_eq(whole.status, SyncStatus::kOk);
-  const auto later = fixture.Watch(whole.update.revision);
+  const auto later = fixture.Watch(whole.update.position);
   cr_assert(later.update.removed == std::vector{EndpointId(1)});
 }
 
 Test(store_client, watch_returns_what_has_changed) {
   auto fixture = StoreFixture(102);
-  const auto revision = fixture.ReadAll().update.revision;
+  const auto position = fixture.ReadAll().update.position;
   fixture.store().Delete("servers/i-3");
   fixture.store().Put("servers/i-9", EntryOf(9));
-  const auto answer = fixture.Watch(revision);
+  const auto answer = fixture.Watch(position);
   cr_assert_eq(answer.update.removed.size(), 1U);
   cr_assert_eq(answer.update.reports.size(), 1U);
-  cr_assert_gt(answer.update.revision.value(), revision.value());
+  cr_assert_gt(answer.update.position.revision.value(),
+               position.revision.value());
 }
 
 Test(store_client, watch_waits_for_a_change) {
   auto fixture = StoreFixture(103);
-  const auto revision = fixture.ReadAll().update.revision;
+  const auto position = fixture.ReadAll().update.position;
   fixture.world().After(std::chrono::milliseconds(50),
                         [&fixture] { fixture.store().Delete("servers/i-3"); });
-  const auto answer = fixture.Watch(revision, std::chrono::seconds(20));
+  const auto answer = fixture.Watch(position, std::chrono::seconds(20));
   cr_assert_eq(answer.update.removed.size(), 1U);
 }
 
 Test(store_client, watch_without_a_change_is_no_failure) {
   auto fixture = StoreFixture(104);
-  const auto revision = fixture.ReadAll().update.revision;
-  const auto answer = fixture.Watch(revision, std::chrono::milliseconds(50));
+  const auto position = fixture.ReadAll().update.position;
+  const auto answer = fixture.Watch(position, std::chrono::milliseconds(50));
   cr_assert_eq(answer.status, SyncStatus::kOk);
   cr_assert_not(answer.update.has_changes());
 }
 
 Test(store_client, lost_history_is_reported) {
   auto fixture = StoreFixture(105);
-  const auto revision = fixture.ReadAll().update.revision;
+  const auto position = fixture.ReadAll().update.position;
   fixture.store().Put("servers/i-9", EntryOf(9));
   fixture.store().Compact();
-  cr_assert_eq(fixture.Watch(revision).status, SyncStatus::kHistoryLost);
+  cr_assert_eq(fixture.Watch(position).status, SyncStatus::kHistoryLost);
+}
+
+Test(store_client, era_is_read_from_each_answer) {
+  auto fixture = StoreFixture(114);
+  const auto whole = fixture.ReadAll();
+  cr_assert_eq(whole.update.position.era.value(), 1U);
+  fixture.store().SetEra(7);
+  const auto answer = fixture.Watch(whole.update.position);
+  cr_assert_eq(answer.update.position.era.value(), 7U);
+  fixture.store().SetEra(0);
+  cr_assert(fixture.ReadAll().update.position.era == Era());
+}
+
+// The store has come back from a copy; its revisions have been given out again.
+Test(store_client, watch_of_a_restored_store_tells_the_new_era) {
+  auto fixture = StoreFixture(115);
+  fixture.store().Copy();
+  fixture.store().Put("servers/i-9", EntryOf(9));
+  const auto position = fixture.ReadAll().update.position;
+  fixture.store().Restore();
+  cr_assert_eq(fixture.Watch(position).status, SyncStatus::kHistoryLost);
+  fixture.store().Put("servers/i-10", EntryOf(10));
+  const auto answer = fixture.Watch(position);
+  cr_assert_eq(answer.status, SyncStatus::kOk);
+  cr_assert_eq(answer.update.position.era.value(), 2U);
+}
+
+// Pages before and after a restore are of two directories.
+Test(store_client, read_that_spans_a_restore_starts_over) {
+  auto fixture = StoreFixture(116);
+  fixture.store().Copy();
+  fixture.store().Put("servers/i-0", EntryOf(20));
+  fixture.store().RefuseAfter(1);
+  cr_assert_eq(fixture.ReadAll().status, SyncStatus::kRefused);
+  fixture.store().SetRefusing(false);
+  fixture.store().Restore();
+  cr_assert_eq(fixture.ReadAll().status, SyncStatus::kHistoryLost);
+  const auto whole = fixture.ReadAll();
+  cr_assert_eq(whole.status, SyncStatus::kOk);
+  cr_assert_eq(whole.update.reports.size(), 7U);
+  cr_assert_eq(whole.update.position.era.value(), 2U);
 }
 
 Test(store_client, refusal_is_distinguished_from_silence) {
--- a/Tests/Platform/store_items_test.cc
+++ b/Tests/Platform/store_items_test.cc
@@ -50,7 +50,7 @@
 
 Test(store_items, entry_becomes_a_report) {
   const auto page = Items(Item("servers/i-7f3a91c2", kReady));
-  cr_assert_eq(page.update.revision.value(), 530U);
+  cr_assert_eq(page.update.position.revision.value(), 530U);
   cr_assert(page.has_more);
   cr_assert_str_eq(page.last_key.c_str(), "servers/i-7f3a91c2");
   const auto& report = page.update.reports.at(0);
--- a/Utilities/Soak/store_stand_in.cc
+++ b/Utilities/Soak/store_stand_in.cc
@@ -101,6 +101,22 @@
   }
 }
 
+void StoreStandIn::Copy() { copy_ = {items_, revision_}; }
+
+void StoreStandIn::Restore() {
+  items_ = copy_.items;
+  revision_ = copy_.revision;
+  while (!history_.empty() && history_.back().item.revision > revision_) {
+    history_.pop_back();
+  }
+  compacted_ = std::min(compacted_, revision_);
+  ++era_;
+  for (auto& watch : std::exchange(watches_, {})) {
+    watch.timer->cancel();
+    watch.reply({503, "text/plain", ""});
+  }
+}
+
 void StoreStandIn::Add(Event event) {
   history_.push_back(std::move(event));
   auto due = std::vector<std::uint64_t>();
@@ -114,7 +130,20 @@
   }
 }
 
-void StoreStandIn::Serve(const std::string& target, HttpListener::Reply reply) {
+// A reply that tells the era at the time of the answer.
+auto StoreStandIn::WithEra(HttpListener::Reply reply) const
+    -> HttpListener::Reply {
+  return [this, reply = std::move(reply)](HttpReply answer) {
+    if (era_ > 0) {
+      answer.headers.emplace_back("Store-Era", std::to_string(era_));
+    }
+    reply(std::move(answer));
+  };
+}
+
+void StoreStandIn::Serve(const std::string& target,
+                         const HttpListener::Reply& plain_reply) {
+  const auto reply = WithEra(plain_reply);
   ++calls_;
   if (refusing_ || calls_ >= refuse_from_) {
     reply({503, "text/plain", ""});
@@ -124,7 +153,7 @@
   if (path == "/hemlockwick/kv-range") {
     reply(Range(query));
   } else if (path == "/hemlockwick/kv-watch") {
-    StartWatch(query, std::move(reply));
+    StartWatch(query, reply);
   } else {
     reply({404, "text/plain", ""});
   }
@@ -153,7 +182,7 @@
 
 void StoreStandIn::StartWatch(const Query& query, HttpListener::Reply reply) {
   const auto after = NumberOf(query, "after");
-  if (after < compacted_) {
+  if (after < compacted_ || after > revision_) {
     reply({410, "text/plain", ""});
     return;
   }
--- a/Utilities/Soak/store_stand_in.h
+++ b/Utilities/Soak/store_stand_in.h
@@ -30,6 +30,16 @@
   // Forgets all history and cuts the watches that wait.
   void Compact();
 
+  // Keeps a copy of the present items.
+  void Copy();
+
+  // Comes back from the copy: what was written since is gone, its revisions are
+  // given out again, and the era rises by one.
+  void Restore();
+
+  // Every answer tells the era, unless it is 0.
+  void SetEra(std::uint64_t era) { era_ = era; }
+
   // While refusing, every call is answered 503.
   void SetRefusing(bool refusing) {
     refusing_ = refusing;
@@ -60,8 +70,15 @@
   };
   using Query = std::map<std::string, std::string>;
 
+  struct Backup {
+    std::map<std::string, Item> items;
+    std::uint64_t revision = 0;
+  };
+
   explicit StoreStandIn(boost::asio::io_context& context) : context_(context) {}
-  void Serve(const std::string& target, HttpListener::Reply reply);
+  void Serve(const std::string& target, const HttpListener::Reply& reply);
+  [[nodiscard]] auto WithEra(HttpListener::Reply reply) const
+      -> HttpListener::Reply;
   [[nodiscard]] auto Range(const Query& query) const -> HttpReply;
   void StartWatch(const Query& query, HttpListener::Reply reply);
   void EndWatch(std::uint64_t number);
@@ -80,6 +97,8 @@
   std::uint64_t calls_ = 0;
   std::uint64_t refuse_from_ = UINT64_MAX;
   bool refusing_ = false;
+  Backup copy_;
+  std::uint64_t era_ = 1;
 };
 
 }  // namespace hemlockwick::soak
