Edge: Give watchers the routes in force when theirs are older

What callers may see: an instance that starts while a restored store still holds an older configuration serves that one until the operator has written the newer one again.

Cause: a relay sends routes only with a change, and its watcher has read the same position. Change: a relay whose routes are newer than those that a watcher names sends them at once.

Test that fails before: relay_server watcher_with_older_routes_gets_those_in_force_at_once (the watch was held).

--- a/Source/Edge/relay_server.cc
+++ b/Source/Edge/relay_server.cc
@@ -73,10 +73,18 @@
   const auto held = query.after->era == Era()
                         ? Position{position.era, query.after->revision}
                         : *query.after;
-  const auto is_up_to_date = held >= position;
+  const auto is_up_to_date = held >= position && !HasNewerRoutes(query);
   return is_up_to_date ? query.wait : Duration(0);
 }
 
+// Whether the watcher holds older routes than this instance: it may have read
+// them from a store that was restored from a copy.
+auto RelayServer::HasNewerRoutes(const RelayQuery& query) const -> bool {
+  const auto routes = history_.routes();
+  return routes != nullptr && query.version != Version() &&
+         query.version < routes->version;
+}
+
 void RelayServer::AddReports(const HealthReports& reports, TimePoint now) {
   for (const auto& report : reports.reports) {
     const auto has_changed =
@@ -179,6 +187,9 @@
   if (!update) {
     return {kGone, "text/plain", "the changes are no longer kept\n"};
   }
+  if (HasNewerRoutes(query)) {
+    update->routes = history_.routes();
+  }
   return Encode(*update, query, advice, now);
 }
 
--- a/Source/Edge/relay_server.h
+++ b/Source/Edge/relay_server.h
@@ -95,6 +95,7 @@
   using Encoded = std::map<EncodedKey, std::string>;
 
   [[nodiscard]] auto HoldTimeOf(const RelayQuery& query) const -> Duration;
+  [[nodiscard]] auto HasNewerRoutes(const RelayQuery& query) const -> bool;
   auto BecomesOutdated(TimePoint now) -> bool;
   void AnswerAll(TimePoint now);
   [[nodiscard]] auto StateAt(TimePoint now) const -> RelayState;
--- a/Tests/Edge/relay_test.cc
+++ b/Tests/Edge/relay_test.cc
@@ -460,6 +460,20 @@
   cr_assert(relay.replies().empty());
 }
 
+// An instance that starts while the store holds an older copy reads older
+// routes than those in force elsewhere.
+Test(relay_server, watcher_with_older_routes_gets_those_in_force_at_once) {
+  auto relay = Relay();
+  auto whole = InEra(2, Whole(12));
+  whole.routes = MakeRoutes(5, 1, 10);
+  relay.server().Add(whole, kNow);
+  relay.AskAs(At(2, 12), Version(4), kSecond);
+  const auto answer = Decoded(relay.replies().at(0).body, nullptr);
+  cr_assert_eq(answer.update.routes->version.value(), 5U);
+  relay.AskAs(At(2, 12), Version(5), kSecond);
+  cr_assert_eq(relay.replies().size(), 1U);
+}
+
 Test(relay_server, reports_lost_history) {
   auto relay = Relay();
   relay.server().Add(Whole(10), kNow);
