Flow: Try no endpoint that the caller has not named

A long request that its caller sends again would have gone there, and the endpoint would have reset the open flow.

Change: the endpoint to try instead is one that the caller's own packets have named before, so it has accepted the opening.

Test that fails before: token_router retransmission_reaches_no_endpoint_that_was_not_named.

--- a/Source/Flow/flow_tracker.cc
+++ b/Source/Flow/flow_tracker.cc
@@ -98,6 +98,7 @@
   flow.closed = false;
   flow.established = false;
   flow.answered = false;
+  flow.former_token = kNoToken;
   const auto previous = flow.token;
   SetToken(flow, token, now);
   StopWaiting(flow);
@@ -145,12 +146,11 @@
       !HadTimeForReply(*flow)) {
     return std::nullopt;
   }
-  const auto other =
-      std::ranges::find_if(flow->opening_tokens, [flow](FlowToken token) {
-        return token != kNoToken && token != flow->token;
-      });
-  return other == flow->opening_tokens.end() ? std::nullopt
-                                             : std::optional(*other);
+  const auto other = flow->former_token;
+  const auto is_candidate = other != kNoToken && other != flow->token &&
+                            std::ranges::find(flow->opening_tokens, other) !=
+                                flow->opening_tokens.end();
+  return is_candidate ? std::optional(other) : std::nullopt;
 }
 
 auto FlowTracker::OnPacket(const TokenPacket& packet, FlowToken token,
@@ -166,6 +166,7 @@
                  .caller = packet.caller,
                  .service = packet.service,
                  .token = token});
+    flow.former_token = flow.token;
   }
   SetToken(flow, token, now);
   ProcessPacket(flow, packet, now);
--- a/Source/Flow/flow_tracker.h
+++ b/Source/Flow/flow_tracker.h
@@ -54,8 +54,10 @@
   auto CorrectedToken(const TokenPacket& packet) -> std::optional<FlowToken>;
 
   // The endpoint to try instead of `packet`'s when this is a retransmission of
-  // a flow whose opening went to several endpoints and that none has answered:
-  // which of them has the flow is not known. Otherwise nullopt.
+  // a flow that the caller's packets have named two endpoints for and that none
+  // has answered: which of them has the flow is not known. Otherwise nullopt.
+  // An endpoint that the caller has not named may not hold the flow, and would
+  // reset it.
   auto OtherToken(const TokenPacket& packet) -> std::optional<FlowToken>;
 
   // Handles a packet of an open flow of the endpoint. If the flow is to be
--- a/Tests/Flow/token_router_test.cc
+++ b/Tests/Flow/token_router_test.cc
@@ -512,14 +512,14 @@
   cr_assert_eq(EndpointIn(action), first.endpoint.value());
 }
 
-// The caller's data names the endpoint of the other copy from the start. It got
-// no answer there until the caller gave up (issue 37).
+// The caller's data names the endpoint of the other copy, whose reply came
+// later. It got no answer there until the caller gave up (issue 37).
 Test(token_router, data_of_a_flow_opened_twice_reaches_both_endpoints) {
   auto fixture = RouterFixture();
   const auto first = std::get<ForwardWithToken>(fixture.Opening(1000));
   fixture.Advance(200 * kMillisecond);
   const auto second = std::get<ForwardWithToken>(fixture.Opening(1000, 1));
-  fixture.Packet(1000, second.token, 1, 1, 0);
+  fixture.Packet(1000, first.token, 1, 1, 0);
   auto action = fixture.Packet(1000, second.token, 1, 1, 100);
   cr_assert_eq(EndpointIn(action), second.endpoint.value());
   fixture.Advance(200 * kMillisecond);
@@ -533,6 +533,21 @@
   cr_assert_eq(EndpointIn(action), first.endpoint.value());
 }
 
+// The first copy of the opening was lost. Its endpoint does not hold the flow
+// and would reset it when a long request is sent again.
+Test(token_router, retransmission_reaches_no_endpoint_that_was_not_named) {
+  auto fixture = RouterFixture();
+  fixture.Opening(1000);
+  fixture.Advance(200 * kMillisecond);
+  const auto second = std::get<ForwardWithToken>(fixture.Opening(1000, 1));
+  fixture.Packet(1000, second.token, 1, 1, 0);
+  for (auto copy = 0; copy < 4; ++copy) {
+    const auto action = fixture.Packet(1000, second.token, 1, 1, 100);
+    cr_assert_eq(EndpointIn(action), second.endpoint.value());
+    fixture.Advance(200 * kMillisecond);
+  }
+}
+
 // Data that follows the token of a late reply to a copy of the opening counted
 // against the sound endpoint that does not have the flows;
 // two of them led to resets of its open flows (issue 37).
