Flow: Ask for an answer to a request later than all unanswered ones

Cause: the answer of another endpoint had to be to a request later than the first of the unanswered ones. When a stall begins just after such an answer, the second unanswered request is sent within the stall, and nothing contradicts the silence.

Change: the request has to be later than each of those that make the endpoint silent.

Test that fails before: token_router stall_after_one_later_answer_resets_no_flow.

--- a/Source/Flow/endpoint_health.cc
+++ b/Source/Flow/endpoint_health.cc
@@ -46,6 +46,11 @@
     unanswered_data_since_ = retransmitted_data_ == 0
                                  ? sent_at
                                  : std::min(unanswered_data_since_, sent_at);
+    if (retransmitted_data_ < kSilentThreshold) {
+      silent_data_sent_at_ = retransmitted_data_ == 0
+                                 ? sent_at
+                                 : std::max(silent_data_sent_at_, sent_at);
+    }
     last_unanswered_data_ = now;
   }
   ++CountOf(packet);
--- a/Source/Flow/endpoint_health.h
+++ b/Source/Flow/endpoint_health.h
@@ -77,9 +77,10 @@
   }
   [[nodiscard]] auto last_alive() const -> TimePoint { return last_alive_; }
 
-  // When the first of the retransmitted data was sent.
-  [[nodiscard]] auto unanswered_data_since() const -> TimePoint {
-    return unanswered_data_since_;
+  // When the latest of the retransmitted data was sent that made the endpoint
+  // silent; later data is of no account.
+  [[nodiscard]] auto silent_data_sent_at() const -> TimePoint {
+    return silent_data_sent_at_;
   }
 
  private:
@@ -91,6 +92,7 @@
   TimePoint last_unanswered_;
   TimePoint last_unanswered_data_;
   TimePoint unanswered_data_since_;
+  TimePoint silent_data_sent_at_;
   TimePoint shared_until_;
   TimePoint failing_until_;
   std::uint32_t openings_ = 0;
--- a/Source/Flow/flow_tracker.cc
+++ b/Source/Flow/flow_tracker.cc
@@ -206,7 +206,7 @@
 auto FlowTracker::IsSilent(const EndpointHealth& health, TimePoint now) const
     -> bool {
   return health.IsSilent(now) &&
-         answered_.HasLaterThan(health.unanswered_data_since(),
+         answered_.HasLaterThan(health.silent_data_sent_at(),
                                 now - kAnswerSpread);
 }
 
--- a/Tests/Flow/token_router_test.cc
+++ b/Tests/Flow/token_router_test.cc
@@ -785,6 +785,32 @@
   }
 }
 
+// The stall begins after another endpoint has answered a request that was sent
+// after the first of the unanswered ones, but before the second.
+Test(token_router, stall_after_one_later_answer_resets_no_flow) {
+  auto fixture = RouterFixture();
+  const auto port = fixture.OpenAt(kFirst, 1000);
+  const auto next = fixture.OpenAt(kFirst, port + 1);
+  const auto elsewhere = fixture.OpenAt(kSecond, next + 1);
+  AskAndAnswer(fixture, port);
+  AskAndAnswer(fixture, next);
+  fixture.Packet(port, kFirst, 101, 101, 100);
+  fixture.Advance(20 * kMillisecond);
+  fixture.Packet(elsewhere, kSecond, 1, 1, 100);
+  fixture.Advance(20 * kMillisecond);
+  fixture.Packet(elsewhere, kSecond, 101, 101, 0);
+  // From here on nothing reaches the callers.
+  fixture.Packet(next, kFirst, 101, 101, 100);
+  fixture.Packet(elsewhere, kSecond, 101, 101, 100);
+  cr_assert(fixture.Advance(200 * kMillisecond).empty());
+  fixture.Packet(port, kFirst, 101, 101, 100);
+  fixture.Packet(next, kFirst, 101, 101, 100);
+  fixture.Packet(elsewhere, kSecond, 101, 101, 100);
+  cr_assert(fixture.Advance(380 * kMillisecond).empty());
+  const auto action = fixture.Packet(port, kFirst, 101, 101, 100);
+  cr_assert(std::holds_alternative<ForwardWithToken>(action));
+}
+
 Test(token_router, long_request_on_a_live_endpoint_causes_no_reset) {
   auto fixture = RouterFixture();
   const auto working = fixture.OpenAt(kFirst, 1000);
