Flow: Reset no flow of an unknown endpoint while the platform is away

What callers may see: resets of open flows during an outage of the platform.

Change: as for routes, such packets are dropped until the platform has been in touch for a while.

Test that fails before: token_router open_flow_of_an_unknown_endpoint_is_kept_in_an_outage.

--- a/Source/Flow/token_router.cc
+++ b/Source/Flow/token_router.cc
@@ -170,7 +170,7 @@
     return Drop(packet, DropReason::kUnknownEndpoint);
   }
   const auto age = unknown_tokens_.See(TokenOf(packet), now);
-  if (age >= kUnknownTokenTimeout) {
+  if (age >= kUnknownTokenTimeout && directory_->is_settled()) {
     return Reset(packet, ResetReason::kUnknown, age);
   }
   return Drop(packet, DropReason::kUnknownEndpoint);
--- a/Tests/Flow/token_router_test.cc
+++ b/Tests/Flow/token_router_test.cc
@@ -811,6 +811,20 @@
   cr_assert(std::holds_alternative<ForwardWithToken>(action));
 }
 
+// While the platform is lost this instance can't learn of an endpoint that
+// another instance knows; its open flows, which have moved here, were reset.
+Test(token_router, open_flow_of_an_unknown_endpoint_is_kept_in_an_outage) {
+  auto fixture = RouterFixture();
+  fixture.directory().OnPlatformLost();
+  fixture.Publish();
+  const auto unknown = ToWire(TokenOf(EndpointId(99)), kAddress);
+  for (auto sent = 0; sent < 50; ++sent) {
+    const auto action = fixture.Packet(1000, unknown, 1, 1, 100);
+    cr_assert(std::holds_alternative<DropPacket>(action));
+    fixture.Advance(200 * kMillisecond);
+  }
+}
+
 Test(token_router, long_request_on_a_live_endpoint_causes_no_reset) {
   auto fixture = RouterFixture();
   const auto working = fixture.OpenAt(kFirst, 1000);
