Edge: Take no answer of an outdated relay for the end of an outage

What callers may see: resets of open flows in an outage of the platform.

Cause: any answer after a failed call ended the outage for the directory, also that of a relay which has not heard from the platform for seconds. From then on what the instance lacked was taken for gone.

Change: only an answer whose news from the platform is recent ends an outage.

Test that fails before: directory_replica answer_of_an_outdated_relay_ends_no_outage.

--- a/Source/Edge/directory_replica.cc
+++ b/Source/Edge/directory_replica.cc
@@ -128,18 +128,20 @@
 // the platform to count as lost.
 void DirectoryReplica::RecordOutage(const SyncAnswer& answer,
                                     TimePoint called_at, TimePoint now) {
+  // A relay that is out of date answers, too.
   const auto is_ok = answer.status == SyncStatus::kOk;
+  const auto is_fresh = is_ok && answer.age <= kMaxRelayAge;
   const auto is_late =
       now - called_at > sync_.next().wait + kLateAnswerThreshold;
-  if (is_ok && (is_failing_ || is_late)) {
+  if (is_fresh && (is_failing_ || is_late)) {
     outage_end_ = now;
   }
-  if (is_ok && answer.since_outage) {
+  if (is_fresh && answer.since_outage) {
     const auto end = now - *answer.since_outage;
     outage_end_ = std::max(outage_end_.value_or(end), end);
   }
   is_failing_ = !is_ok && answer.status != SyncStatus::kHistoryLost;
-  if (is_ok && outage_end_) {
+  if (is_fresh && outage_end_) {
     directory_.OnPlatformBack(*outage_end_);
   }
 }
