Edge: Pass on the age of the first directory as the relay tells it

What callers may see: an instance that starts while the platform is away counts its directory as new, and takes for gone what that lacks.

Cause: the time of the platform's last answer began at the start of the process and was only raised.

Change: the first answer sets it.

Test that fails before: directory_sync directory_of_an_outdated_relay_is_as_old_as_it_says.

--- a/Source/Edge/directory_sync.cc
+++ b/Source/Edge/directory_sync.cc
@@ -136,7 +136,9 @@
   has_read_ = true;
   platform_has_failed_ = false;
   position_ = answer.update.position;
-  last_fresh_ = std::max(last_fresh_, now - answer.age);
+  const auto is_first = position_ == Position();
+  last_fresh_ =
+      is_first ? now - answer.age : std::max(last_fresh_, now - answer.age);
   last_answer_from_platform_ = !upstream.relay;
   is_root_ = last_answer_from_platform_ && !answer.update.is_whole;
   failed_relays_ = 0;
--- a/Tests/Edge/directory_sync_test.cc
+++ b/Tests/Edge/directory_sync_test.cc
@@ -339,6 +339,21 @@
   cr_assert_leq(calls, 2 * kInstances * 2);
 }
 
+// The platform refuses an instance that starts, and the relay that it asks has
+// had no answer of the platform for long. Its own watchers must not take it for
+// up to date.
+Test(directory_sync, directory_of_an_outdated_relay_is_as_old_as_it_says) {
+  constexpr Duration kAge = 30 * kSecond;
+  auto sync = DirectorySync(Settings(1, false, 1), kStart);
+  sync.OnAnswer(Failed(SyncStatus::kRefused), kStart);
+  cr_assert(sync.next().relay.has_value());
+  auto answer = Whole(10);
+  answer.age = kAge;
+  cr_assert(sync.OnAnswer(answer, kStart));
+  cr_assert_leq(sync.last_fresh(), kStart - kAge);
+  cr_assert(sync.is_lost());
+}
+
 auto InEra(std::uint64_t era, SyncAnswer answer) -> SyncAnswer {
   answer.update.position.era = Era(era);
   return answer;
