Flow: Look for silence only when data is sent again

What callers may see: resets of two long requests whose endpoint has acknowledged their data.

Cause: silence was looked for at each tick. An instance doesn't see that an endpoint acknowledges; that callers have stopped sending again is the only sign of it.

Change: an endpoint is looked at after a retransmission of its flows, each time.

Test that fails before: token_router long_requests_that_are_not_sent_again_are_kept.

--- a/Source/Flow/flow_tracker.cc
+++ b/Source/Flow/flow_tracker.cc
@@ -259,6 +259,7 @@
   if (!IsBefore(flow.next_seq, end)) {
     if (HadTimeForReply(flow)) {
       RecordUnanswered(flow, UnansweredPacket::kRetransmittedData, now);
+      AddOnce(maybe_silent_, flow.token);
     }
     return;
   }
@@ -399,7 +400,6 @@
   }
   auto& health = StatsOf(flow.token, now).health;
   const auto was_suspect = health.IsSuspect(now);
-  const auto was_silent = IsSilent(health, now);
   if (!health.RecordUnanswered(packet, flow.waiting_since, now)) {
     return;
   }
@@ -417,9 +417,6 @@
                  .unanswered_packets = health.unanswered_packets(),
                  .age = now - health.last_alive()});
   }
-  if (!was_silent && packet == UnansweredPacket::kRetransmittedData) {
-    AddOnce(maybe_silent_, flow.token);
-  }
 }
 
 auto FlowTracker::OnTick(const DirectorySnapshot* directory, TimePoint now)
@@ -433,15 +430,16 @@
                               : CheckSilent(*directory, now);
 }
 
-// Looks for endpoints that have become silent since the last tick. Returns the
-// resets of their flows.
+// Looks for silent endpoints among those whose callers have sent data again
+// since the last tick: while they don't, the endpoint may have acknowledged it.
+// Returns the resets of their flows.
 auto FlowTracker::CheckSilent(const DirectorySnapshot& directory, TimePoint now)
     -> std::vector<ResetFlow> {
   auto resets = std::vector<ResetFlow>();
-  std::erase_if(maybe_silent_, [&](FlowToken token) {
+  for (const auto token : std::exchange(maybe_silent_, {})) {
     const auto& health = StatsOf(token, now).health;
     if (!IsSilent(health, now)) {
-      return !health.IsSuspect(now);
+      continue;
     }
     events_.Add({.kind = RouterEvent::Kind::kEndpointSilent,
                  .token = token,
@@ -452,8 +450,7 @@
                                          : std::nullopt});
     auto ended = ResetSilent(token, directory, now);
     resets.insert(resets.end(), ended.begin(), ended.end());
-    return true;
-  });
+  }
   return resets;
 }
 
--- a/Tests/Flow/token_router_test.cc
+++ b/Tests/Flow/token_router_test.cc
@@ -825,6 +825,30 @@
   }
 }
 
+// Two long requests run at one endpoint, which has acknowledged the copy of
+// each: their callers send nothing more. Others are answered meanwhile.
+Test(token_router, long_requests_that_are_not_sent_again_are_kept) {
+  auto fixture = RouterFixture();
+  const auto port = fixture.OpenAt(kFirst, 1000);
+  const auto next = fixture.OpenAt(kFirst, port + 1);
+  const auto elsewhere = fixture.OpenAt(kSecond, next + 1);
+  AskAndAnswer(fixture, port);
+  AskAndAnswer(fixture, next);
+  fixture.Packet(port, kFirst, 101, 101, 100);
+  fixture.Packet(next, kFirst, 101, 101, 100);
+  cr_assert(fixture.Advance(200 * kMillisecond).empty());
+  fixture.Packet(port, kFirst, 101, 101, 100);
+  fixture.Packet(next, kFirst, 101, 101, 100);
+  auto seq = std::uint32_t{1};
+  for (auto round = 0; round < 6; ++round) {
+    fixture.Packet(elsewhere, kSecond, seq, seq, 100);
+    seq += 100;
+    cr_assert(fixture.Advance(20 * kMillisecond).empty());
+    fixture.Packet(elsewhere, kSecond, seq, seq, 0);
+    cr_assert(fixture.Advance(80 * kMillisecond).empty());
+  }
+}
+
 Test(token_router, long_request_on_a_live_endpoint_causes_no_reset) {
   auto fixture = RouterFixture();
   const auto working = fixture.OpenAt(kFirst, 1000);
