Flow: Use an endpoint again that returns late after a restore

What callers may see: resets of flows of an endpoint whose entry comes back 2.5 s to 5 s after a restore.

Cause: its departure after 2.5 s made its next report look like one of the older copy.

Change: only reports of endpoints that had departed before the restore are deferred.

Test that fails before: token_router flow_of_an_endpoint_with_a_deferred_entry_is_kept.

--- a/Source/Flow/endpoint_directory.cc
+++ b/Source/Flow/endpoint_directory.cc
@@ -139,8 +139,8 @@
   if (found != entries_.end()) {
     return found->second.report.draining && !report.draining;
   }
-  return std::ranges::any_of(departed_, [&report](const auto& endpoint) {
-    return endpoint.report.id == report.id;
+  return std::ranges::any_of(departed_, [&](const auto& endpoint) {
+    return endpoint.report.id == report.id && endpoint.since <= restored_at_;
   });
 }
 
@@ -244,6 +244,7 @@
 void EndpointDirectory::OnPlatformRestored(TimePoint now) {
   OnPlatformBack(now);
   defers_until_ = now + kDeferPeriod;
+  restored_at_ = now;
 }
 
 auto EndpointDirectory::MayStillReturn(const Entry& entry, TimePoint now) const
--- a/Source/Flow/endpoint_directory.h
+++ b/Source/Flow/endpoint_directory.h
@@ -204,6 +204,7 @@
   // After the platform was restored: until when older reports are deferred, and
   // those reports.
   std::optional<TimePoint> defers_until_;
+  TimePoint restored_at_;
   std::unordered_map<EndpointId, EndpointReport> deferred_;
   bool changed_ = false;
   std::uint64_t sequence_ = 0;
--- a/Tests/Flow/token_router_test.cc
+++ b/Tests/Flow/token_router_test.cc
@@ -849,6 +849,30 @@
   }
 }
 
+// Publishes the directory unless it has not changed.
+auto PublishChanges(RouterFixture& fixture) -> std::vector<ResetFlow> {
+  fixture.directory().OnTick(fixture.now());
+  auto snapshot = fixture.directory().TakeSnapshot(fixture.now());
+  return snapshot == nullptr
+             ? std::vector<ResetFlow>()
+             : fixture.router().Update(std::move(snapshot), fixture.now());
+}
+
+// The entry is back 3 s after a restore. It is deferred until 5 s, and an open
+// flow that has moved here meanwhile was reset.
+Test(token_router, flow_of_an_endpoint_with_a_deferred_entry_is_kept) {
+  auto fixture = RouterFixture();
+  fixture.directory().OnPlatformRestored(fixture.now());
+  fixture.directory().Remove(EndpointId(1), fixture.now());
+  fixture.Publish();
+  fixture.Advance(3000 * kMillisecond);
+  fixture.Publish();
+  fixture.Put(1);
+  PublishChanges(fixture);
+  const auto action = fixture.Packet(1000, kFirst, 1, 1, 100);
+  cr_assert(std::holds_alternative<ForwardWithToken>(action));
+}
+
 Test(token_router, long_request_on_a_live_endpoint_causes_no_reset) {
   auto fixture = RouterFixture();
   const auto working = fixture.OpenAt(kFirst, 1000);
