Flow: End no flow of an endpoint that shares a departed one's token

Cause: when an endpoint departs, tracked flows with its token are reset. Two endpoints may have one token (docs/design/platform.md, Limits).

Change: flows of a token that a present endpoint has are left to their next packet, which is resolved by its route.

Test that fails before: see the change in Tests/Flow/token_router_test.cc.

--- a/Source/Flow/token_router.cc
+++ b/Source/Flow/token_router.cc
@@ -33,7 +33,9 @@
   for (const auto& departed : directory_->departed()) {
     const auto was_departed = previous != nullptr &&
                               previous->FindDeparted(departed.token) != nullptr;
-    if (was_departed || !HasEnded(departed, now)) {
+    // A present endpoint with the token may have the flows.
+    const auto is_shared = directory_->Find(departed.token) != nullptr;
+    if (was_departed || is_shared || !HasEnded(departed, now)) {
       continue;
     }
     auto ended = tracker_.ResetDeparted(departed.token);
--- a/Tests/Flow/token_router_test.cc
+++ b/Tests/Flow/token_router_test.cc
@@ -873,6 +873,24 @@
   cr_assert(std::holds_alternative<ForwardWithToken>(action));
 }
 
+// Two endpoints of different services share a token. When one of them has
+// drained and left, the open flows of the other one were reset.
+Test(token_router,
+     flow_of_a_living_endpoint_with_a_departed_ones_token_is_kept) {
+  auto fixture = RouterFixture();
+  fixture.Put(kCollidingId, false, kOtherService);
+  fixture.Put(kOtherCollidingId, false, ServiceId(9));
+  fixture.PutRoutes(2, kOtherService, ServiceId(9));
+  fixture.Publish();
+  const auto token = TokenIn(fixture.OpeningAt(kOtherAddress, 1000));
+  PacketTo(fixture, kOtherAddress, token);
+  fixture.Put(kCollidingId, true, kOtherService);
+  fixture.directory().Remove(EndpointId(kCollidingId), fixture.now());
+  cr_assert(fixture.Publish().empty());
+  cr_assert_eq(EndpointIn(PacketTo(fixture, kOtherAddress, token)),
+               kOtherCollidingId);
+}
+
 Test(token_router, long_request_on_a_live_endpoint_causes_no_reset) {
   auto fixture = RouterFixture();
   const auto working = fixture.OpenAt(kFirst, 1000);
