Flow: Send no copy of an opening to a former target

What callers may see: a new flow at the service that the route had before (CONFIG).

Cause: a copy that waited here went to the endpoint of the first one as an open flow's packet would; open flows may go on at a former target, new ones may not.

Change: the endpoint has to be of a present target.

Test that fails before: token_router copy_of_an_opening_goes_to_no_former_target.

--- a/Source/Flow/token_router.cc
+++ b/Source/Flow/token_router.cc
@@ -106,7 +106,8 @@
     const auto resolved = directory_->Resolve(earlier->endpoint, route, now);
     const auto* const present =
         std::get_if<const DirectoryEndpoint*>(&resolved);
-    if (present != nullptr && (*present)->accepts_new_flows) {
+    if (present != nullptr && (*present)->accepts_new_flows &&
+        IsTarget(route, (*present)->report.service)) {
       return *present;
     }
   }
--- a/Tests/Flow/token_router_test.cc
+++ b/Tests/Flow/token_router_test.cc
@@ -891,6 +891,19 @@
                kOtherCollidingId);
 }
 
+// The route has a new target when the copy of an opening, which has waited
+// here, is read: it went to an endpoint of the service of before.
+Test(token_router, copy_of_an_opening_goes_to_no_former_target) {
+  auto fixture = RouterFixture();
+  fixture.Put(3, false, kOtherService);
+  fixture.PutRoutes(2, kService, kOtherService);
+  fixture.Publish();
+  fixture.Opening(1000);
+  fixture.PutRoutes(3, kOtherService, kOtherService);
+  fixture.Publish();
+  cr_assert_eq(EndpointIn(fixture.Opening(1000, 1)), 3U);
+}
+
 Test(token_router, long_request_on_a_live_endpoint_causes_no_reset) {
   auto fixture = RouterFixture();
   const auto working = fixture.OpenAt(kFirst, 1000);
