Edge: Pass on newer routes of a position that is known already

What callers may see: the older configuration of a restored store at instances two relays down.

Cause: DirectoryHistory ignored an update at a position that it had, with the newer routes in it. And the versions that an operator writes again one after the other replaced a later one in what starting instances read.

Change: the newest routes stay, whatever update brings them.

Test that fails before: directory_history newer_routes_at_the_same_position_are_passed_on.

--- a/Source/Edge/directory_history.cc
+++ b/Source/Edge/directory_history.cc
@@ -21,6 +21,7 @@
   }
   const auto before = all_.position;
   if (!update.is_whole && update.position <= before) {
+    UseNewerRoutes(update.routes);
     return;
   }
   if (update.position.era != before.era) {
@@ -30,12 +31,24 @@
     ReplaceAll(update, now);
     return;
   }
+  const auto routes = all_.routes;
   all_.Append(update);
+  UseNewerRoutes(routes);
   // A whole update lists only what is present, so it has no removals.
   all_.removed.clear();
   AddChange(update, now);
 }
 
+// Keeps the routes in force when these are older: a store that was restored may
+// hold older ones, and its operator may repeat them one after the other.
+void DirectoryHistory::UseNewerRoutes(
+    const std::shared_ptr<const RouteSet>& routes) {
+  if (routes != nullptr &&
+      (all_.routes == nullptr || all_.routes->version < routes->version)) {
+    all_.routes = routes;
+  }
+}
+
 // Stores a whole update as its difference from the previous directory.
 // Otherwise one full read by this instance would force a full read by every
 // instance that watches it.
@@ -43,10 +56,9 @@
   // After a lower position no change could be told from an earlier one.
   const auto continues = all_.is_whole && whole.position >= all_.position;
   auto difference = DifferenceOf(all_, whole);
-  // A store that was restored may hold older routes than those in force.
-  auto routes = difference.routes != nullptr ? whole.routes : all_.routes;
+  const auto routes = all_.routes;
   all_ = whole;
-  all_.routes = std::move(routes);
+  UseNewerRoutes(routes);
   if (continues) {
     AddChange(std::move(difference), now);
   } else {
--- a/Source/Edge/directory_history.h
+++ b/Source/Edge/directory_history.h
@@ -43,6 +43,7 @@
     DirectoryUpdate update;
   };
 
+  void UseNewerRoutes(const std::shared_ptr<const RouteSet>& routes);
   void ReplaceAll(const DirectoryUpdate& whole, TimePoint now);
   [[nodiscard]] auto HasLeftEraAfter(Position position) const -> bool;
   void AddChange(DirectoryUpdate change, TimePoint now);
--- a/Tests/Edge/relay_test.cc
+++ b/Tests/Edge/relay_test.cc
@@ -206,6 +206,22 @@
   cr_assert_null(history.Since(At(1, 20))->routes.get());
 }
 
+// A relay gives the routes in force to a watcher that has read the same
+// position of a restored store. The watcher's own watchers, which hold the
+// older ones too, got them from nobody.
+Test(directory_history, newer_routes_at_the_same_position_are_passed_on) {
+  auto history = DirectoryHistory();
+  auto restored = InEra(2, Whole(12));
+  restored.routes = MakeRoutes(4, 1, 10);
+  history.Add(restored, kNow);
+  auto update = DirectoryUpdate();
+  update.position = At(2, 12);
+  update.routes = MakeRoutes(5, 1, 10);
+  history.Add(update, kNow);
+  cr_assert_eq(history.routes()->version.value(), 5U);
+  cr_assert_eq(history.All().routes->version.value(), 5U);
+}
+
 Test(directory_history, whole_directory_holds_what_is_present) {
   auto history = DirectoryHistory();
   history.Add(Whole(10), kNow);
