--- a/Source/Edge/directory_sync.cc
+++ b/Source/Edge/directory_sync.cc
@@ -133,10 +133,10 @@
 void DirectorySync::OnSuccess(Upstream& upstream, const SyncAnswer& answer,
                               TimePoint now) {
   upstream.failures = 0;
+  const auto is_first = position_ == Position();
   has_read_ = true;
   platform_has_failed_ = false;
   position_ = answer.update.position;
-  const auto is_first = position_ == Position();
   last_fresh_ =
       is_first ? now - answer.age : std::max(last_fresh_, now - answer.age);
   last_answer_from_platform_ = !upstream.relay;
