Edge: Lead nobody by a difference that begins before its position

What callers may see: an instance that moves from one relay to another after a restore, or after a second whole read, misses an endpoint that has written its entry again; it takes the endpoint for departed and resets its flows.

Cause: a relay that reads everything again stores how its directory differs from the one before, under the later position. A watcher between the two, from another relay, was given that difference, which doesn't list what had changed before and is back.

Change: a difference is marked as such, also on its way through relays, and is given only to watchers at the position where it begins or before. The others read everything.

Tests that fail before: directory_history watcher_within_a_new_era_misses_no_change_before_it, watcher_within_a_second_whole_read_misses_no_change, and a random model of a platform that is restored.

--- a/Source/Edge/directory_history.cc
+++ b/Source/Edge/directory_history.cc
@@ -36,7 +36,7 @@
   UseNewerRoutes(routes);
   // A whole update lists only what is present, so it has no removals.
   all_.removed.clear();
-  AddChange(update, now);
+  AddChange(update, before, now);
 }
 
 // Keeps the routes in force when these are older: a store that was restored may
@@ -54,21 +54,23 @@
 // instance that watches it.
 void DirectoryHistory::ReplaceAll(const DirectoryUpdate& whole, TimePoint now) {
   // After a lower position no change could be told from an earlier one.
+  const auto from = all_.position;
   const auto continues = all_.is_whole && whole.position >= all_.position;
   auto difference = DifferenceOf(all_, whole);
   const auto routes = all_.routes;
   all_ = whole;
   UseNewerRoutes(routes);
   if (continues) {
-    AddChange(std::move(difference), now);
+    AddChange(std::move(difference), from, now);
   } else {
     complete_after_ = whole.position;
     changes_.clear();
   }
 }
 
-void DirectoryHistory::AddChange(DirectoryUpdate change, TimePoint now) {
-  changes_.push_back({now, std::move(change)});
+void DirectoryHistory::AddChange(DirectoryUpdate change, Position from,
+                                 TimePoint now) {
+  changes_.push_back({now, from, std::move(change)});
   while (changes_.size() > kMaxChanges ||
          now - changes_.front().at > kRetention) {
     complete_after_ = changes_.front().update.position;
@@ -95,6 +97,9 @@
   auto merger = UpdateMerger();
   for (auto change = changes_.rbegin();
        change != changes_.rend() && change->update.position > after; ++change) {
+    if (change->update.is_difference && change->from < after) {
+      return std::nullopt;
+    }
     merger.AddOlder(change->update);
   }
   auto result = merger.Take();
--- a/Source/Edge/directory_history.h
+++ b/Source/Edge/directory_history.h
@@ -40,13 +40,14 @@
  private:
   struct Change {
     TimePoint at;
+    Position from;  // Of the directory before the change.
     DirectoryUpdate update;
   };
 
   void UseNewerRoutes(const std::shared_ptr<const RouteSet>& routes);
   void ReplaceAll(const DirectoryUpdate& whole, TimePoint now);
   [[nodiscard]] auto HasLeftEraAfter(Position position) const -> bool;
-  void AddChange(DirectoryUpdate change, TimePoint now);
+  void AddChange(DirectoryUpdate change, Position from, TimePoint now);
   void AddRoutes(std::shared_ptr<const RouteSet> routes);
 
   DirectoryUpdate all_;
--- a/Source/Edge/directory_update.cc
+++ b/Source/Edge/directory_update.cc
@@ -12,6 +12,7 @@
   merger.AddOlder(*this);
   auto merged = merger.Take();
   merged.is_whole = is_whole;
+  merged.is_difference = merged.is_difference && !is_whole;
   *this = std::move(merged);
 }
 
@@ -31,6 +32,7 @@
     merged_.routes = older.routes;
   }
   merged_.position = std::max(merged_.position, older.position);
+  merged_.is_difference = merged_.is_difference || older.is_difference;
   merged_.ignored += older.ignored;
 }
 
@@ -45,6 +47,7 @@
       after, [&present](EndpointId endpoint) { present.insert(endpoint); });
 
   auto difference = DirectoryUpdate();
+  difference.is_difference = true;
   difference.position = after.position;
   for (const auto& report : after.reports) {
     const auto found = known.find(report.id);
--- a/Source/Edge/directory_update.h
+++ b/Source/Edge/directory_update.h
@@ -34,7 +34,10 @@
 // endpoint once, with its latest state.
 struct DirectoryUpdate {
   bool is_whole = false;  // The complete directory instead of changes.
-  Position position;      // The next watch continues from here.
+  // Not whole: lists how two directories differ instead of each change between
+  // them, so it does not lead there from a position in between.
+  bool is_difference = false;
+  Position position;  // The next watch continues from here.
   std::vector<EndpointReport> reports;
   std::vector<EndpointId> removed;
   // Endpoints whose entry could not be decoded.
--- a/Source/Edge/relay_codec.cc
+++ b/Source/Edge/relay_codec.cc
@@ -234,6 +234,7 @@
   answer.advice = DecodeAdvice(message);
   auto& update = answer.update;
   update.is_whole = message.at("whole").get<bool>();
+  update.is_difference = message.value("difference", false);
   update.position.revision =
       Revision(message.at("revision").get<std::uint64_t>());
   // Earlier versions do not send it.
@@ -264,6 +265,9 @@
                       {"endpoints", std::move(endpoints)},
                       {"removed", EncodeIds(update.removed)},
                       {"unreadable", EncodeIds(update.unreadable)}};
+  if (update.is_difference) {
+    message["difference"] = true;
+  }
   if (update.position.era != Era()) {
     message["era"] = update.position.era.value();
   }
--- a/Tests/Edge/relay_test.cc
+++ b/Tests/Edge/relay_test.cc
@@ -1,5 +1,9 @@
 #include <criterion/criterion.h>
 
+#include <map>
+#include <set>
+
+#include "Core/random.h"
 #include "Edge/directory_history.h"
 #include "Edge/relay_codec.h"
 #include "Edge/relay_server.h"
@@ -222,6 +226,193 @@
   cr_assert_eq(history.All().routes->version.value(), 5U);
 }
 
+// The watcher has read from a relay of an earlier version, which doesn't tell
+// the era. Its revision may be one of the era before, so changes may be
+// missing.
+Test(directory_history,
+     watcher_without_an_era_reads_everything_after_a_restore) {
+  auto history = DirectoryHistory();
+  history.Add(InEra(1, Whole(20)), kNow);
+  auto restored = InEra(2, Whole(12));
+  restored.reports = {MakeReport(1)};
+  history.Add(restored, kNow);
+  history.Add(InEra(2, Change(30, MakeReport(5))), kNow);
+  const auto change = history.Since(At(0, 20));
+  cr_assert(!change.has_value() ||
+            change->removed == std::vector{EndpointId(2)});
+}
+
+// Two relays read a restored store at different revisions. An endpoint that the
+// copy lacks writes its entry again between the two: the second relay held it
+// before and after, so its difference doesn't list it, and a watcher of the
+// first relay that moves to the second never learnt of it.
+Test(directory_history, watcher_within_a_new_era_misses_no_change_before_it) {
+  const auto misses_none = [](const DirectoryHistory& history) {
+    const auto change = history.Since(At(2, 12));
+    return !change.has_value() || change->is_whole ||
+           change->reports == std::vector{MakeReport(2)};
+  };
+  auto relay = DirectoryHistory();
+  relay.Add(InEra(1, Whole(20)), kNow);
+  relay.Add(InEra(2, Whole(15)), kNow);
+  cr_assert(misses_none(relay));
+  // A relay below gets the new era as a change.
+  auto lower = DirectoryHistory();
+  lower.Add(InEra(1, Whole(20)), kNow);
+  lower.Add(*relay.Since(At(1, 20)), kNow);
+  cr_assert(misses_none(lower));
+}
+
+// The same within one era, after a second whole read: endpoint 2 was removed
+// after revision 10 and is back before revision 20.
+Test(directory_history, watcher_within_a_second_whole_read_misses_no_change) {
+  auto history = DirectoryHistory();
+  history.Add(Whole(10), kNow);
+  history.Add(Whole(20), kNow);
+  const auto change = history.Since(At(0, 15));
+  cr_assert(!change.has_value() || change->is_whole ||
+            change->reports == std::vector{MakeReport(2)});
+}
+
+using Ids = std::set<std::uint64_t>;
+
+// A platform that is restored at times, and instances that read it or watch it
+// or each other, as DirectorySync accepts answers.
+class HistoryModel {
+ public:
+  explicit HistoryModel(std::uint64_t seed) : random_(seed) {
+    states_[at_] = {1, 2, 3};
+  }
+
+  // Returns whether the instance that has made a step holds what the platform
+  // held at its position.
+  auto Step() -> bool {
+    const auto kind = Draw(20);
+    if (kind < 4) {
+      Change();
+      return true;
+    }
+    if (kind == 4) {
+      Restore();
+      return true;
+    }
+    auto& node = nodes_[Draw(nodes_.size())];
+    const auto with = Draw(nodes_.size() + 1);
+    if (with == nodes_.size()) {
+      CallPlatform(node);
+    } else if (&nodes_[with] != &node && nodes_[with].has_read) {
+      CallRelay(node, nodes_[with]);
+    }
+    return !node.has_read || node.ids == states_.at(node.position);
+  }
+
+ private:
+  struct Node {
+    Position position;
+    Ids ids;
+    DirectoryHistory history;
+    bool has_read = false;
+  };
+
+  auto Draw(std::uint64_t below) -> std::uint64_t {
+    return random_.engine()() % below;
+  }
+
+  void Change() {
+    auto ids = states_[at_];
+    const auto id = 1 + Draw(kIds);
+    if (ids.erase(id) == 0) {
+      ids.insert(id);
+    }
+    at_.revision = Revision(at_.revision.value() + 1 + Draw(2));
+    states_[at_] = ids;
+  }
+
+  void Restore() {
+    auto copy = states_.find(at_);
+    for (auto lost = Draw(4); lost > 0 && copy != states_.begin() &&
+                              std::prev(copy)->first.era == at_.era;
+         --lost) {
+      --copy;
+    }
+    const auto ids = copy->second;
+    at_ = {Era(at_.era.value() + 1), copy->first.revision};
+    states_[at_] = ids;
+  }
+
+  static void Apply(Node& node, const DirectoryUpdate& update) {
+    if (update.is_whole) {
+      node.ids.clear();
+    }
+    for (const auto& report : update.reports) {
+      node.ids.insert(report.id.value());
+    }
+    for (const auto id : update.removed) {
+      node.ids.erase(id.value());
+    }
+    node.position = update.position;
+    node.has_read = true;
+    node.history.Add(update, kNow);
+  }
+
+  void CallPlatform(Node& node) {
+    auto update = DirectoryUpdate();
+    update.position = at_;
+    update.is_whole = !node.has_read || node.position.era != at_.era;
+    const auto touched =
+        update.is_whole ? states_[at_] : TouchedSince(node.position);
+    for (const auto id : touched) {
+      if (states_[at_].contains(id)) {
+        update.reports.push_back(MakeReport(id));
+      } else {
+        update.removed.emplace_back(id);
+      }
+    }
+    Apply(node, update);
+  }
+
+  auto TouchedSince(Position after) const -> Ids {
+    auto touched = Ids();
+    for (auto from = states_.find(after); from->first != at_; ++from) {
+      for (auto id = std::uint64_t{1}; id <= kIds; ++id) {
+        if (from->second.contains(id) != std::next(from)->second.contains(id)) {
+          touched.insert(id);
+        }
+      }
+    }
+    return touched;
+  }
+
+  static void CallRelay(Node& node, const Node& relay) {
+    const auto update = node.has_read ? relay.history.Since(node.position)
+                                      : std::optional(relay.history.All());
+    if (!update) {
+      node.has_read = false;
+    } else if (update->position >= node.position) {
+      Apply(node, *update);
+    }
+  }
+
+  static constexpr std::uint64_t kIds = 6;
+
+  Random random_;
+  std::map<Position, Ids> states_;
+  Position at_ = At(1, 10);
+  std::vector<Node> nodes_{5};
+};
+
+// Instances that follow the platform and each other at random, over restores
+// and whole reads, hold what the platform held at their position.
+Test(directory_history, instances_hold_what_the_platform_held) {
+  for (auto seed = std::uint64_t{1}; seed <= 2000; ++seed) {
+    auto model = HistoryModel(seed);
+    for (auto step = 0; step < 150; ++step) {
+      cr_assert(model.Step(), "seed %zu, step %d",
+                static_cast<std::size_t>(seed), step);
+    }
+  }
+}
+
 Test(directory_history, whole_directory_holds_what_is_present) {
   auto history = DirectoryHistory();
   history.Add(Whole(10), kNow);
