Edge: Have watchers that tell no era read everything after a restore

What callers may see, while two versions of the program run: an instance of the earlier one misses changes after a restore.

Cause: a watcher that tells no era was taken for one of the present era, although its revision may be of the one before.

Change: up to the last revision of the former era it is told to read everything.

--- a/Source/Edge/directory_history.cc
+++ b/Source/Edge/directory_history.cc
@@ -88,6 +88,10 @@
 auto DirectoryHistory::Since(Position after) const
     -> std::optional<DirectoryUpdate> {
   if (after.era == Era()) {
+    if (after.revision <= former_era_end_.revision) {
+      // The revision may be one of the former era.
+      return std::nullopt;
+    }
     after.era = all_.position.era;
   }
   const auto is_former = after.era < all_.position.era;
--- a/Source/Edge/directory_history.h
+++ b/Source/Edge/directory_history.h
@@ -19,7 +19,8 @@
   void Add(const DirectoryUpdate& update, TimePoint now);
 
   // The changes after a position, merged into one update; nullopt when some of
-  // them are not known. An era of zero is taken for the present one.
+  // them are not known. An era of zero is taken for the present one, unless the
+  // revision may be of the one before.
   [[nodiscard]] auto Since(Position after) const
       -> std::optional<DirectoryUpdate>;
 
