Flow: Keep an answered flow at its endpoint wherever it was opened

Cause: a token was corrected only by the instance that had forwarded the copies.

Change: when the endpoint has answered here and the numbers of both directions go on, the flow is the same one and stays there. A new flow from the port begins with others.

Tests that fail before: token_router late_reply_diverts_no_flow_that_was_opened_elsewhere, flows_diverted_by_late_replies_count_against_no_endpoint.

--- a/Source/Flow/flow_tracker.cc
+++ b/Source/Flow/flow_tracker.cc
@@ -1,6 +1,7 @@
 #include "Flow/flow_tracker.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <utility>
 
 #include "Core/hash.h"
@@ -60,6 +61,19 @@
   return static_cast<std::int32_t>(left - right) < 0;
 }
 
+// Sequence numbers of one flow that are further apart are not told from those
+// of a new flow: four times what may be in flight.
+constexpr std::int32_t kMaxSequenceGap = 76'800;
+
+auto IsNear(std::uint32_t left, std::uint32_t right) -> bool {
+  return std::abs(static_cast<std::int32_t>(left - right)) <= kMaxSequenceGap;
+}
+
+// Whether the numbers of both directions go on where the flow's were.
+auto Continues(const TrackedFlow& flow, const TokenPacket& packet) -> bool {
+  return IsNear(packet.seq, flow.next_seq) && IsNear(packet.ack, flow.last_ack);
+}
+
 // Whether the flow's opening went to several endpoints, and none has answered a
 // request of it. Its packets may go to an endpoint where it is not open.
 auto IsOwnerUnknown(const TrackedFlow& flow) -> bool {
@@ -126,9 +140,10 @@
     return std::nullopt;
   }
   const auto token = TokenOf(packet);
+  const auto is_of_copy = std::ranges::find(flow->opening_tokens, token) !=
+                          flow->opening_tokens.end();
   if (token == flow->token || token == kNoToken ||
-      std::ranges::find(flow->opening_tokens, token) ==
-          flow->opening_tokens.end()) {
+      (!is_of_copy && !Continues(*flow, packet))) {
     return std::nullopt;
   }
   events_.Add({.kind = RouterEvent::Kind::kTokenCorrected,
--- a/Source/Flow/flow_tracker.h
+++ b/Source/Flow/flow_tracker.h
@@ -47,10 +47,10 @@
   void OnOpeningForwarded(const TokenPacket& packet, FlowToken token,
                           TimePoint now);
 
-  // The token of the flow's endpoint when the packet names another one, to
-  // which a copy of the opening went, although the flow's endpoint has
-  // answered: the caller may repeat the token of a late reply to such a copy.
-  // Otherwise nullopt.
+  // The token of the flow's endpoint when the packet names another one although
+  // the flow's endpoint has answered: the caller may repeat the token of a late
+  // reply to another copy of its opening. Otherwise nullopt; also when the
+  // packet may be of a new flow from the same port.
   auto CorrectedToken(const TokenPacket& packet) -> std::optional<FlowToken>;
 
   // The endpoint to try instead of `packet`'s when this is a retransmission of
--- a/Tests/Flow/token_router_test.cc
+++ b/Tests/Flow/token_router_test.cc
@@ -904,6 +904,59 @@
   cr_assert_eq(EndpointIn(fixture.Opening(1000, 1)), 3U);
 }
 
+// The copies of an opening went through other instances, to two endpoints, and
+// the flow moved here. Its caller repeats the token of a late reply: the flow
+// is the same, since its numbers go on.
+Test(token_router, late_reply_diverts_no_flow_that_was_opened_elsewhere) {
+  auto fixture = RouterFixture();
+  fixture.Packet(1000, kFirst, 1, 1, 100);
+  fixture.Advance(20 * kMillisecond);
+  fixture.Packet(1000, kFirst, 101, 501, 0);
+  fixture.Packet(1000, kFirst, 101, 501, 100);
+  fixture.Advance(20 * kMillisecond);
+  fixture.Packet(1000, kFirst, 201, 901, 0);
+  fixture.Advance(1000 * kMillisecond);
+  for (auto copy = 0; copy < 4; ++copy) {
+    const auto action = fixture.Packet(1000, kSecond, 201, 901, 100);
+    cr_assert_eq(TokenIn(action), kFirst);
+    fixture.Advance(400 * kMillisecond);
+  }
+}
+
+// The same flows leave data unanswered at the endpoint that doesn't have them,
+// and that endpoint counted as silent: its own open flows were reset.
+Test(token_router, flows_diverted_by_late_replies_count_against_no_endpoint) {
+  auto fixture = RouterFixture();
+  const auto sound = fixture.OpenAt(kSecond, 3000);
+  const auto elsewhere = fixture.OpenAt(kFirst, 5000);
+  fixture.Packet(sound, kSecond, 1, 1, 100);
+  fixture.Advance(20 * kMillisecond);
+  fixture.Packet(sound, kSecond, 101, 101, 0);
+  for (const auto port : {std::uint16_t{1000}, std::uint16_t{1001}}) {
+    AskAndAnswer(fixture, port);
+  }
+  for (const auto port : {std::uint16_t{1000}, std::uint16_t{1001}}) {
+    fixture.Packet(port, kSecond, 101, 101, 100);
+  }
+  fixture.Advance(20 * kMillisecond);
+  auto seq = std::uint32_t{1};
+  for (auto time = 0; time < 2400; time += 100) {
+    if (time == 200 || time == 600 || time == 1400) {
+      for (const auto port : {std::uint16_t{1000}, std::uint16_t{1001}}) {
+        fixture.Packet(port, kSecond, 101, 101, 100);
+      }
+    }
+    if (time == 300) {
+      fixture.Packet(sound, kSecond, 101, 101, 100);
+    }
+    fixture.Packet(elsewhere, kFirst, seq, seq, 100);
+    seq += 100;
+    cr_assert(fixture.Advance(20 * kMillisecond).empty());
+    fixture.Packet(elsewhere, kFirst, seq, seq, 0);
+    cr_assert(fixture.Advance(80 * kMillisecond).empty());
+  }
+}
+
 Test(token_router, long_request_on_a_live_endpoint_causes_no_reset) {
   auto fixture = RouterFixture();
   const auto working = fixture.OpenAt(kFirst, 1000);
