Flow: Count a silence in the time in which answers keep coming

Cause: one answer of another endpoint to a later request was taken as proof for the whole silence. When nothing passes any more a moment after that answer, the requests that were still being worked on look like those of a dead endpoint.

Change: the silence must last for its time by a clock that runs while answers of any endpoint keep coming, and counts no more than 200 ms of each gap between them. A stall adds that much at most, however long it lasts. Instances with few flows take longer to find an endpoint silent; its entry lapses meanwhile.

Test that fails before: token_router answer_before_a_common_stall_silences_no_endpoint, for stalls of 0.2 s to 3 s. waiting_flows_of_an_unresponsive_endpoint_are_reset had one answer elsewhere, which is the case above; now the other endpoint answers all the while, and the same flows must be reset at the same time.

--- a/Source/Flow/answered_requests.cc
+++ b/Source/Flow/answered_requests.cc
@@ -13,6 +13,8 @@
 }  // namespace
 
 void AnsweredRequests::Add(TimePoint sent_at, TimePoint now) {
+  answered_time_ = AnsweredTimeAt(now);
+  last_answer_ = now;
   const auto is_later = answers_.empty() || sent_at > answers_.back().sent_at;
   if (is_later &&
       (answers_.empty() || now - answers_.back().at >= kMinInterval)) {
@@ -23,6 +25,11 @@
   }
 }
 
+auto AnsweredRequests::AnsweredTimeAt(TimePoint now) const -> Duration {
+  return last_answer_ ? answered_time_ + std::min(now - *last_answer_, kMaxGap)
+                      : answered_time_;
+}
+
 auto AnsweredRequests::HasLaterThan(TimePoint time, TimePoint deadline) const
     -> bool {
   return std::ranges::any_of(answers_, [&](const Answer& answer) {
--- a/Source/Flow/answered_requests.h
+++ b/Source/Flow/answered_requests.h
@@ -2,14 +2,16 @@
 #define HEMLOCKWICK_FLOW_ANSWERED_REQUESTS_H_
 
 #include <deque>
+#include <optional>
 
 #include "Core/time.h"
 
 namespace hemlockwick {
 
-// The requests that any endpoint has answered lately. An answer to a later
-// request tells an endpoint that does not answer from packets that are late for
-// all endpoints: in this instance, on its link, or at the callers.
+// The requests that any endpoint has answered lately, and the time in which
+// answers kept coming. They tell an endpoint that does not answer from packets
+// that are late for all endpoints: in this instance, on its link, or at the
+// callers.
 class AnsweredRequests {
  public:
   // Records an answer at `now` to a request forwarded at `sent_at`. Answers
@@ -21,6 +23,11 @@
   [[nodiscard]] auto HasLaterThan(TimePoint time, TimePoint deadline) const
       -> bool;
 
+  // Time in which answers have kept coming: of each gap between two of them,
+  // and of the time since the last one, no more than kMaxGap counts.
+  [[nodiscard]] auto AnsweredTimeAt(TimePoint now) const -> Duration;
+
+  static constexpr Duration kMaxGap = std::chrono::milliseconds(200);
   static constexpr Duration kRetention = std::chrono::seconds(4);
 
  private:
@@ -31,6 +38,8 @@
 
   // Each was sent later than all those before it.
   std::deque<Answer> answers_;
+  std::optional<TimePoint> last_answer_;
+  Duration answered_time_{0};  // Until the last answer.
 };
 
 }  // namespace hemlockwick
--- a/Source/Flow/endpoint_health.h
+++ b/Source/Flow/endpoint_health.h
@@ -72,6 +72,9 @@
   // to rule out that packets are late for all endpoints; see AnsweredRequests.
   [[nodiscard]] auto IsSilent(TimePoint now) const -> bool;
 
+  // How long a silence of the endpoint must be.
+  [[nodiscard]] auto SilenceTime() const -> Duration;
+
   [[nodiscard]] auto unanswered_packets() const -> std::uint32_t {
     return openings_ + retransmitted_openings_ + retransmitted_data_;
   }
@@ -85,7 +88,6 @@
 
  private:
   auto CountOf(UnansweredPacket packet) -> std::uint32_t&;
-  [[nodiscard]] auto SilenceTime() const -> Duration;
 
   std::optional<Duration> usual_reply_time_;
   TimePoint last_alive_;
--- a/Source/Flow/endpoint_stats.h
+++ b/Source/Flow/endpoint_stats.h
@@ -65,6 +65,9 @@
   explicit EndpointStats(TimePoint now) : health(now) {}
 
   EndpointHealth health;
+  // When the data of EndpointHealth::silent_data_sent_at was sent, by
+  // AnsweredRequests::AnsweredTimeAt.
+  Duration unanswered_since{0};
   std::uint32_t open_flows = 0;     // Tracked flows of the endpoint.
   std::uint32_t waiting_flows = 0;  // Those with an unanswered packet.
   // Smoothed ratio of reply times to the usual ones of their service address.
--- a/Source/Flow/flow_tracker.cc
+++ b/Source/Flow/flow_tracker.cc
@@ -187,10 +187,10 @@
   ProcessPacket(flow, packet, now);
   // What the caller has received came from the endpoint of before.
   flow.answered = flow.answered && !has_changed;
-  const auto& health = StatsOf(token, now).health;
+  const auto& stats = StatsOf(token, now);
   if (may_reset && packet.data_bytes > 0 && flow.waiting &&
-      IsSilent(health, now)) {
-    return now - health.last_alive();
+      IsSilent(stats, now)) {
+    return now - stats.health.last_alive();
   }
   if (packet.finishes || packet.resets) {
     Release(flow);
@@ -217,10 +217,14 @@
 }
 
 // Whether the endpoint alone is silent: it leaves data unanswered, while a
-// request forwarded later was answered by another endpoint.
-auto FlowTracker::IsSilent(const EndpointHealth& health, TimePoint now) const
+// request forwarded later was answered by another endpoint, and answers have
+// kept coming for as long as the silence must be.
+auto FlowTracker::IsSilent(const EndpointStats& stats, TimePoint now) const
     -> bool {
-  return health.IsSilent(now) &&
+  const auto& health = stats.health;
+  const auto answered_time =
+      answered_.AnsweredTimeAt(now) - stats.unanswered_since;
+  return health.IsSilent(now) && answered_time >= health.SilenceTime() &&
          answered_.HasLaterThan(health.silent_data_sent_at(),
                                 now - kAnswerSpread);
 }
@@ -317,6 +321,7 @@
   }
   flow.waiting = true;
   flow.waiting_since = now;
+  flow.answered_time = answered_.AnsweredTimeAt(now);
   flow.waiting_packets = 0;
   flow.counted_unanswered = false;
   ++StatsOf(flow.token, now).waiting_flows;
@@ -384,8 +389,9 @@
 }
 
 void FlowTracker::RecordReply(FlowToken token, TimePoint now) {
-  auto& health = StatsOf(token, now).health;
-  if (health.IsSuspect(now) || IsSilent(health, now)) {
+  auto& stats = StatsOf(token, now);
+  auto& health = stats.health;
+  if (health.IsSuspect(now) || IsSilent(stats, now)) {
     events_.Add({.kind = RouterEvent::Kind::kEndpointAlive,
                  .token = token,
                  .unanswered_packets = health.unanswered_packets(),
@@ -418,6 +424,10 @@
   if (!health.RecordUnanswered(packet, flow.waiting_since, now)) {
     return;
   }
+  if (packet == UnansweredPacket::kRetransmittedData &&
+      health.silent_data_sent_at() == flow.waiting_since) {
+    StatsOf(flow.token, now).unanswered_since = flow.answered_time;
+  }
   ++unanswered_packets_;
   // A flow of which no further packet was seen may have moved to another
   // instance.
@@ -452,8 +462,9 @@
     -> std::vector<ResetFlow> {
   auto resets = std::vector<ResetFlow>();
   for (const auto token : std::exchange(maybe_silent_, {})) {
-    const auto& health = StatsOf(token, now).health;
-    if (!IsSilent(health, now)) {
+    const auto& stats = StatsOf(token, now);
+    const auto& health = stats.health;
+    if (!IsSilent(stats, now)) {
       continue;
     }
     events_.Add({.kind = RouterEvent::Kind::kEndpointSilent,
--- a/Source/Flow/flow_tracker.h
+++ b/Source/Flow/flow_tracker.h
@@ -113,7 +113,7 @@
   }
 
  private:
-  [[nodiscard]] auto IsSilent(const EndpointHealth& health, TimePoint now) const
+  [[nodiscard]] auto IsSilent(const EndpointStats& stats, TimePoint now) const
       -> bool;
   auto Track(const TokenPacket& packet, TimePoint now) -> TrackedFlow&;
   void Establish(TrackedFlow& flow, const TokenPacket& packet, TimePoint now);
--- a/Source/Flow/tracked_flows.h
+++ b/Source/Flow/tracked_flows.h
@@ -30,6 +30,8 @@
   TimePoint last_seen;
   TimePoint waiting_since;   // First packet that has had no reply.
   Duration last_sent_at{0};  // Opening or new data, by the ObservationClock.
+  // When the wait began, by AnsweredRequests::AnsweredTimeAt.
+  Duration answered_time{0};
   std::uint16_t waiting_packets = 0;
   bool established = false;
   bool answered = false;  // The caller has received data of its endpoint.
--- a/Tests/Flow/token_router_test.cc
+++ b/Tests/Flow/token_router_test.cc
@@ -526,15 +526,17 @@
   const auto elsewhere = fixture.OpenAt(kSecond, 5000);
   AskAndAnswer(fixture, waiting);
   AskAndAnswer(fixture, other);
-  // Both callers send a request and retransmit it. The other endpoint answers a
-  // later request.
+  // Both callers send a request and retransmit it. The other endpoint answers
+  // later requests all the while.
   fixture.Packet(waiting, kFirst, 101, 101, 100);
   fixture.Packet(other, kFirst, 101, 101, 100);
-  auto resets = fixture.Advance(20 * kMillisecond);
-  fixture.Packet(elsewhere, kSecond, 1, 1, 100);
-  fixture.Advance(20 * kMillisecond);
-  fixture.Packet(elsewhere, kSecond, 101, 101, 0);
-  fixture.Advance(560 * kMillisecond);
+  auto resets = std::vector<ResetFlow>();
+  for (auto seq = std::uint32_t{1}; seq < 600; seq += 100) {
+    fixture.Packet(elsewhere, kSecond, seq, seq, 100);
+    cr_assert(fixture.Advance(20 * kMillisecond).empty());
+    fixture.Packet(elsewhere, kSecond, seq + 100, seq + 100, 0);
+    cr_assert(fixture.Advance(80 * kMillisecond).empty());
+  }
   fixture.Packet(waiting, kFirst, 101, 101, 100);
   const auto second = fixture.Packet(other, kFirst, 101, 101, 100);
   const auto more = fixture.Advance(20 * kMillisecond);
@@ -797,6 +799,40 @@
   }
 }
 
+// Another endpoint answers a later request a moment before nothing passes any
+// more; its next request then waits like those of the first. The one answer was
+// taken as a sign that the first endpoint alone is silent, and its open flows
+// were reset (issue 37).
+Test(token_router, answer_before_a_common_stall_silences_no_endpoint) {
+  constexpr auto kStep = 40 * kMillisecond;
+  for (auto stall = 200 * kMillisecond; stall <= 3000 * kMillisecond;
+       stall += kStep) {
+    auto fixture = RouterFixture();
+    const auto port = fixture.OpenAt(kFirst, 1000);
+    const auto next = fixture.OpenAt(kFirst, port + 1);
+    const auto elsewhere = fixture.OpenAt(kSecond, next + 1);
+    AskAndAnswer(fixture, port);
+    AskAndAnswer(fixture, next);
+    fixture.Packet(port, kFirst, 101, 101, 100);
+    fixture.Packet(next, kFirst, 101, 101, 100);
+    fixture.Advance(5 * kMillisecond);
+    fixture.Packet(elsewhere, kSecond, 1, 1, 100);
+    fixture.Advance(20 * kMillisecond);
+    fixture.Packet(elsewhere, kSecond, 101, 101, 100);
+    cr_assert(fixture.Advance(stall).empty());
+    fixture.Packet(elsewhere, kSecond, 101, 101, 100);
+    for (const auto repeated : {port, next}) {
+      const auto action = fixture.Packet(repeated, kFirst, 101, 101, 100);
+      cr_assert(std::holds_alternative<ForwardWithToken>(action));
+    }
+    cr_assert(fixture.Advance(20 * kMillisecond).empty());
+    fixture.Packet(elsewhere, kSecond, 201, 201, 0);
+    fixture.Packet(port, kFirst, 201, 201, 0);
+    fixture.Packet(next, kFirst, 201, 201, 0);
+    cr_assert(fixture.Advance(200 * kMillisecond).empty());
+  }
+}
+
 Test(token_router, long_request_on_a_live_endpoint_causes_no_reset) {
   auto fixture = RouterFixture();
   const auto working = fixture.OpenAt(kFirst, 1000);
