--- a/Source/Edge/directory_history.cc
+++ b/Source/Edge/directory_history.cc
@@ -21,6 +21,7 @@
   }
   const auto before = all_.position;
   if (!update.is_whole && update.position <= before) {
+    UseNewerRoutes(update.routes);
     return;
   }
   if (update.position.era != before.era) {
@@ -30,10 +31,22 @@
     ReplaceAll(update, now);
     return;
   }
+  const auto routes = all_.routes;
   all_.Append(update);
+  UseNewerRoutes(routes);
   // A whole update lists only what is present, so it has no removals.
   all_.removed.clear();
-  AddChange(update, now);
+  AddChange(update, before, now);
+}
+
+// Keeps the routes in force when these are older: a store that was restored may
+// hold older ones, and its operator may repeat them one after the other.
+void DirectoryHistory::UseNewerRoutes(
+    const std::shared_ptr<const RouteSet>& routes) {
+  if (routes != nullptr &&
+      (all_.routes == nullptr || all_.routes->version < routes->version)) {
+    all_.routes = routes;
+  }
 }
 
 // Stores a whole update as its difference from the previous directory.
@@ -41,22 +54,23 @@
 // instance that watches it.
 void DirectoryHistory::ReplaceAll(const DirectoryUpdate& whole, TimePoint now) {
   // After a lower position no change could be told from an earlier one.
+  const auto from = all_.position;
   const auto continues = all_.is_whole && whole.position >= all_.position;
   auto difference = DifferenceOf(all_, whole);
-  // A store that was restored may hold older routes than those in force.
-  auto routes = difference.routes != nullptr ? whole.routes : all_.routes;
+  const auto routes = all_.routes;
   all_ = whole;
-  all_.routes = std::move(routes);
+  UseNewerRoutes(routes);
   if (continues) {
-    AddChange(std::move(difference), now);
+    AddChange(std::move(difference), from, now);
   } else {
     complete_after_ = whole.position;
     changes_.clear();
   }
 }
 
-void DirectoryHistory::AddChange(DirectoryUpdate change, TimePoint now) {
-  changes_.push_back({now, std::move(change)});
+void DirectoryHistory::AddChange(DirectoryUpdate change, Position from,
+                                 TimePoint now) {
+  changes_.push_back({now, from, std::move(change)});
   while (changes_.size() > kMaxChanges ||
          now - changes_.front().at > kRetention) {
     complete_after_ = changes_.front().update.position;
@@ -74,6 +88,10 @@
 auto DirectoryHistory::Since(Position after) const
     -> std::optional<DirectoryUpdate> {
   if (after.era == Era()) {
+    if (after.revision <= former_era_end_.revision) {
+      // The revision may be one of the former era.
+      return std::nullopt;
+    }
     after.era = all_.position.era;
   }
   const auto is_former = after.era < all_.position.era;
@@ -83,6 +101,9 @@
   auto merger = UpdateMerger();
   for (auto change = changes_.rbegin();
        change != changes_.rend() && change->update.position > after; ++change) {
+    if (change->update.is_difference && change->from < after) {
+      return std::nullopt;
+    }
     merger.AddOlder(change->update);
   }
   auto result = merger.Take();
--- a/Source/Edge/directory_history.h
+++ b/Source/Edge/directory_history.h
@@ -19,7 +19,8 @@
   void Add(const DirectoryUpdate& update, TimePoint now);
 
   // The changes after a position, merged into one update; nullopt when some of
-  // them are not known. An era of zero is taken for the present one.
+  // them are not known. An era of zero is taken for the present one, unless the
+  // revision may be of the one before.
   [[nodiscard]] auto Since(Position after) const
       -> std::optional<DirectoryUpdate>;
 
@@ -40,12 +41,14 @@
  private:
   struct Change {
     TimePoint at;
+    Position from;  // Of the directory before the change.
     DirectoryUpdate update;
   };
 
+  void UseNewerRoutes(const std::shared_ptr<const RouteSet>& routes);
   void ReplaceAll(const DirectoryUpdate& whole, TimePoint now);
   [[nodiscard]] auto HasLeftEraAfter(Position position) const -> bool;
-  void AddChange(DirectoryUpdate change, TimePoint now);
+  void AddChange(DirectoryUpdate change, Position from, TimePoint now);
   void AddRoutes(std::shared_ptr<const RouteSet> routes);
 
   DirectoryUpdate all_;
--- a/Source/Flow/flow_tracker.cc
+++ b/Source/Flow/flow_tracker.cc
@@ -1,6 +1,7 @@
 #include "Flow/flow_tracker.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <utility>
 
 #include "Core/hash.h"
@@ -60,6 +61,19 @@
   return static_cast<std::int32_t>(left - right) < 0;
 }
 
+// Sequence numbers of one flow that are further apart are not told from those
+// of a new flow: four times what may be in flight.
+constexpr std::int32_t kMaxSequenceGap = 76'800;
+
+auto IsNear(std::uint32_t left, std::uint32_t right) -> bool {
+  return std::abs(static_cast<std::int32_t>(left - right)) <= kMaxSequenceGap;
+}
+
+// Whether the numbers of both directions go on where the flow's were.
+auto Continues(const TrackedFlow& flow, const TokenPacket& packet) -> bool {
+  return IsNear(packet.seq, flow.next_seq) && IsNear(packet.ack, flow.last_ack);
+}
+
 // Whether the flow's opening went to several endpoints, and none has answered a
 // request of it. Its packets may go to an endpoint where it is not open.
 auto IsOwnerUnknown(const TrackedFlow& flow) -> bool {
@@ -126,9 +140,10 @@
     return std::nullopt;
   }
   const auto token = TokenOf(packet);
+  const auto is_of_copy = std::ranges::find(flow->opening_tokens, token) !=
+                          flow->opening_tokens.end();
   if (token == flow->token || token == kNoToken ||
-      std::ranges::find(flow->opening_tokens, token) ==
-          flow->opening_tokens.end()) {
+      (!is_of_copy && !Continues(*flow, packet))) {
     return std::nullopt;
   }
   events_.Add({.kind = RouterEvent::Kind::kTokenCorrected,
@@ -206,7 +221,7 @@
 auto FlowTracker::IsSilent(const EndpointHealth& health, TimePoint now) const
     -> bool {
   return health.IsSilent(now) &&
-         answered_.HasLaterThan(health.unanswered_data_since(),
+         answered_.HasLaterThan(health.silent_data_sent_at(),
                                 now - kAnswerSpread);
 }
 
@@ -259,6 +274,7 @@
   if (!IsBefore(flow.next_seq, end)) {
     if (HadTimeForReply(flow)) {
       RecordUnanswered(flow, UnansweredPacket::kRetransmittedData, now);
+      AddOnce(maybe_silent_, flow.token);
     }
     return;
   }
@@ -399,7 +415,6 @@
   }
   auto& health = StatsOf(flow.token, now).health;
   const auto was_suspect = health.IsSuspect(now);
-  const auto was_silent = IsSilent(health, now);
   if (!health.RecordUnanswered(packet, flow.waiting_since, now)) {
     return;
   }
@@ -417,9 +432,6 @@
                  .unanswered_packets = health.unanswered_packets(),
                  .age = now - health.last_alive()});
   }
-  if (!was_silent && packet == UnansweredPacket::kRetransmittedData) {
-    AddOnce(maybe_silent_, flow.token);
-  }
 }
 
 auto FlowTracker::OnTick(const DirectorySnapshot* directory, TimePoint now)
@@ -433,15 +445,16 @@
                               : CheckSilent(*directory, now);
 }
 
-// Looks for endpoints that have become silent since the last tick. Returns the
-// resets of their flows.
+// Looks for silent endpoints among those whose callers have sent data again
+// since the last tick: while they don't, the endpoint may have acknowledged it.
+// Returns the resets of their flows.
 auto FlowTracker::CheckSilent(const DirectorySnapshot& directory, TimePoint now)
     -> std::vector<ResetFlow> {
   auto resets = std::vector<ResetFlow>();
-  std::erase_if(maybe_silent_, [&](FlowToken token) {
+  for (const auto token : std::exchange(maybe_silent_, {})) {
     const auto& health = StatsOf(token, now).health;
     if (!IsSilent(health, now)) {
-      return !health.IsSuspect(now);
+      continue;
     }
     events_.Add({.kind = RouterEvent::Kind::kEndpointSilent,
                  .token = token,
@@ -452,8 +465,7 @@
                                          : std::nullopt});
     auto ended = ResetSilent(token, directory, now);
     resets.insert(resets.end(), ended.begin(), ended.end());
-    return true;
-  });
+  }
   return resets;
 }
 
--- a/Source/Flow/token_router.cc
+++ b/Source/Flow/token_router.cc
@@ -33,7 +33,9 @@
   for (const auto& departed : directory_->departed()) {
     const auto was_departed = previous != nullptr &&
                               previous->FindDeparted(departed.token) != nullptr;
-    if (was_departed || !HasEnded(departed, now)) {
+    // A present endpoint with the token may have the flows.
+    const auto is_shared = directory_->Find(departed.token) != nullptr;
+    if (was_departed || is_shared || !HasEnded(departed, now)) {
       continue;
     }
     auto ended = tracker_.ResetDeparted(departed.token);
@@ -104,7 +106,8 @@
     const auto resolved = directory_->Resolve(earlier->endpoint, route, now);
     const auto* const present =
         std::get_if<const DirectoryEndpoint*>(&resolved);
-    if (present != nullptr && (*present)->accepts_new_flows) {
+    if (present != nullptr && (*present)->accepts_new_flows &&
+        IsTarget(route, (*present)->report.service)) {
       return *present;
     }
   }
@@ -170,7 +173,7 @@
     return Drop(packet, DropReason::kUnknownEndpoint);
   }
   const auto age = unknown_tokens_.See(TokenOf(packet), now);
-  if (age >= kUnknownTokenTimeout) {
+  if (age >= kUnknownTokenTimeout && directory_->is_settled()) {
     return Reset(packet, ResetReason::kUnknown, age);
   }
   return Drop(packet, DropReason::kUnknownEndpoint);
--- a/Tests/Flow/token_router_test.cc
+++ b/Tests/Flow/token_router_test.cc
@@ -4,147 +4,11 @@
 
 #include <algorithm>
 
+#include "Flow/token_router_fixture.h"
+
 namespace hemlockwick {
 namespace {
 
-constexpr TimePoint kStart{std::chrono::hours(500'000)};
-constexpr auto kMillisecond = std::chrono::milliseconds(1);
-constexpr ServiceId kService{7};
-constexpr DataCentreId kHere{1};
-constexpr SocketAddress kAddress{Ipv4Address(0xC6120001), Port(443)};
-constexpr ServiceId kOtherService{8};
-constexpr SocketAddress kOtherAddress{Ipv4Address(0xC6120002), Port(443)};
-
-// For this long after a start network routers move flows between instances.
-constexpr Duration kSettleTime = std::chrono::seconds(3);
-
-// A router with two endpoints, 1 and 2, and a clock that tests advance.
-class RouterFixture {
- public:
-  explicit RouterFixture(InstanceId instance = InstanceId(1))
-      : router_({kHere, 256, instance}) {
-    Put(1);
-    Put(2);
-    auto routes = std::make_shared<RouteSet>();
-    routes->version = Version(1);
-    routes->routes.push_back({kAddress, {{kService, 1}}, true});
-    directory_.Publish(routes, now_);
-    Publish();
-    // The settle time starts with the first tick.
-    Advance(kSettleTime + 20 * kMillisecond);
-  }
-
-  void Put(std::uint64_t id, bool draining = false,
-           ServiceId service = kService) {
-    auto report = EndpointReport();
-    report.id = EndpointId(id);
-    report.service = service;
-    report.address = {Ipv4Address(static_cast<std::uint32_t>(id)), Port(80)};
-    report.data_centre = kHere;
-    report.slots = 3;
-    report.draining = draining;
-    directory_.Report(report);
-  }
-
-  // Publishes routes of both addresses.
-  void PutRoutes(std::uint64_t version, ServiceId service,
-                 ServiceId other_service) {
-    auto routes = std::make_shared<RouteSet>();
-    routes->version = Version(version);
-    routes->routes.push_back({kAddress, {{service, 1}}});
-    routes->routes.push_back({kOtherAddress, {{other_service, 1}}});
-    directory_.Publish(routes, now_);
-  }
-
-  auto Publish() -> std::vector<ResetFlow> {
-    directory_.OnTick(now_);
-    return router_.Update(directory_.TakeSnapshot(now_), now_);
-  }
-
-  // Advances the clock, with ticks as the traffic thread makes them.
-  auto Advance(Duration time) -> std::vector<ResetFlow> {
-    auto resets = std::vector<ResetFlow>();
-    const auto end = now_ + time;
-    while (now_ < end) {
-      now_ = std::min(now_ + 20 * kMillisecond, end);
-      const auto more = router_.OnTick(now_);
-      resets.insert(resets.end(), more.begin(), more.end());
-    }
-    return resets;
-  }
-
-  static auto Caller(std::uint16_t port) -> SocketAddress {
-    return {Ipv4Address(0x64400007), Port(port)};
-  }
-
-  auto Opening(std::uint16_t port, std::uint32_t copy = 0) -> TokenAction {
-    auto packet = TokenPacket();
-    packet.caller = Caller(port);
-    packet.service = kAddress;
-    packet.opens = true;
-    packet.ack = copy;
-    return router_.Decide(packet, now_);
-  }
-
-  auto OpeningAt(const SocketAddress& service, std::uint16_t port)
-      -> TokenAction {
-    auto packet = TokenPacket();
-    packet.caller = Caller(port);
-    packet.service = service;
-    packet.opens = true;
-    return router_.Decide(packet, now_);
-  }
-
-  auto Packet(std::uint16_t port, WireToken token, std::uint32_t seq,
-              std::uint32_t ack, std::uint16_t bytes) -> TokenAction {
-    auto packet = TokenPacket();
-    packet.caller = Caller(port);
-    packet.service = kAddress;
-    packet.seq = seq;
-    packet.ack = ack;
-    packet.data_bytes = bytes;
-    packet.token = token;
-    return router_.Decide(packet, now_);
-  }
-
-  // Opens a flow whose endpoint answers; returns its token.
-  auto Open(std::uint16_t port) -> WireToken {
-    const auto token = std::get<ForwardWithToken>(Opening(port)).token;
-    Advance(8 * kMillisecond);
-    Packet(port, token, 1, 1, 0);
-    return token;
-  }
-
-  // Opens flows from `port` on until one has the token; returns its port.
-  auto OpenAt(WireToken token, std::uint16_t port) -> std::uint16_t {
-    while (Open(port) != token) {
-      ++port;
-    }
-    return port;
-  }
-
-  auto router() -> TokenRouter& { return router_; }
-  auto directory() -> EndpointDirectory& { return directory_; }
-  auto now() const -> TimePoint { return now_; }
-  void AdvanceWithoutTicks(Duration time) { now_ += time; }
-  void Tick() { router_.OnTick(now_); }
-
-  auto CountEvents(RouterEvent::Kind kind) -> std::size_t {
-    const auto events = router_.TakeEvents();
-    return static_cast<std::size_t>(std::ranges::count_if(
-        events, [kind](const auto& event) { return event.kind == kind; }));
-  }
-
- private:
-  EndpointDirectory directory_;
-  TokenRouter router_;
-  TimePoint now_ = kStart;
-};
-
-constexpr FlowToken kFirstEndpoint = TokenOf(EndpointId(1));
-constexpr WireToken kFirst = ToWire(kFirstEndpoint, kAddress);
-constexpr WireToken kSecond = ToWire(TokenOf(EndpointId(2)), kAddress);
-
 auto ReasonOf(const TokenAction& action) -> ResetReason {
   return std::get<ResetFlow>(action).reason;
 }
@@ -170,14 +34,6 @@
   return fixture.router().Decide(packet, fixture.now());
 }
 
-auto TokenIn(const TokenAction& action) -> WireToken {
-  return std::get<ForwardWithToken>(action).token;
-}
-
-auto EndpointIn(const TokenAction& action) -> std::uint64_t {
-  return std::get<ForwardWithToken>(action).endpoint.value();
-}
-
 Test(token_router, a_token_is_valid_at_its_own_service_address_only) {
   auto fixture = RouterFixture();
   fixture.Put(3, false, kOtherService);
@@ -663,13 +519,6 @@
   cr_assert_leq(lost, 4);
 }
 
-// Sends a request of an open flow; its answer follows after 20 ms.
-void AskAndAnswer(RouterFixture& fixture, std::uint16_t port) {
-  fixture.Packet(port, kFirst, 1, 1, 100);
-  fixture.Advance(20 * kMillisecond);
-  fixture.Packet(port, kFirst, 101, 101, 0);
-}
-
 Test(token_router, waiting_flows_of_an_unresponsive_endpoint_are_reset) {
   auto fixture = RouterFixture();
   const auto waiting = fixture.OpenAt(kFirst, 1000);
@@ -785,6 +634,169 @@
   }
 }
 
+// The stall begins after another endpoint has answered a request that was sent
+// after the first of the unanswered ones, but before the second.
+Test(token_router, stall_after_one_later_answer_resets_no_flow) {
+  auto fixture = RouterFixture();
+  const auto port = fixture.OpenAt(kFirst, 1000);
+  const auto next = fixture.OpenAt(kFirst, port + 1);
+  const auto elsewhere = fixture.OpenAt(kSecond, next + 1);
+  AskAndAnswer(fixture, port);
+  AskAndAnswer(fixture, next);
+  fixture.Packet(port, kFirst, 101, 101, 100);
+  fixture.Advance(20 * kMillisecond);
+  fixture.Packet(elsewhere, kSecond, 1, 1, 100);
+  fixture.Advance(20 * kMillisecond);
+  fixture.Packet(elsewhere, kSecond, 101, 101, 0);
+  // From here on nothing reaches the callers.
+  fixture.Packet(next, kFirst, 101, 101, 100);
+  fixture.Packet(elsewhere, kSecond, 101, 101, 100);
+  cr_assert(fixture.Advance(200 * kMillisecond).empty());
+  fixture.Packet(port, kFirst, 101, 101, 100);
+  fixture.Packet(next, kFirst, 101, 101, 100);
+  fixture.Packet(elsewhere, kSecond, 101, 101, 100);
+  cr_assert(fixture.Advance(380 * kMillisecond).empty());
+  const auto action = fixture.Packet(port, kFirst, 101, 101, 100);
+  cr_assert(std::holds_alternative<ForwardWithToken>(action));
+}
+
+// While the platform is lost this instance can't learn of an endpoint that
+// another instance knows; its open flows, which have moved here, were reset.
+Test(token_router, open_flow_of_an_unknown_endpoint_is_kept_in_an_outage) {
+  auto fixture = RouterFixture();
+  fixture.directory().OnPlatformLost();
+  fixture.Publish();
+  const auto unknown = ToWire(TokenOf(EndpointId(99)), kAddress);
+  for (auto sent = 0; sent < 50; ++sent) {
+    const auto action = fixture.Packet(1000, unknown, 1, 1, 100);
+    cr_assert(std::holds_alternative<DropPacket>(action));
+    fixture.Advance(200 * kMillisecond);
+  }
+}
+
+// Two long requests run at one endpoint, which has acknowledged the copy of
+// each: their callers send nothing more. Others are answered meanwhile.
+Test(token_router, long_requests_that_are_not_sent_again_are_kept) {
+  auto fixture = RouterFixture();
+  const auto port = fixture.OpenAt(kFirst, 1000);
+  const auto next = fixture.OpenAt(kFirst, port + 1);
+  const auto elsewhere = fixture.OpenAt(kSecond, next + 1);
+  AskAndAnswer(fixture, port);
+  AskAndAnswer(fixture, next);
+  fixture.Packet(port, kFirst, 101, 101, 100);
+  fixture.Packet(next, kFirst, 101, 101, 100);
+  cr_assert(fixture.Advance(200 * kMillisecond).empty());
+  fixture.Packet(port, kFirst, 101, 101, 100);
+  fixture.Packet(next, kFirst, 101, 101, 100);
+  auto seq = std::uint32_t{1};
+  for (auto round = 0; round < 6; ++round) {
+    fixture.Packet(elsewhere, kSecond, seq, seq, 100);
+    seq += 100;
+    cr_assert(fixture.Advance(20 * kMillisecond).empty());
+    fixture.Packet(elsewhere, kSecond, seq, seq, 0);
+    cr_assert(fixture.Advance(80 * kMillisecond).empty());
+  }
+}
+
+// The entry is back 3 s after a restore. It is deferred until 5 s, and an open
+// flow that has moved here meanwhile was reset.
+Test(token_router, flow_of_an_endpoint_with_a_deferred_entry_is_kept) {
+  auto fixture = RouterFixture();
+  fixture.directory().OnPlatformRestored(fixture.now());
+  fixture.directory().Remove(EndpointId(1), fixture.now());
+  fixture.Publish();
+  fixture.Advance(3000 * kMillisecond);
+  fixture.Publish();
+  fixture.Put(1);
+  PublishChanges(fixture);
+  const auto action = fixture.Packet(1000, kFirst, 1, 1, 100);
+  cr_assert(std::holds_alternative<ForwardWithToken>(action));
+}
+
+// Two endpoints of different services share a token. When one of them has
+// drained and left, the open flows of the other one were reset.
+Test(token_router,
+     flow_of_a_living_endpoint_with_a_departed_ones_token_is_kept) {
+  auto fixture = RouterFixture();
+  fixture.Put(kCollidingId, false, kOtherService);
+  fixture.Put(kOtherCollidingId, false, ServiceId(9));
+  fixture.PutRoutes(2, kOtherService, ServiceId(9));
+  fixture.Publish();
+  const auto token = TokenIn(fixture.OpeningAt(kOtherAddress, 1000));
+  PacketTo(fixture, kOtherAddress, token);
+  fixture.Put(kCollidingId, true, kOtherService);
+  fixture.directory().Remove(EndpointId(kCollidingId), fixture.now());
+  cr_assert(fixture.Publish().empty());
+  cr_assert_eq(EndpointIn(PacketTo(fixture, kOtherAddress, token)),
+               kOtherCollidingId);
+}
+
+// The route has a new target when the copy of an opening, which has waited
+// here, is read: it went to an endpoint of the service of before.
+Test(token_router, copy_of_an_opening_goes_to_no_former_target) {
+  auto fixture = RouterFixture();
+  fixture.Put(3, false, kOtherService);
+  fixture.PutRoutes(2, kService, kOtherService);
+  fixture.Publish();
+  fixture.Opening(1000);
+  fixture.PutRoutes(3, kOtherService, kOtherService);
+  fixture.Publish();
+  cr_assert_eq(EndpointIn(fixture.Opening(1000, 1)), 3U);
+}
+
+// The copies of an opening went through other instances, to two endpoints, and
+// the flow moved here. Its caller repeats the token of a late reply: the flow
+// is the same, since its numbers go on.
+Test(token_router, late_reply_diverts_no_flow_that_was_opened_elsewhere) {
+  auto fixture = RouterFixture();
+  fixture.Packet(1000, kFirst, 1, 1, 100);
+  fixture.Advance(20 * kMillisecond);
+  fixture.Packet(1000, kFirst, 101, 501, 0);
+  fixture.Packet(1000, kFirst, 101, 501, 100);
+  fixture.Advance(20 * kMillisecond);
+  fixture.Packet(1000, kFirst, 201, 901, 0);
+  fixture.Advance(1000 * kMillisecond);
+  for (auto copy = 0; copy < 4; ++copy) {
+    const auto action = fixture.Packet(1000, kSecond, 201, 901, 100);
+    cr_assert_eq(TokenIn(action), kFirst);
+    fixture.Advance(400 * kMillisecond);
+  }
+}
+
+// The same flows leave data unanswered at the endpoint that doesn't have them,
+// and that endpoint counted as silent: its own open flows were reset.
+Test(token_router, flows_diverted_by_late_replies_count_against_no_endpoint) {
+  auto fixture = RouterFixture();
+  const auto sound = fixture.OpenAt(kSecond, 3000);
+  const auto elsewhere = fixture.OpenAt(kFirst, 5000);
+  fixture.Packet(sound, kSecond, 1, 1, 100);
+  fixture.Advance(20 * kMillisecond);
+  fixture.Packet(sound, kSecond, 101, 101, 0);
+  for (const auto port : {std::uint16_t{1000}, std::uint16_t{1001}}) {
+    AskAndAnswer(fixture, port);
+  }
+  for (const auto port : {std::uint16_t{1000}, std::uint16_t{1001}}) {
+    fixture.Packet(port, kSecond, 101, 101, 100);
+  }
+  fixture.Advance(20 * kMillisecond);
+  auto seq = std::uint32_t{1};
+  for (auto time = 0; time < 2400; time += 100) {
+    if (time == 200 || time == 600 || time == 1400) {
+      for (const auto port : {std::uint16_t{1000}, std::uint16_t{1001}}) {
+        fixture.Packet(port, kSecond, 101, 101, 100);
+      }
+    }
+    if (time == 300) {
+      fixture.Packet(sound, kSecond, 101, 101, 100);
+    }
+    fixture.Packet(elsewhere, kFirst, seq, seq, 100);
+    seq += 100;
+    cr_assert(fixture.Advance(20 * kMillisecond).empty());
+    fixture.Packet(elsewhere, kFirst, seq, seq, 0);
+    cr_assert(fixture.Advance(80 * kMillisecond).empty());
+  }
+}
+
 Test(token_router, long_request_on_a_live_endpoint_causes_no_reset) {
   auto fixture = RouterFixture();
   const auto working = fixture.OpenAt(kFirst, 1000);
