--- a/Utilities/Soak/caller.cc
+++ b/Utilities/Soak/caller.cc
@@ -83,8 +83,16 @@
   if (!is_ours) {
     return;
   }
+  // Every packet's token is repeated, also that of a late reply to a copy of
+  // the opening.
+  echo_ = packet.echo;
   if (packet.rst) {
     world_.Count("resets by endpoints");
+    if (state_ == State::kOpen &&
+        links_.is_wrong_endpoint({packet.to, packet.from}, endpoint)) {
+      world_.Break("no flow of a living endpoint is reset",
+                   ToString(packet.to) + " by another endpoint");
+    }
     TryFailed(sent_);
     return;
   }
@@ -92,14 +100,12 @@
     if (state_ == State::kOpening) {
       state_ = State::kOpen;
       endpoint_ = endpoint;
-      echo_ = packet.echo;
       ack_ = packet.seq + 1;
       ++seq_;
       SendRequest(kFirstResend);
     }
     return;
   }
-  echo_ = packet.echo;
   if (state_ != State::kOpen || packet.data.empty() ||
       packet.data != "done " + request_) {
     if (!packet.data.empty() && !request_.empty() &&
--- a/Utilities/Soak/caller.h
+++ b/Utilities/Soak/caller.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 
+#include "Soak/flow_ledger.h"
 #include "Soak/world.h"
 
 namespace hemlockwick::soak {
@@ -26,6 +27,10 @@
   std::function<bool(Ipv4Address instance, const SocketAddress& service,
                      std::uint64_t endpoint)>
       is_wrong_reset;
+  // Whether a reset by the endpoint breaks a promise, as the flow is open at
+  // another one.
+  std::function<bool(const FlowId& id, std::uint64_t endpoint)>
+      is_wrong_endpoint;
   // Takes the outcome of a request.
   std::function<void(bool served, bool is_first_try)> done;
 };
--- a/Utilities/Soak/endpoint.cc
+++ b/Utilities/Soak/endpoint.cc
@@ -17,6 +17,12 @@
 constexpr Duration kLongWork = std::chrono::milliseconds(250);
 constexpr double kLongShare = 0.03;
 
+// An opening's reply without an answer is sent again after this time, which
+// doubles, so many times; then the flow is forgotten.
+constexpr Duration kFirstResend = std::chrono::milliseconds(200);
+constexpr Duration kLongestResend = std::chrono::milliseconds(1600);
+constexpr int kMaxReplies = 8;
+
 constexpr std::size_t kPrefixBytes = 8;
 
 auto NumberOf(std::span<const std::uint8_t> prefix) -> std::uint64_t {
@@ -83,7 +89,9 @@
 
 void Endpoint::End() {
   ended_ = true;
-  flows_.clear();
+  while (!flows_.empty()) {
+    Forget(FlowId(flows_.begin()->first));
+  }
   auto ignored = boost::system::error_code();
   socket_.close(ignored);
 }
@@ -110,12 +118,15 @@
     return;
   }
   const auto intended = NumberOf(bytes.first(kPrefixBytes));
+  const auto packet = Decode(bytes.subspan(kPrefixBytes));
   if (intended != id_) {
     // The address had another owner; silence is right.
     world_.Count("packets for an earlier owner of an address");
+    if (packet && !packet->syn) {
+      links_.flows->Strayed({packet->from, packet->to}, id_, instance);
+    }
     return;
   }
-  const auto packet = Decode(bytes.subspan(kPrefixBytes));
   if (!packet || !IsIntact(*packet)) {
     world_.Break("packets are unchanged", "at " + key());
     return;
@@ -135,16 +146,23 @@
   }
   const auto found = flows_.find(id);
   if (packet.rst) {
-    flows_.erase(id);
+    Forget(id);
     return;
   }
   if (found == flows_.end()) {
+    links_.flows->Strayed(id, id_, instance);
     Send(ResetOf(packet));
     return;
   }
   auto& flow = found->second;
   flow.echo = packet.echo;
+  if (!flow.open && packet.ack != flow.seq + 1) {
+    // The caller has opened the flow at another endpoint.
+    links_.flows->Strayed(id, id_, instance);
+    return;
+  }
   flow.open = true;
+  links_.flows->Arrived(id, id_);
   if (!packet.data.empty()) {
     Run(id, flow, packet);
   }
@@ -152,21 +170,46 @@
     auto end = Packet();
     end.ack_flag = true;
     Reply(id, flow, end);
-    flows_.erase(id);
+    Forget(id);
   }
 }
 
 void Endpoint::Open(const Packet& packet, Ipv4Address instance) {
   CheckOpening(packet, instance);
-  auto& flow = flows_[FlowId(packet.from, packet.to)];
+  const auto id = FlowId(packet.from, packet.to);
+  auto& flow = flows_[id];
   if (flow.next_seq == 0) {
     flow.next_seq = packet.seq + 1;
     flow.seq = static_cast<std::uint32_t>(world_.random().Below(1U << 30));
+    ReplyAgain(id, flow.seq, kFirstResend);
   }
   flow.echo = packet.echo;
+  SendOpeningReply(id, flow);
+}
+
+// Sends the reply to an opening again while the caller does not answer it.
+// `seq` tells the flow from later ones.
+void Endpoint::ReplyAgain(const FlowId& id, std::uint32_t seq, Duration again) {
+  world_.After(again, [this, id, seq, again] {
+    const auto found = flows_.find(id);
+    if (found == flows_.end() || found->second.open ||
+        found->second.seq != seq) {
+      return;
+    }
+    if (++found->second.replies > kMaxReplies) {
+      Forget(id);
+      return;
+    }
+    world_.Count("replies to openings sent again");
+    SendOpeningReply(id, found->second);
+    ReplyAgain(id, seq, std::min(2 * again, kLongestResend));
+  });
+}
+
+void Endpoint::SendOpeningReply(const FlowId& id, const Flow& flow) {
   auto answer = Packet();
-  answer.from = packet.to;
-  answer.to = packet.from;
+  answer.from = id.second;
+  answer.to = id.first;
   answer.syn = true;
   answer.ack_flag = true;
   answer.seq = flow.seq;
@@ -175,6 +218,11 @@
   Send(answer);
 }
 
+void Endpoint::Forget(const FlowId& id) {
+  flows_.erase(id);
+  links_.flows->Ended(id, id_);
+}
+
 // A new flow must not come long after the endpoint said that it leaves, nor
 // for a route that was removed.
 void Endpoint::CheckOpening(const Packet& packet, Ipv4Address instance) {
@@ -222,7 +270,7 @@
 
 // Ends the flow of a request, with or without a word to the caller.
 void Endpoint::FailRequest(const Packet& packet) {
-  flows_.erase(FlowId(packet.from, packet.to));
+  Forget({packet.from, packet.to});
   if (world_.random().Chance(0.5)) {
     Send(ResetOf(packet));
   }
--- a/Utilities/Soak/endpoint.h
+++ b/Utilities/Soak/endpoint.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <utility>
 
+#include "Soak/flow_ledger.h"
 #include "Soak/world.h"
 
 namespace hemlockwick::soak {
@@ -37,6 +38,7 @@
   std::function<std::string(const SocketAddress&)> service_of;
   // When the address's route was removed, if it was.
   std::function<std::optional<TimePoint>(const SocketAddress&)> removed_at;
+  FlowLedger* flows = nullptr;
 };
 
 // An endpoint of the platform: takes flows, runs their requests, answers the
@@ -76,19 +78,22 @@
   [[nodiscard]] auto has_ended() const -> bool { return ended_; }
 
  private:
-  using FlowId = std::pair<SocketAddress, SocketAddress>;
   struct Flow {
     std::uint32_t next_seq = 0;  // Expected from the caller.
     std::uint32_t seq = 0;       // Of the next byte to the caller.
     std::uint32_t echo = 0;
     bool open = false;
-    Packet answer;  // The last one, to be sent again.
+    int replies = 0;  // To the opening, sent again.
+    Packet answer;    // The last one, to be sent again.
   };
 
   void Receive();
   void Handle(std::span<const std::uint8_t> bytes, Ipv4Address instance);
   void HandlePacket(const Packet& packet, Ipv4Address instance);
   void Open(const Packet& packet, Ipv4Address instance);
+  void ReplyAgain(const FlowId& id, std::uint32_t seq, Duration again);
+  void SendOpeningReply(const FlowId& id, const Flow& flow);
+  void Forget(const FlowId& id);
   void CheckOpening(const Packet& packet, Ipv4Address instance);
   void Run(const FlowId& id, Flow& flow, const Packet& packet);
   void Answer(const FlowId& id, const std::string& request);
--- a/Utilities/Soak/run.cc
+++ b/Utilities/Soak/run.cc
@@ -42,13 +42,32 @@
 }  // namespace
 
 SoakRun::SoakRun(const SoakSettings& settings)
-    : settings_(settings), world_(settings.seed, settings.network) {
+    : settings_(settings),
+      world_(settings.seed, settings.network),
+      flow_ledger_(world_,
+                   [this](Ipv4Address instance, std::uint64_t endpoint) {
+                     return IsSound(instance, endpoint);
+                   }) {
   services_ = {{"feed", {Ipv4Address(0xC6120001), Port(443)}},
                {"scan", {Ipv4Address(0xC6120002), Port(443)}}};
   MakeLinks();
 }
 
+// Whether an instance and an endpoint live and are calm.
+auto SoakRun::IsSound(Ipv4Address instance, std::uint64_t endpoint) -> bool {
+  const auto now = world_.Now();
+  auto* const edge = edges_->Find(instance);
+  const auto found =
+      std::ranges::find_if(endpoints_, [endpoint](const auto& candidate) {
+        return candidate->id() == endpoint;
+      });
+  return edge != nullptr && edge->calm.IsCalm(now) &&
+         found != endpoints_.end() && !(*found)->has_ended() &&
+         (*found)->calm().IsCalm(now);
+}
+
 void SoakRun::MakeLinks() {
+  endpoint_links_.flows = &flow_ledger_;
   endpoint_links_.to_caller = [this](const Packet& packet,
                                      std::uint64_t endpoint) {
     const auto delay = std::chrono::milliseconds(1 + world_.random().Below(3));
@@ -90,15 +109,11 @@
   caller_links_.is_wrong_reset = [this](Ipv4Address instance,
                                         const SocketAddress& service,
                                         std::uint64_t endpoint) {
-    const auto now = world_.Now();
-    auto* const edge = edges_->Find(instance);
-    const auto found =
-        std::ranges::find_if(endpoints_, [endpoint](const auto& candidate) {
-          return candidate->id() == endpoint;
-        });
-    return edge != nullptr && edge->calm.IsCalm(now) &&
-           !removed_.contains(service) && found != endpoints_.end() &&
-           !(*found)->has_ended() && (*found)->calm().IsCalm(now);
+    return !removed_.contains(service) && IsSound(instance, endpoint);
+  };
+  caller_links_.is_wrong_endpoint = [this](const FlowId& id,
+                                           std::uint64_t endpoint) {
+    return flow_ledger_.IsWrongReset(id, endpoint);
   };
   caller_links_.done = [this](bool served, bool is_first_try) {
     ++(served ? served_ : failed_);
--- a/Utilities/Soak/run.h
+++ b/Utilities/Soak/run.h
@@ -51,7 +51,8 @@
   void Beat(const Endpoint& endpoint);
   void StartCallers();
   void EverySoOften(Duration time, const std::function<void()>& action);
-  [[nodiscard]] auto IsSettled(TimePoint now) const -> bool;
+  [[nodiscard]] auto IsSound(Ipv4Address instance, std::uint64_t endpoint)
+      -> bool;
 
   void NextAction();
   void PlannedAction();
@@ -77,6 +78,7 @@
   const SoakSettings settings_;
   World world_;
   RunLedger ledger_;
+  FlowLedger flow_ledger_;
   EndpointLinks endpoint_links_;
   CallerLinks caller_links_;
   std::unique_ptr<StoreStandIn> store_;
