Soak: Have more addresses than endpoints

Cause: there were 40 addresses; the new endpoint looked for a free one for ever.

Change: twice as many addresses as endpoints and 20 more.

--- a/Utilities/Soak/run.cc
+++ b/Utilities/Soak/run.cc
@@ -184,8 +184,9 @@
 }
 
 void SoakRun::AddEndpoint(const std::string& service, const std::string& zone) {
-  // Addresses of ended endpoints are used again, for either service.
-  constexpr std::size_t kAddresses = 40;
+  // Addresses of ended endpoints are used again, for either service. There are
+  // more of them than endpoints live at once.
+  const auto addresses = 2 * settings_.endpoints + 20;
   auto address = SocketAddress();
   const auto is_taken = [&] {
     return std::ranges::any_of(endpoints_, [&](const auto& endpoint) {
@@ -193,7 +194,7 @@
     });
   };
   do {
-    address = {world_.Address(3, next_address_++ % kAddresses), Port(8080)};
+    address = {world_.Address(3, next_address_++ % addresses), Port(8080)};
   } while (is_taken());
   endpoints_.push_back(std::make_unique<Endpoint>(world_, next_endpoint_++,
                                                   service, zone, address,
