Soak: Restore the store from older copies, and kill many instances at once

Change: the stand-in keeps copies, one a second, and comes back from one of the last ten after 0.2 to 2 s away; its writers repeat what they wrote, entries of others lapse. Before, 80 writes are lost, so that the revisions stay behind for some time. Half of the instances, a seed among them, are killed at once, and again 2 to 4 s later; a paused instance can be killed too. Some endpoints drain for many seconds. Probes open flows of routes that were just changed, straight at each instance; a route that was added must take new flows after 3 s, with the calm conditions of the removed ones.

--- a/Utilities/Soak/edges.cc
+++ b/Utilities/Soak/edges.cc
@@ -12,7 +12,6 @@
 
 namespace {
 
-constexpr std::size_t kSeeds = 3;
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(450);
 constexpr Duration kRestartDelay = std::chrono::milliseconds(300);
 constexpr Duration kSignalRetry = std::chrono::milliseconds(5);
@@ -141,7 +140,7 @@
 
 void Edges::End(std::size_t index, int signal) {
   auto& edge = *edges_[index];
-  if (edge.paused || !edge.process) {
+  if ((edge.paused && signal != SIGKILL) || !edge.process) {
     return;
   }
   if (signal != SIGKILL && !edge.process->Handles(signal)) {
--- a/Utilities/Soak/edges.h
+++ b/Utilities/Soak/edges.h
@@ -44,6 +44,9 @@
 // The edge processes, and the platform's routers before them.
 class Edges {
  public:
+  // The first instances are seeds.
+  static constexpr std::size_t kSeeds = 3;
+
   // Starts all processes. Fails with kInternal.
   [[nodiscard]] static auto Start(World& world, const EdgeSettings& settings)
       -> Result<std::unique_ptr<Edges>>;
--- a/Utilities/Soak/main.cc
+++ b/Utilities/Soak/main.cc
@@ -37,6 +37,8 @@
       ("callers", "Callers",
        cxxopts::value<std::size_t>()->default_value("24"))  //
       ("planned", "Only planned work")                      //
+      ("only", "The only fault beside planned work: restore or kill-many",
+       cxxopts::value<std::string>()->default_value(""))  //
       ("help", "Show this help");
   auto parsed = options.parse(argc, argv);
   if (parsed.count("help") > 0 || parsed.count("program") == 0) {
@@ -58,6 +60,7 @@
   settings.endpoints = parsed["endpoints"].as<std::size_t>();
   settings.callers = parsed["callers"].as<std::size_t>();
   settings.planned_only = parsed.count("planned") > 0;
+  settings.only = parsed["only"].as<std::string>();
   std::filesystem::remove_all(settings.folder);
   std::filesystem::create_directories(settings.folder);
   return TryOr([&] { return SoakRun(settings).Run(); },
@@ -77,6 +80,12 @@
     if (parsed.count("program") == 0) {
       return parsed.count("help") > 0 ? 0 : 2;
     }
+    const auto fault = parsed["only"].as<std::string>();
+    if (!fault.empty() && fault != "restore" && fault != "kill-many") {
+      std::cerr << "hemlockwick-soak: no fault is named " << fault
+                << "; use restore or kill-many\n";
+      return 2;
+    }
     const auto first = parsed["seed"].as<std::uint64_t>();
     const auto count = parsed["seeds"].as<std::uint64_t>();
     auto failed = 0;
--- a/Utilities/Soak/run.cc
+++ b/Utilities/Soak/run.cc
@@ -4,6 +4,8 @@
 #include <array>
 #include <csignal>
 #include <iostream>
+#include <iterator>
+#include <set>
 #include <sstream>
 #include <utility>
 
@@ -16,6 +18,8 @@
 
 constexpr Duration kWatchInterval = std::chrono::milliseconds(250);
 constexpr Duration kBeatInterval = std::chrono::milliseconds(1200);
+constexpr Duration kCopyInterval = std::chrono::seconds(1);
+constexpr Duration kProbeInterval = std::chrono::milliseconds(500);
 constexpr Duration kMeanGap = std::chrono::milliseconds(700);
 constexpr Duration kStartTime = std::chrono::seconds(30);
 // After the last fault: time to settle, and time in which all is served.
@@ -23,6 +27,9 @@
 constexpr Duration kCheckTime = std::chrono::seconds(3);
 // A draining endpoint serves on for this long.
 constexpr Duration kDrainTime = std::chrono::milliseconds(3500);
+// Some serve many seconds longer.
+constexpr double kLongDrainShare = 0.3;
+constexpr Duration kLongDrainSpread = std::chrono::seconds(8);
 // An address may be used by another endpoint after this time.
 constexpr Duration kReuseTime = std::chrono::seconds(2);
 // The entry of a crashed endpoint lapses after three missed heartbeats.
@@ -37,7 +44,35 @@
 // Long enough for the entry of an endpoint that is cut off to lapse.
 constexpr Duration kCutSpread = std::chrono::seconds(5);
 
+// The store is away for so long before it comes back from a copy.
+constexpr Duration kShortestAway = std::chrono::milliseconds(200);
+constexpr Duration kAwaySpread = std::chrono::milliseconds(1800);
+// The operator writes again what it wrote, within this time, and goes on.
+constexpr Duration kWriteAgainTime = std::chrono::seconds(1);
+
+// Writes just before the store goes away, which are lost.
+constexpr int kLostWrites = 80;
+// Instances get them within this time.
+constexpr Duration kLostWritesTime = std::chrono::milliseconds(300);
+
+// Many processes are killed again after a time of this to twice this.
+constexpr Duration kKillAgainTime = std::chrono::seconds(2);
+
+// The only fault of a run comes this long after the start, a restore when
+// there are some copies.
+constexpr Duration kFirstKillTime = std::chrono::seconds(1);
+constexpr Duration kFirstRestoreTime = std::chrono::seconds(4);
+
 constexpr std::uint16_t kSparePort = 10'000;
+constexpr std::size_t kSpareRoutes = 200;
+constexpr std::size_t kFirstSpareRoutes = 4;
+// Probes are sent for so many routes, those that were changed last.
+constexpr std::size_t kProbedRoutes = 6;
+
+auto SpareRoute(std::size_t number) -> SocketAddress {
+  return {Ipv4Address(0xC6120009),
+          Port(static_cast<std::uint16_t>(kSparePort + number))};
+}
 
 }  // namespace
 
@@ -129,7 +164,16 @@
 auto SoakRun::Run() -> Result<bool> {
   const auto store = SocketAddress{world_.Address(5, 0), kStorePort};
   BOOST_LEAF_ASSIGN(store_, StoreStandIn::Start(world_.context(), store));
+  for (auto number = std::size_t{0}; number < kFirstSpareRoutes; ++number) {
+    spare_[SpareRoute(number)] = world_.Now();
+  }
   Publish();
+  EverySoOften(kCopyInterval, [this] { store_->Copy(); });
+  probe_ = std::make_unique<RouteProbe>(
+      world_, world_.Address(6, 0),
+      [this](const SocketAddress& service, Ipv4Address instance) {
+        CheckRefusal(service, instance);
+      });
   for (auto index = std::size_t{0}; index < settings_.endpoints; ++index) {
     AddEndpoint(services_[index % 3 == 2 ? 1 : 0].name,
                 kZones[(index / 2) % kZones.size()]);
@@ -153,7 +197,13 @@
   }
   world_.Say("all instances are ready");
   StartCallers();
+  EverySoOften(kProbeInterval, [this] { ProbeRoutes(); });
   end_ = world_.Now() + settings_.length;
+  if (settings_.only == "restore") {
+    world_.After(kFirstRestoreTime, [this] { RestoreStore(); });
+  } else if (settings_.only == "kill-many") {
+    world_.After(kFirstKillTime, [this] { KillManyTwice(); });
+  }
   NextAction();
   world_.context().run();
   Report();
@@ -173,14 +223,41 @@
          << R"(","prefix":"/)" << service.address.port.value()
          << R"(/","kind":"safe","service":")" << service.name << R"("},)";
   }
-  for (const auto port : spare_ports_) {
-    text << R"({"name":"s","host":"198.18.0.9","prefix":"/)" << port
+  for (const auto& [address, since] : spare_) {
+    text << R"({"name":"s","host":")" << ToString(address.ip)
+         << R"(","prefix":"/)" << address.port.value()
          << R"(/","kind":"safe","service":")" << services_.front().name
          << R"("},)";
   }
   auto value = text.str();
   value.pop_back();
-  store_->Put("op/config", value + R"(],"services":[],"limits":{}})");
+  config_ = value + R"(],"services":[],"limits":{}})";
+  store_->Put("op/config", config_);
+}
+
+// Opens a flow of a route that was just changed at each instance.
+void SoakRun::ProbeRoutes() {
+  if (changed_.empty()) {
+    return;
+  }
+  const auto route = changed_[world_.random().Below(changed_.size())];
+  for (auto index = std::size_t{0}; index < edges_->size(); ++index) {
+    if (edges_->at(index).in_rotation()) {
+      probe_->Send(route, edges_->at(index).ip);
+    }
+  }
+}
+
+// A route must be in force some time after it was added.
+void SoakRun::CheckRefusal(const SocketAddress& service, Ipv4Address instance) {
+  const auto now = world_.Now();
+  const auto found = spare_.find(service);
+  world_.Count("openings refused");
+  if (found != spare_.end() && now - found->second > kInForceTime &&
+      endpoint_links_.is_calm(instance)) {
+    world_.Break("an added route takes new flows",
+                 ToString(service) + " at " + ToString(instance));
+  }
 }
 
 void SoakRun::AddEndpoint(const std::string& service, const std::string& zone) {
@@ -205,9 +282,19 @@
 void SoakRun::Beat(const Endpoint& endpoint) {
   if (!endpoint.has_ended() && !endpoint.is_cut_off()) {
     store_->Put(endpoint.key(), endpoint.entry());
+    beaten_[endpoint.key()] = world_.Now();
   }
 }
 
+// Lets the entry of an endpoint lapse unless it has been written since.
+void SoakRun::Expire(const std::string& key, TimePoint since) {
+  world_.After(kLapseTime, [this, key, since] {
+    if (beaten_[key] < since) {
+      store_->Delete(key);
+    }
+  });
+}
+
 void SoakRun::StartCallers() {
   for (auto index = std::size_t{0}; index < settings_.callers; ++index) {
     const auto is_feed = index % 2 == 0;
@@ -253,7 +340,7 @@
   }
   if (settings_.planned_only || world_.random().Chance(0.4)) {
     PlannedAction();
-  } else {
+  } else if (settings_.only.empty()) {
     FaultAction();
   }
   world_.After(world_.random().Exponential(kMeanGap), [this] { NextAction(); });
@@ -286,7 +373,7 @@
 }
 
 void SoakRun::FaultAction() {
-  switch (world_.random().Below(10)) {
+  switch (world_.random().Below(12)) {
     case 0: {
       const auto edge = AnyEdge();
       world_.Say("kill edge-" + std::to_string(edge));
@@ -319,12 +406,45 @@
     case 7:
       FailEndpoint();
       break;
+    case 8:
+      RestoreStore();
+      break;
+    case 9:
+      KillManyTwice();
+      break;
     default:
       LinkFaultAction();
       break;
   }
 }
 
+void SoakRun::KillManyTwice() {
+  KillMany();
+  const auto again =
+      kKillAgainTime + world_.random().DurationBelow(kKillAgainTime);
+  world_.After(again, [this] {
+    if (world_.Now() < end_) {
+      KillMany();
+    }
+  });
+}
+
+// Kills half of the instances at the same moment, a seed among them.
+void SoakRun::KillMany() {
+  const auto half = (edges_->size() + 1) / 2;
+  auto chosen = std::set<std::size_t>{
+      world_.random().Below(std::min(edges_->size(), Edges::kSeeds))};
+  while (chosen.size() < half) {
+    chosen.insert(AnyEdge());
+  }
+  auto text = std::string("kill at once");
+  for (const auto index : chosen) {
+    text += " edge-" + std::to_string(index);
+    edges_->End(index, SIGKILL);
+  }
+  world_.Say(text);
+}
+
 void SoakRun::DrainEndpoint() {
   auto* const endpoint = AnyEndpoint();
   if (endpoint == nullptr) {
@@ -334,7 +454,11 @@
   endpoint->Drain(world_.Now());
   Beat(*endpoint);
   AddEndpoint(endpoint->service(), endpoint->zone());
-  world_.After(kDrainTime, [this, endpoint] {
+  auto time = kDrainTime;
+  if (world_.random().Chance(kLongDrainShare)) {
+    time += world_.random().DurationBelow(kLongDrainSpread);
+  }
+  world_.After(time, [this, endpoint] {
     if (!endpoint->has_ended()) {
       endpoint->End();
       store_->Delete(endpoint->key());
@@ -387,15 +511,23 @@
 }
 
 void SoakRun::ChangeRoutes() {
-  const auto port =
-      static_cast<std::uint16_t>(kSparePort + world_.random().Below(200));
-  const auto address = SocketAddress{Ipv4Address(0xC6120009), Port(port)};
-  if (spare_ports_.erase(port) > 0) {
+  auto address = SpareRoute(world_.random().Below(kSpareRoutes));
+  if (!spare_.empty() && world_.random().Chance(0.5)) {
+    const auto place = world_.random().Below(spare_.size());
+    address =
+        std::next(spare_.begin(), static_cast<std::ptrdiff_t>(place))->first;
+  }
+  if (spare_.erase(address) > 0) {
     removed_[address] = world_.Now();
   } else {
-    spare_ports_.insert(port);
+    spare_[address] = world_.Now();
     removed_.erase(address);
   }
+  std::erase(changed_, address);
+  changed_.push_back(address);
+  if (changed_.size() > kProbedRoutes) {
+    changed_.pop_front();
+  }
   Publish();
 }
 
@@ -408,8 +540,55 @@
     return;
   }
   world_.Say("the store refuses");
+  RefuseCalls(time);
+}
+
+void SoakRun::RefuseCalls(Duration time) {
+  refusing_until_ = std::max(refusing_until_, world_.Now() + time);
   store_->SetRefusing(true);
-  world_.After(time, [this] { store_->SetRefusing(false); });
+  world_.After(time, [this] {
+    if (world_.Now() >= refusing_until_) {
+      store_->SetRefusing(false);
+    }
+  });
+}
+
+// The store is away for a moment and comes back from an older copy. What was
+// written meanwhile is lost too.
+void SoakRun::RestoreStore() {
+  const auto time = kShortestAway + world_.random().DurationBelow(kAwaySpread);
+  const auto older = world_.random().Below(store_->copies());
+  world_.Say("the store goes away, to come back from copy " +
+             std::to_string(older) + " before its newest");
+  // As many writes as a larger fleet makes, so that the revisions fall far
+  // back.
+  for (auto write = 0; write < kLostWrites; ++write) {
+    WriteForeignEntry();
+  }
+  world_.After(kLostWritesTime, [this, time, older] {
+    store_calm_.DisturbUntil(world_.Now() + time);
+    world_.After(time, [this, older] {
+      world_.Say("the store comes back");
+      store_->Restore(older);
+      WriteAgain();
+    });
+    RefuseCalls(time);
+    store_->CutWatches(503);
+  });
+}
+
+// After a restore the operator repeats its newest configuration and goes on,
+// endpoints write at their next beats, and entries of others lapse.
+void SoakRun::WriteAgain() {
+  for (const auto& endpoint : endpoints_) {
+    Expire(endpoint->key(), world_.Now());
+  }
+  const auto time = world_.random().DurationBelow(kWriteAgainTime);
+  world_.After(time, [this] {
+    store_->Put("op/config", config_);
+    world_.After(world_.random().DurationBelow(kWriteAgainTime),
+                 [this] { ChangeRoutes(); });
+  });
 }
 
 void SoakRun::LinkFaultAction() {
@@ -449,10 +628,14 @@
   world_.After(time, [&edge] { edge.loss = 0; });
 }
 
+void SoakRun::WriteForeignEntry() {
+  store_->Put("servers/i-feedfeed", R"({"service":"feed","address":7})");
+}
+
 // Entries of another writer, and a value that cannot be read.
 void SoakRun::WriteTraps() {
   world_.Say("foreign entries in the store");
-  store_->Put("servers/i-feedfeed", R"({"service":"feed","address":7})");
+  WriteForeignEntry();
   store_->Put("servers/unreadable", "\xff\xfe");
   store_->Put("servers/i-1234", R"({"service":"feed","state":"ready"})");
   constexpr auto kLevels = std::size_t{10'000};
--- a/Utilities/Soak/run.h
+++ b/Utilities/Soak/run.h
@@ -2,16 +2,17 @@
 #define HEMLOCKWICK_SOAK_RUN_H_
 
 #include <cstdint>
+#include <deque>
 #include <filesystem>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
 #include "Soak/caller.h"
 #include "Soak/edges.h"
 #include "Soak/endpoint.h"
+#include "Soak/route_probe.h"
 #include "Soak/store_stand_in.h"
 #include "Soak/world.h"
 
@@ -27,6 +28,9 @@
   std::size_t endpoints = 10;
   std::size_t callers = 24;
   bool planned_only = false;  // Only planned work, which must cost nothing.
+  // The only fault beside planned work, soon after the start: "restore" or
+  // "kill-many". Empty for all faults.
+  std::string only;
 };
 
 // One seeded run: real edge processes between stand-ins, with faults in
@@ -47,8 +51,11 @@
 
   void MakeLinks();
   void Publish();
+  void ProbeRoutes();
+  void CheckRefusal(const SocketAddress& service, Ipv4Address instance);
   void AddEndpoint(const std::string& service, const std::string& zone);
   void Beat(const Endpoint& endpoint);
+  void Expire(const std::string& key, TimePoint since);
   void StartCallers();
   void EverySoOften(Duration time, const std::function<void()>& action);
   [[nodiscard]] auto IsSound(Ipv4Address instance, std::uint64_t endpoint)
@@ -57,6 +64,8 @@
   void NextAction();
   void PlannedAction();
   void FaultAction();
+  void KillMany();
+  void KillManyTwice();
   void DrainEndpoint();
   // A random time of at most `spread` more than the shortest.
   auto FaultTime(Duration spread) -> Duration;
@@ -65,9 +74,13 @@
   void FailEndpoint();
   void ChangeRoutes();
   void StoreFault();
+  void RefuseCalls(Duration time);
+  void RestoreStore();
+  void WriteAgain();
   void LinkFaultAction();
   void LossFault();
   void WriteTraps();
+  void WriteForeignEntry();
   auto AnyEdge() -> std::size_t;
   auto AnyEndpoint() -> Endpoint*;
   void Replace(const std::string& service, const std::string& zone,
@@ -86,9 +99,15 @@
   std::vector<std::unique_ptr<Endpoint>> endpoints_;
   std::vector<std::shared_ptr<Caller>> callers_;
   std::vector<Service> services_;
-  std::set<std::uint16_t> spare_ports_;  // Routes without traffic.
+  std::unique_ptr<RouteProbe> probe_;
+  // Routes without traffic but for probes, with the moment that added them.
+  std::map<SocketAddress, TimePoint> spare_;
   std::map<SocketAddress, TimePoint> removed_;
+  std::deque<SocketAddress> changed_;  // The spare routes changed last.
+  std::string config_;                 // The newest configuration.
+  std::map<std::string, TimePoint> beaten_;
   Calm store_calm_;
+  TimePoint refusing_until_;
   std::uint64_t version_ = 10;
   std::uint64_t next_endpoint_ = 0x10000001;
   std::size_t next_address_ = 0;
--- a/Utilities/Soak/store_stand_in.cc
+++ b/Utilities/Soak/store_stand_in.cc
@@ -16,6 +16,8 @@
 // Items in one answer; few, so that reads take several pages.
 constexpr std::size_t kPageItems = 5;
 
+constexpr std::size_t kMaxCopies = 10;
+
 auto JsonReply(const Json& body) -> HttpReply {
   return {200, "application/json", body.dump()};
 }
@@ -72,8 +74,8 @@
   store->listener_ = std::make_unique<HttpListener>(
       context, std::move(socket),
       [store = store.get()](const std::string& target,
-                            HttpListener::Reply reply) {
-        store->Serve(target, std::move(reply));
+                            const HttpListener::Reply& reply) {
+        store->Serve(target, reply);
       });
   return store;
 }
@@ -95,26 +97,36 @@
 void StoreStandIn::Compact() {
   compacted_ = revision_;
   history_.clear();
+  CutWatches(410);
+}
+
+void StoreStandIn::CutWatches(int status) {
   for (auto& watch : std::exchange(watches_, {})) {
     watch.timer->cancel();
-    watch.reply({410, "text/plain", ""});
+    watch.reply({status, "text/plain", ""});
   }
 }
 
-void StoreStandIn::Copy() { copy_ = {items_, revision_}; }
+void StoreStandIn::Copy() {
+  copies_.push_back({items_, revision_});
+  if (copies_.size() > kMaxCopies) {
+    copies_.pop_front();
+  }
+}
 
-void StoreStandIn::Restore() {
-  items_ = copy_.items;
-  revision_ = copy_.revision;
+void StoreStandIn::Restore(std::size_t older) {
+  while (older > 0 && copies_.size() > 1) {
+    copies_.pop_back();
+    --older;
+  }
+  items_ = copies_.back().items;
+  revision_ = copies_.back().revision;
   while (!history_.empty() && history_.back().item.revision > revision_) {
     history_.pop_back();
   }
   compacted_ = std::min(compacted_, revision_);
   ++era_;
-  for (auto& watch : std::exchange(watches_, {})) {
-    watch.timer->cancel();
-    watch.reply({503, "text/plain", ""});
-  }
+  CutWatches(503);
 }
 
 void StoreStandIn::Add(Event event) {
--- a/Utilities/Soak/store_stand_in.h
+++ b/Utilities/Soak/store_stand_in.h
@@ -30,12 +30,17 @@
   // Forgets all history and cuts the watches that wait.
   void Compact();
 
-  // Keeps a copy of the present items.
+  // Answers the watches that wait with `status`.
+  void CutWatches(int status);
+
+  // Keeps a copy of the present items, and of those before it the newest few.
   void Copy();
+  [[nodiscard]] auto copies() const -> std::size_t { return copies_.size(); }
 
-  // Comes back from the copy: what was written since is gone, its revisions are
-  // given out again, and the era rises by one.
-  void Restore();
+  // Comes back from a copy, the newest one or one that is `older` copies
+  // older: what was written since is gone, its revisions are given out again,
+  // and the era rises by one. Later copies are gone too.
+  void Restore(std::size_t older = 0);
 
   // Every answer tells the era, unless it is 0.
   void SetEra(std::uint64_t era) { era_ = era; }
@@ -97,7 +102,7 @@
   std::uint64_t calls_ = 0;
   std::uint64_t refuse_from_ = UINT64_MAX;
   bool refusing_ = false;
-  Backup copy_;
+  std::deque<Backup> copies_;
   std::uint64_t era_ = 1;
 };
 
