--- a/Source/Edge/directory_history.cc
+++ b/Source/Edge/directory_history.cc
@@ -39,7 +39,7 @@
   AddChange(update, before, now);
 }
 
-// Keeps the routes in force when these are older: a store that was restored may
+// Replaces the routes unless these are older: a store that was restored may
 // hold older ones, and its operator may repeat them one after the other.
 void DirectoryHistory::UseNewerRoutes(
     const std::shared_ptr<const RouteSet>& routes) {
