Flow: Keep the time of the last answer once

FlowTracker kept a time that AnsweredRequests keeps, too, set in the line beside it; and RecordUnanswered looked up the same stats twice.

--- a/Source/Flow/answered_requests.h
+++ b/Source/Flow/answered_requests.h
@@ -27,6 +27,11 @@
   // and of the time since the last one, no more than kMaxGap counts.
   [[nodiscard]] auto AnsweredTimeAt(TimePoint now) const -> Duration;
 
+  // Time of the last answer; nullopt before the first one.
+  [[nodiscard]] auto last_answer() const -> std::optional<TimePoint> {
+    return last_answer_;
+  }
+
   static constexpr Duration kMaxGap = std::chrono::milliseconds(200);
   static constexpr Duration kRetention = std::chrono::seconds(4);
 
--- a/Source/Flow/flow_tracker.cc
+++ b/Source/Flow/flow_tracker.cc
@@ -371,7 +371,6 @@
 // Records the first reply to the request that the flow waits for.
 void FlowTracker::RecordAnswer(const TrackedFlow& flow, TimePoint now) {
   const auto time = now - flow.waiting_since;
-  last_answer_ = now;
   answered_.Add(flow.waiting_since, now);
   auto& stats = StatsOf(flow.token, now);
   stats.AddReply(usual_reply_times_.Add(flow.id.service, time));
@@ -419,14 +418,15 @@
   if (packet == UnansweredPacket::kRetransmittedData && IsOwnerUnknown(flow)) {
     return;
   }
-  auto& health = StatsOf(flow.token, now).health;
+  auto& stats = StatsOf(flow.token, now);
+  auto& health = stats.health;
   const auto was_suspect = health.IsSuspect(now);
   if (!health.RecordUnanswered(packet, flow.waiting_since, now)) {
     return;
   }
   if (packet == UnansweredPacket::kRetransmittedData &&
       health.silent_data_sent_at() == flow.waiting_since) {
-    StatsOf(flow.token, now).unanswered_since = flow.answered_time;
+    stats.unanswered_since = flow.answered_time;
   }
   ++unanswered_packets_;
   // A flow of which no further packet was seen may have moved to another
@@ -461,6 +461,7 @@
 auto FlowTracker::CheckSilent(const DirectorySnapshot& directory, TimePoint now)
     -> std::vector<ResetFlow> {
   auto resets = std::vector<ResetFlow>();
+  const auto last_answer = answered_.last_answer();
   for (const auto token : std::exchange(maybe_silent_, {})) {
     const auto& stats = StatsOf(token, now);
     const auto& health = stats.health;
@@ -471,8 +472,8 @@
                  .token = token,
                  .unanswered_packets = health.unanswered_packets(),
                  .age = now - health.last_alive(),
-                 .since_any_answer = last_answer_
-                                         ? std::optional(now - *last_answer_)
+                 .since_any_answer = last_answer
+                                         ? std::optional(now - *last_answer)
                                          : std::nullopt});
     auto ended = ResetSilent(token, directory, now);
     resets.insert(resets.end(), ended.begin(), ended.end());
--- a/Source/Flow/flow_tracker.h
+++ b/Source/Flow/flow_tracker.h
@@ -158,8 +158,7 @@
   std::uint64_t unanswered_packets_ = 0;
   std::uint64_t unanswered_requests_ = 0;
   ObservationClock clock_;
-  std::optional<TimePoint> settled_at_;   // Nothing before the first tick.
-  std::optional<TimePoint> last_answer_;  // Of any endpoint.
+  std::optional<TimePoint> settled_at_;  // Nothing before the first tick.
   AnsweredRequests answered_;
   TimePoint next_sweep_;
 };
