--- a/Tests/Flow/token_router_test.cc
+++ b/Tests/Flow/token_router_test.cc
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <initializer_list>
 
 #include "Flow/token_router_fixture.h"
 
@@ -519,6 +520,43 @@
   cr_assert_leq(lost, 4);
 }
 
+// The flow sends a request of 100 bytes from `seq` on, and its answer follows
+// within 100 ms; expects that no flow is reset meanwhile.
+void AskAndAnswerWithoutReset(RouterFixture& fixture, std::uint16_t port,
+                              WireToken token, std::uint32_t seq) {
+  fixture.Packet(port, token, seq, seq, 100);
+  cr_assert(fixture.Advance(20 * kMillisecond).empty());
+  fixture.Packet(port, token, seq + 100, seq + 100, 0);
+  cr_assert(fixture.Advance(80 * kMillisecond).empty());
+}
+
+// Two flows of the first endpoint, which have been answered, and one of the
+// second.
+struct ThreeFlows {
+  std::uint16_t port;
+  std::uint16_t next;
+  std::uint16_t elsewhere;
+};
+
+auto OpenThreeFlows(RouterFixture& fixture) -> ThreeFlows {
+  const auto port = fixture.OpenAt(kFirst, 1000);
+  const auto next = fixture.OpenAt(kFirst, port + 1);
+  const auto elsewhere = fixture.OpenAt(kSecond, next + 1);
+  AskAndAnswer(fixture, port);
+  AskAndAnswer(fixture, next);
+  return {port, next, elsewhere};
+}
+
+// The callers of flows of the first endpoint send their second request again;
+// expects that it is forwarded.
+void AssertSentAgain(RouterFixture& fixture,
+                     std::initializer_list<std::uint16_t> ports) {
+  for (const auto port : ports) {
+    const auto action = fixture.Packet(port, kFirst, 101, 101, 100);
+    cr_assert(std::holds_alternative<ForwardWithToken>(action));
+  }
+}
+
 Test(token_router, waiting_flows_of_an_unresponsive_endpoint_are_reset) {
   auto fixture = RouterFixture();
   const auto waiting = fixture.OpenAt(kFirst, 1000);
@@ -532,10 +570,7 @@
   fixture.Packet(other, kFirst, 101, 101, 100);
   auto resets = std::vector<ResetFlow>();
   for (auto seq = std::uint32_t{1}; seq < 600; seq += 100) {
-    fixture.Packet(elsewhere, kSecond, seq, seq, 100);
-    cr_assert(fixture.Advance(20 * kMillisecond).empty());
-    fixture.Packet(elsewhere, kSecond, seq + 100, seq + 100, 0);
-    cr_assert(fixture.Advance(80 * kMillisecond).empty());
+    AskAndAnswerWithoutReset(fixture, elsewhere, kSecond, seq);
   }
   fixture.Packet(waiting, kFirst, 101, 101, 100);
   const auto second = fixture.Packet(other, kFirst, 101, 101, 100);
@@ -614,19 +649,12 @@
   for (auto stall = 200 * kMillisecond; stall <= 3000 * kMillisecond;
        stall += kStep) {
     auto fixture = RouterFixture();
-    const auto port = fixture.OpenAt(kFirst, 1000);
-    const auto next = fixture.OpenAt(kFirst, port + 1);
-    const auto elsewhere = fixture.OpenAt(kSecond, next + 1);
-    AskAndAnswer(fixture, port);
-    AskAndAnswer(fixture, next);
+    const auto [port, next, elsewhere] = OpenThreeFlows(fixture);
     fixture.Packet(port, kFirst, 101, 101, 100);
     fixture.Packet(next, kFirst, 101, 101, 100);
     fixture.Packet(elsewhere, kSecond, 1, 1, 100);
     cr_assert(fixture.Advance(stall).empty());
-    for (const auto repeated : {port, next}) {
-      const auto action = fixture.Packet(repeated, kFirst, 101, 101, 100);
-      cr_assert(std::holds_alternative<ForwardWithToken>(action));
-    }
+    AssertSentAgain(fixture, {port, next});
     fixture.Packet(elsewhere, kSecond, 1, 1, 100);
     cr_assert(fixture.Advance(20 * kMillisecond).empty());
     fixture.Packet(elsewhere, kSecond, 101, 101, 0);
@@ -640,11 +668,7 @@
 // after the first of the unanswered ones, but before the second.
 Test(token_router, stall_after_one_later_answer_resets_no_flow) {
   auto fixture = RouterFixture();
-  const auto port = fixture.OpenAt(kFirst, 1000);
-  const auto next = fixture.OpenAt(kFirst, port + 1);
-  const auto elsewhere = fixture.OpenAt(kSecond, next + 1);
-  AskAndAnswer(fixture, port);
-  AskAndAnswer(fixture, next);
+  const auto [port, next, elsewhere] = OpenThreeFlows(fixture);
   fixture.Packet(port, kFirst, 101, 101, 100);
   fixture.Advance(20 * kMillisecond);
   fixture.Packet(elsewhere, kSecond, 1, 1, 100);
@@ -680,11 +704,7 @@
 // each: their callers send nothing more. Others are answered meanwhile.
 Test(token_router, long_requests_that_are_not_sent_again_are_kept) {
   auto fixture = RouterFixture();
-  const auto port = fixture.OpenAt(kFirst, 1000);
-  const auto next = fixture.OpenAt(kFirst, port + 1);
-  const auto elsewhere = fixture.OpenAt(kSecond, next + 1);
-  AskAndAnswer(fixture, port);
-  AskAndAnswer(fixture, next);
+  const auto [port, next, elsewhere] = OpenThreeFlows(fixture);
   fixture.Packet(port, kFirst, 101, 101, 100);
   fixture.Packet(next, kFirst, 101, 101, 100);
   cr_assert(fixture.Advance(200 * kMillisecond).empty());
@@ -692,11 +712,8 @@
   fixture.Packet(next, kFirst, 101, 101, 100);
   auto seq = std::uint32_t{1};
   for (auto round = 0; round < 6; ++round) {
-    fixture.Packet(elsewhere, kSecond, seq, seq, 100);
+    AskAndAnswerWithoutReset(fixture, elsewhere, kSecond, seq);
     seq += 100;
-    cr_assert(fixture.Advance(20 * kMillisecond).empty());
-    fixture.Packet(elsewhere, kSecond, seq, seq, 0);
-    cr_assert(fixture.Advance(80 * kMillisecond).empty());
   }
 }
 
@@ -791,11 +808,8 @@
     if (time == 300) {
       fixture.Packet(sound, kSecond, 101, 101, 100);
     }
-    fixture.Packet(elsewhere, kFirst, seq, seq, 100);
+    AskAndAnswerWithoutReset(fixture, elsewhere, kFirst, seq);
     seq += 100;
-    cr_assert(fixture.Advance(20 * kMillisecond).empty());
-    fixture.Packet(elsewhere, kFirst, seq, seq, 0);
-    cr_assert(fixture.Advance(80 * kMillisecond).empty());
   }
 }
 
@@ -808,11 +822,7 @@
   for (auto stall = 200 * kMillisecond; stall <= 3000 * kMillisecond;
        stall += kStep) {
     auto fixture = RouterFixture();
-    const auto port = fixture.OpenAt(kFirst, 1000);
-    const auto next = fixture.OpenAt(kFirst, port + 1);
-    const auto elsewhere = fixture.OpenAt(kSecond, next + 1);
-    AskAndAnswer(fixture, port);
-    AskAndAnswer(fixture, next);
+    const auto [port, next, elsewhere] = OpenThreeFlows(fixture);
     fixture.Packet(port, kFirst, 101, 101, 100);
     fixture.Packet(next, kFirst, 101, 101, 100);
     fixture.Advance(5 * kMillisecond);
@@ -821,10 +831,7 @@
     fixture.Packet(elsewhere, kSecond, 101, 101, 100);
     cr_assert(fixture.Advance(stall).empty());
     fixture.Packet(elsewhere, kSecond, 101, 101, 100);
-    for (const auto repeated : {port, next}) {
-      const auto action = fixture.Packet(repeated, kFirst, 101, 101, 100);
-      cr_assert(std::holds_alternative<ForwardWithToken>(action));
-    }
+    AssertSentAgain(fixture, {port, next});
     cr_assert(fixture.Advance(20 * kMillisecond).empty());
     fixture.Packet(elsewhere, kSecond, 201, 201, 0);
     fixture.Packet(port, kFirst, 201, 201, 0);
