Review: Record each request that the scripts send, run and answer

The scripts of the cases 6 to 9 wrote totals and the breaks only. Each request, run and answer has a line now. The checks are as they were.

--- a/review/stand-in-2/entry_case.cc
+++ b/review/stand-in-2/entry_case.cc
@@ -106,7 +106,10 @@
     }
   }
 
-  void Ran(const std::string&, const std::string&) override { ++runs_; }
+  void Ran(const std::string& request, const std::string& backend) override {
+    ++runs_;
+    record_.Line(backend + " runs " + request);
+  }
 
   auto IsLost(std::uint16_t, const std::string&) -> bool override {
     return false;
@@ -199,6 +202,7 @@
                    std::to_string(++flow.number) + " work " +
                    std::to_string(static_cast<int>(kWork));
     ++sent_;
+    record_.Line("client sends " + flow.request);
     SendRequest(port, flow.number, kFirstResend);
     loop_.After(kDeadline, [this, port, number = flow.number] {
       auto& current = flows_[port];
@@ -263,6 +267,8 @@
     }
     if (!flow.request.empty() && packet->data == "done " + flow.request) {
       ++answered_;
+      record_.Line("client gets the answer of " + sender + " to " +
+                   flow.request);
       flow.seq += static_cast<std::uint32_t>(flow.request.size());
       flow.ack += static_cast<std::uint32_t>(packet->data.size());
       flow.request.clear();
--- a/review/stand-in-2/stale_case.cc
+++ b/review/stand-in-2/stale_case.cc
@@ -233,6 +233,9 @@
     packet.seq = 1000003U * port;
     client_->Send(Encode(packet), {kFleet[probe.instance].ip, packet_port_});
     ++sent_;
+    record_.Line("client sends the SYN of flow :" + std::to_string(port) +
+                 " to " + Text(route) + " through " +
+                 kFleet[probe.instance].name);
   }
 
   void ToBackend(int index, const std::string& text) {
@@ -243,6 +246,8 @@
     const auto found = probes_.find(packet->from.port);
     if (found != probes_.end()) {
       ++taken_;
+      record_.Line("backend i-" + Hex(IdOf(static_cast<std::size_t>(index))) +
+                   " takes flow :" + std::to_string(packet->from.port));
       const auto& probe = found->second;
       if (!probe.to_new_route) {
         Broken(probe, "a backend takes a flow of the dropped route");
@@ -269,6 +274,10 @@
       Note(found->second, "also seen: a flow of the new route is refused");
     }
     ++answered_;
+    record_.Line(
+        "client gets " +
+        std::string((packet->flags & kRst) != 0 ? "a reset" : "a SYN+ACK") +
+        " of flow :" + std::to_string(packet->to.port));
   }
 
   // Flows are judged by the opening packet that a backend takes.
