Review: Drop the case of the release, number the others 11 and 12

Done: its folder, its scenario and what only it used of the stand-ins are gone; case 12 is now 11, case 13 is now 12.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -3,4 +3,4 @@
 # not run. With TROUBLE=0 without the disruption.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
-exec target/review-3/case release review/11/record.txt "${TROUBLE:-1}"
+exec target/review-3/case freeze review/11/record.txt "${TROUBLE:-1}"
--- a/review/stand-in-3/backend.h
+++ b/review/stand-in-3/backend.h
@@ -2,7 +2,6 @@
 #ifndef REVIEW_STAND_IN_3_BACKEND_H_
 #define REVIEW_STAND_IN_3_BACKEND_H_
 
-#include <memory>
 #include <random>
 #include <set>
 
@@ -14,6 +13,8 @@
 
 using FlowKey = std::pair<Address, Address>;  // Client's end, route.
 
+constexpr std::int64_t kWork = 20;  // Milliseconds to a response.
+
 class Backend {
  public:
   struct Place {
@@ -33,34 +34,15 @@
         client_port_(client_port),
         random_(place_.number),
         socket_(
-            std::make_unique<Udp>(loop, place_.address,
-                                  [this](const std::string& bytes,
-                                         const Address&) { Take(bytes); })) {
-    Register("ready");
+            loop, place_.address,
+            [this](const std::string& bytes, const Address&) { Take(bytes); }) {
+    Register();
   }
 
   [[nodiscard]] auto place() const -> const Place& { return place_; }
-  [[nodiscard]] auto alive() const -> bool { return socket_ != nullptr; }
   [[nodiscard]] auto Holds(const FlowKey& key) const -> bool {
     const auto found = flows_.find(key);
-    return alive() && found != flows_.end() && found->second.open;
-  }
-
-  void set_work(std::int64_t millis) { work_ = millis; }
-
-  // Tells the store that it leaves. Goes on serving.
-  void Drain() {
-    draining_ = true;
-    Register("draining");
-    record_.Line("the store has accepted: " + place_.id + " is draining");
-  }
-
-  // Exits; its entry is removed.
-  void Leave() {
-    socket_.reset();
-    flows_.clear();
-    store_.Delete("servers/" + place_.id);
-    record_.Line(place_.id + " has left");
+    return found != flows_.end() && found->second.open;
   }
 
  private:
@@ -72,26 +54,22 @@
     std::uint32_t echo = 0;
     std::string input;
     std::optional<Packet> unacknowledged;
-    bool ended = false;
   };
 
-  void Register(const std::string& state) {
-    store_.Put("servers/" + place_.id,
-               R"({"service":")" + place_.service + R"(","address":")" +
-                   Text(place_.address) + R"(","zone":")" + place_.zone +
-                   R"(","version":"v1","slots":3,"state":")" + state +
-                   R"(","coldRemainingMs":0,"sequence":)" +
-                   std::to_string(++sequence_) + "}");
+  void Register() {
+    store_.Put(
+        "servers/" + place_.id,
+        R"({"service":")" + place_.service + R"(","address":")" +
+            Text(place_.address) + R"(","zone":")" + place_.zone +
+            R"(","version":"v1","slots":3,"state":"ready","coldRemainingMs":0,)"
+            R"("sequence":1})");
   }
 
   void Send(const FlowKey& key, Packet packet) {
-    if (!alive()) {
-      return;
-    }
     packet.src = key.second;
     packet.dst = key.first;
     packet.sum = packet.Sum();
-    socket_->Send(packet.Encode(), {key.first.ip, client_port_});
+    socket_.Send(packet.Encode(), {key.first.ip, client_port_});
   }
 
   void SendReset(const FlowKey& key, const Packet& cause) {
@@ -213,12 +191,12 @@
         flow.input.substr(at, flow.input.find("\r\n", at) - at);
     flow.input.clear();
     record_.Line(place_.id + " runs " + request);
-    loop_.After(work_, [this, key, request] { Answer(key, request); });
+    loop_.After(kWork, [this, key, request] { Answer(key, request); });
   }
 
   void Answer(const FlowKey& key, const std::string& request) {
     const auto found = flows_.find(key);
-    if (!alive() || found == flows_.end()) {
+    if (found == flows_.end()) {
       return;
     }
     auto& flow = found->second;
@@ -230,10 +208,6 @@
     answer.data = "HTTP/1.1 200 OK\r\nX-Response-Stamp: " + place_.id + "-" +
                   request + "\r\nContent-Length: 4\r\n\r\ndone";
     flow.next += static_cast<std::uint32_t>(answer.data.size());
-    if (draining_) {
-      // Closes the flow after this response.
-      answer.flags |= Packet::kFin;
-    }
     flow.unacknowledged = answer;
     Send(key, answer);
     SendAgain(key, answer.seq, 200, 0);
@@ -260,10 +234,7 @@
   const std::uint16_t client_port_;
   std::mt19937_64 random_;
   std::map<FlowKey, Flow> flows_;
-  bool draining_ = false;
-  int sequence_ = 0;
-  std::int64_t work_ = 20;
-  std::unique_ptr<Udp> socket_;
+  Udp socket_;
 };
 
 }  // namespace review
--- a/review/stand-in-3/client.h
+++ b/review/stand-in-3/client.h
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <functional>
-#include <memory>
 #include <utility>
 
 #include "backend.h"
@@ -29,7 +28,6 @@
   Fleet* fleet = nullptr;
   std::uint16_t packet_port = 0;
   std::function<void(const ResetSeen&)> on_reset;
-  std::function<void(const std::string& request)> on_answered;
   // Called at the end of the handshake and after each answer: the pause before
   // the next request; negative: closes the flow.
   std::function<std::int64_t(int requests)> pause;
@@ -43,7 +41,6 @@
 
   void Open() {
     state_ = State::kOpening;
-    opened_at_ = links_.loop->Now();
     for (const auto& [copy, wait] : {std::pair{0U, 0}, {1U, 200}, {2U, 600}}) {
       links_.loop->After(wait, [this, copy = copy] { SendOpening(copy); });
     }
@@ -77,8 +74,6 @@
     }
   }
 
-  [[nodiscard]] auto key() const -> const FlowKey& { return key_; }
-  [[nodiscard]] auto is_open() const -> bool { return state_ == State::kOpen; }
   [[nodiscard]] auto answered() const -> int { return answered_; }
   [[nodiscard]] auto name() const -> std::string { return Text(key_.first); }
 
@@ -191,7 +186,7 @@
     Acknowledge();
     ++answered_;
     links_.record->Line(name() + " has the answer to " + request_);
-    links_.on_answered(std::exchange(request_, {}));
+    request_.clear();
     if (packet.has(Packet::kFin)) {
       auto end = Packet();
       end.flags = Packet::kFin | Packet::kAck;
@@ -209,7 +204,6 @@
   std::uint32_t ack_ = 0;
   std::uint32_t echo_ = 0;
   State state_ = State::kNew;
-  std::int64_t opened_at_ = 0;
   int answered_ = 0;
   std::string request_;
   std::string data_;
--- a/review/stand-in-3/fleet.h
+++ b/review/stand-in-3/fleet.h
@@ -31,7 +31,6 @@
     pid_t process = 0;
     bool in_rotation = false;
     int misses = 0;
-    bool removed = false;
     std::int64_t calm_since = 0;
   };
 
--- a/review/stand-in-3/main.cc
+++ b/review/stand-in-3/main.cc
@@ -16,7 +16,6 @@
 // The bounds of a small deployment.
 constexpr std::int64_t kStabilityWindow = 4000;
 constexpr std::int64_t kGrace = 6000;
-constexpr std::int64_t kDrain = 3000;
 
 constexpr std::int64_t kLongest = 110'000;
 
@@ -51,7 +50,6 @@
     links_.fleet = fleet_.get();
     links_.packet_port = ports_.packet;
     links_.on_reset = [this](const ResetSeen& reset) { Judge(reset); };
-    links_.on_answered = [](const std::string&) {};
   }
 
   ~World() {
@@ -220,43 +218,6 @@
   int result_ = 2;
 };
 
-// One backend after the other is replaced by its next incarnation. An id tells
-// how often its machine has started, and which machine it is: in ten hex
-// digits, or with `is_short` in as few as it takes.
-void Release(World& world, bool is_short) {
-  constexpr auto kMachines = 6;
-  constexpr auto kReplaced = 3;
-  const auto id = [is_short](int start, int machine) {
-    return static_cast<std::uint64_t>(start) << (is_short ? 8 : 32) |
-           static_cast<std::uint64_t>(machine);
-  };
-  world.set_planned();
-  world.Configure("safe");
-  for (auto machine = 1; machine <= kMachines; ++machine) {
-    world.AddBackend(id(1, machine)).set_work(60);
-  }
-  world.fleet().Start(3, "nelson-a", world.net() + 10, world.net() + 1);
-  world.links().pause = [](int) { return 700; };
-  world.WhenReady(3, [&world, id] {
-    for (auto index = 0; index < 60; ++index) {
-      world.loop().After(100 * index, [&world] { world.OpenFlow(); });
-    }
-    // All machines are calm by then.
-    constexpr auto kBegin = 8000;
-    for (auto machine = 1; machine <= kReplaced && world.trouble(); ++machine) {
-      world.loop().After(kBegin + 1000 * machine, [&world, id, machine] {
-        auto& next = world.AddBackend(id(2, machine));
-        next.set_work(60);
-        auto& old = *world.backends()[static_cast<std::size_t>(machine - 1)];
-        world.loop().After(1000, [&old] { old.Drain(); });
-        world.loop().After(1000 + kDrain + 2000, [&old] { old.Leave(); });
-      });
-    }
-    world.loop().After(kBegin + 1000 * kReplaced + 8000,
-                       [&world] { world.Finish(300); });
-  });
-}
-
 // A machine stands still for 4 s while flows are opened.
 void Freeze(World& world) {
   world.Configure("safe");
@@ -341,9 +302,7 @@
   const auto trouble = std::string(argv[3]) != "0";
   try {
     auto world = World(argv[2], trouble);
-    if (name == "release" || name == "release-short") {
-      Release(world, name == "release-short");
-    } else if (name == "freeze") {
+    if (name == "freeze") {
       Freeze(world);
     } else if (name == "roll") {
       Roll(world);
--- a/review/stand-in-3/store.h
+++ b/review/stand-in-3/store.h
@@ -28,17 +28,6 @@
     AnswerWatches(false);
   }
 
-  void Delete(const std::string& key) {
-    if (items_.erase(key) == 0) {
-      return;
-    }
-    ++revision_;
-    events_.push_back({revision_, R"({"key":")" + key + R"(","revision":)" +
-                                      std::to_string(revision_) +
-                                      R"(,"deleted":true})"});
-    AnswerWatches(false);
-  }
-
  private:
   static constexpr std::size_t kPageItems = 50;
 
