--- a/review/stand-in-3/main.cc
+++ b/review/stand-in-3/main.cc
@@ -256,8 +256,8 @@
 }
 
 // The machines are stopped and started in turn. Of every tenth flow one
-// datagram is lost, the first reply to its opening: one in some 300 of all
-// datagrams for clients.
+// datagram is lost, the first reply to its opening: 0.7% of all datagrams for
+// clients.
 void Roll(World& world) {
   world.set_planned();
   world.Configure("safe");
